Fold, control loop and planner: first draft of the control plane

The fold owns every rule: lease epochs, membership, one pool for each instance, budgets, tasks. The control loop follows the log and peers; the planner records facts, decides, and drives operations through the barrier.

--- /dev/null
+++ b/internal/node/list.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"time"
+
+	"cyclamenwheel/internal/platform"
+)
+
+const listWait = 5 * time.Second
+
+func (n *Node) pollList() {
+	var since uint64
+	for n.ctx.Err() == nil {
+		list, err := n.opts.Platform.Instances(n.ctx, since, listWait)
+		if err == nil && list.Version > since {
+			since = list.Version
+			select {
+			case n.lists <- list:
+			case <-n.ctx.Done():
+			}
+		}
+		pause(n.ctx.Done(), n.opts.ListPoll)
+	}
+}
+
+func pause(done <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-done:
+	case <-t.C:
+	}
+}
+
+func (n *Node) onList(l platform.InstanceList) {
+	if l.Version <= n.list.Version {
+		return
+	}
+	n.list = l
+	n.listIndex = make(map[string]*platform.Instance, len(l.Instances))
+	for i := range l.Instances {
+		n.listIndex[l.Instances[i].ID] = &l.Instances[i]
+	}
+	n.beatWanted = true
+	n.hooks.ListChanged()
+}
+
+// learnNotLive takes a newer list's losses from a peer. It only ever takes
+// instances out: an instance comes back by the list itself.
+func (n *Node) learnNotLive(hb Heartbeat) {
+	n.notLive = make(map[string]bool, len(hb.NotLive))
+	for _, id := range hb.NotLive {
+		n.notLive[id] = true
+	}
+	n.notLiveV = hb.ListVersion
+	n.beatWanted = true
+	n.hooks.ListChanged()
+}
+
+// ownNotLive is what goes on heartbeats: the newest known losses.
+func (n *Node) ownNotLive() []string {
+	var out []string
+	for i := range n.list.Instances {
+		in := &n.list.Instances[i]
+		if in.Kind == platform.KindWorker && in.State != platform.StateLive {
+			out = append(out, in.ID)
+		}
+	}
+	return out
+}
+
+// List is the newest instance list read; loop-only.
+func (n *Node) List() platform.InstanceList { return n.list }
+
+// Listed returns the list's row of an instance, nil if it has none; loop-only.
+func (n *Node) Listed(id string) *platform.Instance { return n.listIndex[id] }
+
+// Live reports whether the newest word on an instance is that it is live.
+// Before any list is known, instances count as live: the health check before
+// the first request decides.
+func (n *Node) Live(id string) bool {
+	if n.notLiveV > n.list.Version && n.notLive[id] {
+		return false
+	}
+	if n.list.Version == 0 {
+		return true
+	}
+	in := n.listIndex[id]
+	return in != nil && in.State == platform.StateLive
+}
--- /dev/null
+++ b/internal/placement/fold.go
@@ -0,0 +1,207 @@
+package placement
+
+import (
+	"maps"
+	"slices"
+
+	"cyclamenwheel/internal/fold"
+	"cyclamenwheel/internal/manifest"
+	"cyclamenwheel/internal/platform"
+	"cyclamenwheel/internal/pools"
+)
+
+// Reasons for rejecting records about tasks.
+const (
+	// ReasonIndexTaken marks a task whose index another task still holds.
+	ReasonIndexTaken fold.Reason = "index_taken"
+	// ReasonNotServing marks a task for an instance that does not serve the
+	// job's pool at this offset.
+	ReasonNotServing fold.Reason = "not_serving"
+	// ReasonUnknownJob marks a task of a job that the manifest in force does
+	// not have.
+	ReasonUnknownJob fold.Reason = "unknown_job"
+	// ReasonNothingToDo marks a record in which no item took effect.
+	ReasonNothingToDo fold.Reason = "nothing_to_do"
+)
+
+// Tasks is the planner's record of one placement round. Each item is judged by
+// itself; the record is accepted if any item is.
+type Tasks struct {
+	Place []Placed `cbor:"1,keyasint,omitempty"`
+	Stop  []string `cbor:"2,keyasint,omitempty"`
+	End   []End    `cbor:"3,keyasint,omitempty"`
+}
+
+// Placed starts one task.
+type Placed struct {
+	ID       string `cbor:"1,keyasint"`
+	Job      string `cbor:"2,keyasint"`
+	Index    int    `cbor:"3,keyasint"`
+	Instance string `cbor:"4,keyasint"`
+	// Why is the reason given by the planner.
+	Why Reason `cbor:"5,keyasint"`
+	// Cores, MemoryMB and Accelerators are what is set aside for it.
+	Cores        float64 `cbor:"6,keyasint"`
+	MemoryMB     int     `cbor:"7,keyasint"`
+	Accelerators int     `cbor:"8,keyasint,omitempty"`
+}
+
+// End records how a task ended, as the platform reported it.
+type End struct {
+	ID    string             `cbor:"1,keyasint"`
+	State platform.TaskState `cbor:"2,keyasint"`
+}
+
+// Held is one task as folded.
+type Held struct {
+	Placed
+	PlacedMillis int64 `cbor:"9,keyasint"`
+	Stopping     bool  `cbor:"10,keyasint,omitempty"`
+}
+
+// State is the folded tasks.
+type State struct {
+	Tasks   map[string]Held `cbor:"1,keyasint" json:"tasks"`
+	History History         `cbor:"2,keyasint" json:"history"`
+	// Version is the offset of the newest change.
+	Version uint64 `cbor:"3,keyasint" json:"version"`
+
+	// holder is derived: which task holds an index of a job.
+	holder map[slot]string
+}
+
+type slot struct {
+	job   string
+	index int
+}
+
+func (s *State) derive() {
+	if s.holder != nil {
+		return
+	}
+	s.holder = make(map[slot]string, len(s.Tasks))
+	for id, t := range s.Tasks {
+		s.holder[slot{t.Job, t.Index}] = id
+	}
+}
+
+// Apply folds one round of the planner. A task is accepted only on an instance
+// that serves the job's pool at this offset, and only while no other task holds
+// its index: a round planned before a drain or by a second planner can neither
+// start work on a leaving instance nor run an index twice.
+func (s *State) Apply(m fold.Meta, rec Tasks, man *manifest.Manifest, instances map[string]*pools.Instance) fold.Verdict {
+	s.derive()
+	accepted, first := 0, fold.Reject(ReasonNothingToDo, "")
+	jobs := jobsOf(man)
+	for _, e := range rec.End {
+		accepted += s.end(m, e, jobs, instances)
+	}
+	for _, id := range rec.Stop {
+		accepted += s.stop(id)
+	}
+	for _, p := range rec.Place {
+		v := s.place(m, p, jobs, instances)
+		if v.Accepted {
+			accepted++
+		} else if first.Reason == ReasonNothingToDo {
+			first = v
+		}
+	}
+	if accepted == 0 {
+		return first
+	}
+	s.Version = m.Offset
+	return fold.Accept()
+}
+
+type pooledJob struct {
+	manifest.Job
+	pool string
+}
+
+func jobsOf(man *manifest.Manifest) map[string]pooledJob {
+	jobs := make(map[string]pooledJob)
+	if man == nil {
+		return jobs
+	}
+	for _, p := range man.Pools {
+		for _, j := range p.Jobs {
+			jobs[j.Name] = pooledJob{Job: j, pool: p.Name}
+		}
+	}
+	return jobs
+}
+
+func (s *State) place(m fold.Meta, p Placed, jobs map[string]pooledJob, instances map[string]*pools.Instance) fold.Verdict {
+	job, ok := jobs[p.Job]
+	if !ok {
+		return fold.Reject(ReasonUnknownJob, p.Job)
+	}
+	in := instances[p.Instance]
+	if in == nil || in.Phase != pools.PhaseServing || in.Pool != job.pool {
+		return fold.Reject(ReasonNotServing, p.Instance)
+	}
+	key := slot{p.Job, p.Index}
+	if by, taken := s.holder[key]; taken {
+		return fold.Reject(ReasonIndexTaken, by)
+	}
+	if s.Tasks == nil {
+		s.Tasks = make(map[string]Held)
+	}
+	s.Tasks[p.ID] = Held{Placed: p, PlacedMillis: m.TimeMillis}
+	s.holder[key] = p.ID
+	return fold.Accept()
+}
+
+func (s *State) stop(id string) int {
+	t, ok := s.Tasks[id]
+	if !ok || t.Stopping {
+		return 0
+	}
+	t.Stopping = true
+	s.Tasks[id] = t
+	return 1
+}
+
+func (s *State) end(m fold.Meta, e End, jobs map[string]pooledJob, instances map[string]*pools.Instance) int {
+	t, ok := s.Tasks[e.ID]
+	if !ok {
+		return 0
+	}
+	delete(s.Tasks, e.ID)
+	delete(s.holder, slot{t.Job, t.Index})
+	job, known := jobs[t.Job]
+	if !known {
+		return 1
+	}
+	o := Outcome{Job: job.Job, Index: t.Index, Instance: t.Instance, State: e.State, AtMillis: m.TimeMillis}
+	if in := instances[t.Instance]; in != nil {
+		o.BootID = in.BootID
+	}
+	s.History.Observe(o)
+	return 1
+}
+
+// Forget drops the history of jobs and workers that are no more. It is folded
+// with every manifest, so that history is bounded by what is published.
+func (s *State) Forget(man *manifest.Manifest, instances map[string]*pools.Instance) {
+	jobs := jobsOf(man)
+	s.History.Forget(
+		func(job string) bool { _, ok := jobs[job]; return ok },
+		func(id string) bool { return instances[id] != nil },
+	)
+}
+
+// Current returns the tasks in the form that Decide takes, ordered by id, with
+// the states last reported.
+func (s *State) Current(reported map[string]platform.TaskState) []Task {
+	out := make([]Task, 0, len(s.Tasks))
+	for _, id := range slices.Sorted(maps.Keys(s.Tasks)) {
+		t := s.Tasks[id]
+		out = append(out, Task{
+			ID: id, Job: t.Job, Index: t.Index, Instance: t.Instance, State: reported[id],
+			StartedMillis: t.PlacedMillis, Stopping: t.Stopping,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/planlease/clock.go
@@ -0,0 +1,19 @@
+package planlease
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Boottime returns the time since boot including suspension. time.Now's
+// monotonic part stops while a virtual machine is suspended: a holder resumed
+// after an hour would believe its lease fresh and act beside its successor.
+func Boottime() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// CLOCK_BOOTTIME exists on every supported kernel (2.6.39 and later).
+		panic(err)
+	}
+	return time.Duration(ts.Nano())
+}
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,332 @@
+// Package planner is the duty of the one process that holds the planner lease:
+// it records what the platform lists, decides moves, maintenance and job
+// placement, and drives each to its end.
+//
+// Every round starts from the fold and the newest instance list alone, so a
+// successor goes on where its predecessor stopped. A decision is first a
+// record; the platform is asked only once the record has been read back as
+// accepted.
+package planner
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"cyclamenwheel/internal/fleetlog"
+	"cyclamenwheel/internal/fold"
+	"cyclamenwheel/internal/maintenance"
+	"cyclamenwheel/internal/node"
+	"cyclamenwheel/internal/peer"
+	"cyclamenwheel/internal/planlease"
+	"cyclamenwheel/internal/platform"
+	"cyclamenwheel/internal/pools"
+)
+
+const (
+	// submitLimit bounds one record's way through the log. When it ends the
+	// next round looks at the fold again and writes what is still missing.
+	submitLimit = 10 * time.Second
+	// askAgainAfter is how long a platform operation is left to show in the
+	// list before it is asked for again: its answer, or the request, may have
+	// been lost.
+	askAgainAfter = 2 * time.Second
+	// askLimit bounds one call to the platform.
+	askLimit = 5 * time.Second
+	// roundEvery bounds how often a round runs while nothing changes; timers
+	// inside decisions (a drain that takes too long) need no finer grain.
+	roundEvery = 500 * time.Millisecond
+	// batchMax bounds the items of one record: at 200 bytes an item, a record
+	// stays far under the log's limit.
+	batchMax = 1000
+)
+
+// Options configure a planner.
+type Options struct {
+	Node     *node.Node
+	Platform platform.Platform
+	Timing   planlease.Timing
+	// FenceAfter is how long a member may hold a handover up, silent and
+	// listed, before the platform is asked to stop its instance; 0 never.
+	FenceAfter time.Duration
+	// WaveReturnLimit is how long a drained instance may stay away.
+	WaveReturnLimit time.Duration
+	Logger          *slog.Logger
+}
+
+// Planner implements node.Hooks.
+type Planner struct {
+	opts      Options
+	node      *node.Node
+	log       *slog.Logger
+	contender *planlease.Contender
+
+	busy     map[fleetlog.Kind]bool   // records of this kind on their way
+	asked    map[string]time.Duration // operation id to when it was last asked for
+	dirty    bool
+	lastRun  time.Duration
+	wave     maintenance.WaveState
+	tasks    *taskRunner
+	progress []Progress
+	moves    pools.Decision
+	waves    maintenance.Decision
+}
+
+// New returns a planner to be run by opts.Node.
+func New(opts Options) *Planner {
+	self := opts.Node.Self()
+	p := &Planner{
+		opts: opts, node: opts.Node, log: opts.Logger,
+		contender: planlease.NewContender(self.ID, self.BootID, opts.Timing),
+		busy:      make(map[fleetlog.Kind]bool),
+		asked:     make(map[string]time.Duration),
+	}
+	p.tasks = newTaskRunner(p)
+	return p
+}
+
+// Applied implements node.Hooks.
+func (p *Planner) Applied([]fleetlog.Applied) { p.dirty = true }
+
+// ListChanged implements node.Hooks.
+func (p *Planner) ListChanged() { p.dirty = true }
+
+// Beat implements node.Hooks.
+func (p *Planner) Beat(_ string, hb *node.Heartbeat) { hb.Ready = len(p.node.NotReady()) == 0 }
+
+// Heard implements node.Hooks: an acknowledgement may open a barrier.
+func (p *Planner) Heard(peer.Identity, node.Heartbeat) { p.dirty = true }
+
+// MayJoin implements node.Hooks.
+func (p *Planner) MayJoin() bool { return true }
+
+// AckLimit implements node.Hooks: a control process holds nothing back.
+func (p *Planner) AckLimit() uint64 { return ^uint64(0) }
+
+// Tick implements node.Hooks.
+func (p *Planner) Tick() {
+	now := p.node.Now()
+	p.contend(now)
+	if p.contender.Holds(now) == 0 {
+		p.progress = nil
+		return
+	}
+	if !p.dirty && now-p.lastRun < roundEvery {
+		return
+	}
+	p.dirty, p.lastRun = false, now
+	p.round(now)
+}
+
+// contend claims or renews the lease.
+func (p *Planner) contend(now time.Duration) {
+	if !p.node.Joined() {
+		return
+	}
+	lease := p.node.State().Lease
+	p.contender.Observe(lease, now)
+	self := p.node.Self()
+	switch p.contender.Decide(lease, p.rank(), now) {
+	case planlease.ActClaim:
+		p.contender.Sent(now)
+		p.node.SubmitAsync(p.opts.Timing.TTL, fleetlog.KindLeaseClaim, 0,
+			planlease.Claim{Follows: lease.Epoch, Holder: self.ID, BootID: self.BootID}, p.leaseSettled)
+	case planlease.ActRenew:
+		p.contender.Sent(now)
+		p.node.SubmitAsync(p.opts.Timing.TTL, fleetlog.KindLeaseRenew, lease.Epoch,
+			planlease.Renew{Epoch: lease.Epoch, Holder: self.ID, BootID: self.BootID}, p.leaseSettled)
+	}
+}
+
+func (p *Planner) leaseSettled(v fold.Verdict, err error) {
+	p.contender.Settled(err == nil && v.Accepted)
+	p.contender.Observe(p.node.State().Lease, p.node.Now())
+	p.dirty = true
+}
+
+// rank orders challengers by id, so that one of them claims first.
+func (p *Planner) rank() int {
+	rank := 0
+	for id := range p.node.State().Members.Members {
+		if id < p.node.Self().ID {
+			rank++
+		}
+	}
+	return rank
+}
+
+// round compares what is with what should be, and does the next step of each
+// difference. Facts come first: plans made before a loss is folded would be
+// judged by the fold with the loss counted, and refused.
+func (p *Planner) round(now time.Duration) {
+	st, list := p.node.State(), p.node.List()
+	if list.Version == 0 || list.Version < st.Pools.List {
+		return
+	}
+	if p.writeFacts(Compare(st, list, p.silence), list.Version) {
+		return
+	}
+	steps := Operate(st, list, p.node.Acks())
+	p.progress = steps.Progress
+	p.commit(steps.Commit, list.Version)
+	for _, op := range steps.Reboot {
+		p.askReboot(op, now)
+	}
+	p.fenceSilent(now)
+	if st.Manifest.Current() == nil {
+		return
+	}
+	p.plan(st)
+	p.tasks.round(now)
+}
+
+// silence is how long a member has not been heard at its present boot. One
+// never heard is silent since this process started, not for ever: a planner
+// that has just taken over knows nothing yet.
+func (p *Planner) silence(member string) time.Duration {
+	if member == p.node.Self().ID {
+		return 0
+	}
+	h := p.node.Heard()[member]
+	if h == nil || h.Identity.BootID != p.node.State().Members.Members[member].BootID {
+		return p.node.Uptime()
+	}
+	return p.node.Now() - h.At
+}
+
+// writeFacts reports whether anything about workers was new.
+func (p *Planner) writeFacts(f Facts, list uint64) bool {
+	for _, cause := range slices.Sorted(maps.Keys(f.Down)) {
+		ids := f.Down[cause]
+		slices.Sort(ids)
+		p.submit(fleetlog.KindDown, pools.Down{List: list, Instances: ids, Why: cause})
+	}
+	for chunk := range slices.Chunk(f.Seen, batchMax) {
+		p.submit(fleetlog.KindSeen, pools.Seen{List: list, Facts: chunk})
+	}
+	if len(f.Forget) > 0 {
+		p.submit(fleetlog.KindForget, pools.Forget{List: list, Instances: f.Forget})
+	}
+	for _, l := range f.Leaves {
+		p.submit(fleetlog.KindLeave, l)
+	}
+	return len(f.Seen) > 0 || len(f.Down) > 0
+}
+
+func (p *Planner) commit(items []pools.CommitItem, list uint64) {
+	for chunk := range slices.Chunk(items, batchMax) {
+		p.submit(fleetlog.KindCommit, pools.Commit{List: list, Items: chunk})
+	}
+}
+
+// submit writes a record under the present epoch unless one of its kind is on
+// its way: the next round writes what is still missing then.
+func (p *Planner) submit(kind fleetlog.Kind, body any) {
+	epoch := p.contender.Holds(p.node.Now())
+	if epoch == 0 || p.busy[kind] {
+		return
+	}
+	p.busy[kind] = true
+	p.node.SubmitAsync(submitLimit, kind, epoch, body, func(v fold.Verdict, err error) {
+		p.busy[kind] = false
+		p.dirty = true
+		if err != nil || !v.Accepted {
+			p.log.Info("record not in force", "kind", kind, "reason", v.Reason, "detail", v.Detail, "error", text(err))
+		}
+	})
+}
+
+// askReboot asks the platform for op. The lease is checked at the last moment;
+// what window remains between the check and the act is closed by the operation
+// id, under which the platform acts once whoever asks.
+func (p *Planner) askReboot(op platform.Operation, now time.Duration) {
+	if at, ok := p.asked[op.ID]; ok && now-at < askAgainAfter {
+		return
+	}
+	if p.contender.Holds(p.node.Now()) == 0 {
+		return
+	}
+	p.forgetAsked(now)
+	p.asked[op.ID] = now
+	p.background(func(ctx context.Context) {
+		if err := p.opts.Platform.Reboot(ctx, op); err != nil {
+			p.log.Warn("reboot not taken", "instance", op.Instance, "operation", op.ID, "error", err.Error())
+		}
+	})
+}
+
+// forgetAsked bounds what is remembered of operations asked for.
+func (p *Planner) forgetAsked(now time.Duration) {
+	maps.DeleteFunc(p.asked, func(_ string, at time.Duration) bool { return now-at > 10*askAgainAfter })
+}
+
+func (p *Planner) background(f func(context.Context)) {
+	p.node.Background(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, askLimit)
+		defer cancel()
+		f(ctx)
+	})
+}
+
+// plan decides moves and drains and writes them as one record.
+func (p *Planner) plan(st *fleetlog.State) {
+	if p.busy[fleetlog.KindBegin] {
+		return
+	}
+	man := st.Manifest.Current()
+	instances := sorted(st.Pools.Instances)
+	p.moves = pools.Decide(pools.Input{Manifest: man, Instances: instances, Extra: p.waves.Extra()})
+	p.waves = maintenance.Decide(maintenance.Input{
+		Manifest: man, Instances: instances, Reserved: reserved(p.moves.Moves),
+		State: p.wave, NowMillis: p.node.Now().Milliseconds(),
+		Limits: maintenance.Limits{ReturnLimit: p.opts.WaveReturnLimit},
+	})
+	p.wave = p.waves.State
+	items := beginItems(p.moves.Moves, p.waves.Drains)
+	if len(items) > 0 {
+		p.submit(fleetlog.KindBegin, pools.Begin{Items: items[:min(len(items), batchMax)]})
+	}
+}
+
+// reserved counts the moves out of each pool, which the fold does not show yet.
+func reserved(moves []pools.Move) map[string]int {
+	out := make(map[string]int)
+	for _, m := range moves {
+		out[m.From]++
+	}
+	return out
+}
+
+func beginItems(moves []pools.Move, drains []maintenance.Drain) []pools.BeginItem {
+	items := make([]pools.BeginItem, 0, len(moves)+len(drains))
+	for _, m := range moves {
+		items = append(items, pools.BeginItem{
+			Instance: m.Instance, From: m.From, To: m.To, Revision: m.Revision,
+			Operation: fleetlog.NewID().String(), Why: string(m.Reason) + ": " + m.Detail,
+		})
+	}
+	for _, d := range drains {
+		items = append(items, pools.BeginItem{
+			Instance: d.Instance, From: d.Pool, To: d.Pool, Revision: d.Revision,
+			Operation: fleetlog.NewID().String(), Why: "maintenance: " + d.Detail,
+		})
+	}
+	return items
+}
+
+func sorted(instances map[string]*pools.Instance) []*pools.Instance {
+	out := make([]*pools.Instance, 0, len(instances))
+	for _, id := range slices.Sorted(maps.Keys(instances)) {
+		out = append(out, instances[id])
+	}
+	return out
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/internal/pools/state.go
+++ b/internal/pools/state.go
@@ -6,9 +6,10 @@
 
 // Phase is where an instance stands in its state machine.
 //
-//	Serving --MoveBegin--> Moving --MoveCommit--> Serving (in the new pool)
-//	Serving --DrainBegin--> Draining --DrainEnd--> Serving
-//	any     --InstanceDown--> Down --InstanceUp--> Serving (same pool)
+//	Serving --Begin--> Moving   --Commit--> Serving (in the new pool)
+//	Serving --Begin--> Draining --Commit--> Serving (same pool)
+//	any     --Down-->  Down     --Seen-->   Serving, or back to the operation
+//	                                        that was in progress
 type Phase uint8
 
 // Phases of an instance.
@@ -46,8 +47,43 @@
 	// Since is the offset of the record that began the present phase. Entries
 	// acknowledge it before the platform is asked to act.
 	Since uint64 `cbor:"15,keyasint" json:"since"`
-	// Revision is the maintenance revision it has.
-	Revision int `cbor:"16,keyasint" json:"revision"`
+	// Revision is the maintenance revision it has, TargetRevision the one that
+	// the operation in progress installs.
+	Revision       int `cbor:"16,keyasint" json:"revision"`
+	TargetRevision int `cbor:"18,keyasint,omitempty" json:"target_revision,omitempty"`
 	// Why is the reason given by the planner for the last change.
 	Why string `cbor:"17,keyasint,omitempty" json:"why,omitempty"`
 }
+
+// String returns the phase's name for people and dumps.
+func (p Phase) String() string {
+	switch p {
+	case PhaseServing:
+		return "serving"
+	case PhaseMoving:
+		return "moving"
+	case PhaseDraining:
+		return "draining"
+	case PhaseDown:
+		return "down"
+	}
+	return "unknown"
+}
+
+// MarshalText makes dumps readable.
+func (p Phase) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
+// State is the folded instances.
+type State struct {
+	Instances map[string]*Instance `cbor:"1,keyasint" json:"instances"`
+	// Version is the offset of the newest change; readers rebuild what they
+	// derive from the instances only when it moves.
+	Version uint64 `cbor:"2,keyasint" json:"version"`
+	// List is the newest version of the instance list that facts were taken
+	// from.
+	List uint64 `cbor:"3,keyasint" json:"list_version"`
+
+	// available counts serving instances per pool. It is derived, and kept so
+	// that a budget check costs the same at 50 and at 11,000 instances.
+	available map[string]int
+}
