peer: links between the system's processes over QUIC with mutual TLS

Calls and notices, generic over their messages. A call's error says whether the request was certainly not handled: the peer handles a request only after the end of its stream, so any failure before that is certain. Notices keep one waiting message per kind and peer, so that a frozen peer costs its senders nothing.

Boot ids carry no order; the order of arrival decides, and a retired boot is refused only while the newer one is there. Ordering by a start time was weighed: a replacement instance with a slow clock would be shut out for good.

--- /dev/null
+++ b/internal/peer/identity.go
@@ -0,0 +1,118 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/url"
+	"strings"
+)
+
+// Identity is who a process is.
+type Identity struct {
+	// ID and Role are vouched for by the certificate.
+	ID   string `cbor:"1,keyasint" json:"id"`
+	Role string `cbor:"2,keyasint" json:"role"`
+	// BootID changes whenever the process starts anew.
+	BootID string `cbor:"3,keyasint" json:"boot_id"`
+	Zone   string `cbor:"4,keyasint" json:"zone"`
+}
+
+// uriScheme is the scheme of the URI in a certificate that names a process.
+const uriScheme = "cyclamen"
+
+// CertificateURI returns the URI that a process's certificate carries as its
+// subject alternative name.
+func CertificateURI(deployment, role, id string) *url.URL {
+	return &url.URL{Scheme: uriScheme, Host: deployment, Path: "/" + role + "/" + id}
+}
+
+// certifiedIdentity returns the id and role that a certificate vouches for
+// within the deployment.
+func certifiedIdentity(deployment string, cert *x509.Certificate) (Identity, error) {
+	if len(cert.URIs) != 1 {
+		return Identity{}, &CertificateError{Detail: "needs exactly one URI name"}
+	}
+	uri := cert.URIs[0]
+	if uri.Scheme != uriScheme || uri.Host != deployment {
+		return Identity{}, &CertificateError{Detail: "not of this deployment: " + clip(uri.String())}
+	}
+	role, id, found := strings.Cut(strings.TrimPrefix(uri.Path, "/"), "/")
+	if !found || role == "" || id == "" || strings.Contains(id, "/") {
+		return Identity{}, &CertificateError{Detail: "malformed name: " + clip(uri.String())}
+	}
+	return Identity{ID: id, Role: role}, nil
+}
+
+// serverTLS is the configuration for accepting peers. Session tickets are off:
+// every connection shows its certificate.
+func serverTLS(base *tls.Config, deployment string) *tls.Config {
+	c := commonTLS(base)
+	c.ClientAuth = tls.RequireAndVerifyClientCert
+	c.ClientCAs = clientRoots(base)
+	c.VerifyConnection = func(state tls.ConnectionState) error {
+		_, err := peerIdentity(deployment, state)
+		return err
+	}
+	return c
+}
+
+// clientTLS is the configuration for dialling peers. Peers are known by id and
+// not by host name, so the standard check of the name is replaced, and with it
+// the check of the chain has to be done here.
+func clientTLS(base *tls.Config, deployment string) *tls.Config {
+	c := commonTLS(base)
+	c.InsecureSkipVerify = true
+	c.VerifyConnection = func(state tls.ConnectionState) error {
+		if err := verifyChain(base.RootCAs, state.PeerCertificates); err != nil {
+			return err
+		}
+		_, err := peerIdentity(deployment, state)
+		return err
+	}
+	return c
+}
+
+func commonTLS(base *tls.Config) *tls.Config {
+	c := base.Clone()
+	c.NextProtos = []string{alpn}
+	c.MinVersion = tls.VersionTLS13
+	c.SessionTicketsDisabled = true
+	c.ClientSessionCache = nil
+	// A configuration per client would bypass the checks set here.
+	c.GetConfigForClient = nil
+	c.VerifyPeerCertificate = nil
+	return c
+}
+
+func clientRoots(base *tls.Config) *x509.CertPool {
+	if base.ClientCAs != nil {
+		return base.ClientCAs
+	}
+	return base.RootCAs
+}
+
+func verifyChain(roots *x509.CertPool, chain []*x509.Certificate) error {
+	if len(chain) == 0 {
+		return &CertificateError{Detail: "none shown"}
+	}
+	intermediates := x509.NewCertPool()
+	for _, cert := range chain[1:] {
+		intermediates.AddCert(cert)
+	}
+	_, err := chain[0].Verify(x509.VerifyOptions{
+		Roots:         roots,
+		Intermediates: intermediates,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+	})
+	if err != nil {
+		return &CertificateError{Detail: "not trusted", Cause: err}
+	}
+	return nil
+}
+
+func peerIdentity(deployment string, state tls.ConnectionState) (Identity, error) {
+	if len(state.PeerCertificates) == 0 {
+		return Identity{}, &CertificateError{Detail: "none shown"}
+	}
+	return certifiedIdentity(deployment, state.PeerCertificates[0])
+}
--- /dev/null
+++ b/internal/peer/serve.go
@@ -0,0 +1,196 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+)
+
+// acceptLoop takes connections until the listener closes. It goes on during a
+// shutdown, so that late calls are refused by word instead of by silence.
+func (n *Node) acceptLoop() {
+	for {
+		conn, err := n.listener.Accept(n.ctx)
+		if err != nil {
+			return
+		}
+		if !n.spawn(func() { n.serveConn(conn) }) {
+			_ = conn.CloseWithError(codeClosing, "shutdown")
+		}
+	}
+}
+
+func (n *Node) serveConn(conn *quic.Conn) {
+	l, err := n.welcome(conn)
+	if err != nil {
+		n.log.Warn("connection turned away", "remote", conn.RemoteAddr().String(), "error", err.Error())
+		_ = conn.CloseWithError(codeOf(err), clip(err.Error()))
+		return
+	}
+	n.wg.Go(func() { n.watch(l) })
+	n.wg.Go(func() { n.serveNotices(l) })
+	n.serveCalls(l)
+}
+
+// welcome reads the hello of a new connection, answers it and installs the
+// link. An older link of the same process is closed: its dialler has given it
+// up, or it would not have dialled again.
+func (n *Node) welcome(conn *quic.Conn) (*link, error) {
+	ctx, cancel := context.WithTimeout(conn.Context(), helloTimeout)
+	defer cancel()
+	stream, err := conn.AcceptStream(ctx)
+	if err != nil {
+		return nil, linkError("hello", err)
+	}
+	if err := stream.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return nil, linkError("hello", err)
+	}
+	var h hello
+	if err := readInto(stream, maxHello, &h); err != nil {
+		return nil, err
+	}
+	peer, err := n.checkHello(conn, h)
+	if err != nil {
+		return nil, err
+	}
+	l := &link{conn: conn, peer: peer}
+	if err := n.install(l); err != nil {
+		return nil, err
+	}
+	return l, writeHello(stream, n.opts.Self)
+}
+
+func (n *Node) install(l *link) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.state != stateRunning {
+		return &ClosedError{}
+	}
+	if !n.boots.isCurrent(l.peer.ID, l.peer.BootID) {
+		return &StaleBootError{ID: l.peer.ID, BootID: l.peer.BootID}
+	}
+	if older := n.incoming[l.peer.ID]; older != nil {
+		older.close(codeSuperseded, "a newer connection is linked")
+	}
+	n.incoming[l.peer.ID] = l
+	return nil
+}
+
+func (n *Node) serveCalls(l *link) {
+	for {
+		stream, err := l.conn.AcceptStream(l.conn.Context())
+		if err != nil {
+			return
+		}
+		if !n.begin() {
+			cancelStream(stream, streamRefused)
+			continue
+		}
+		n.wg.Go(func() {
+			defer n.end()
+			n.serveCall(l, stream)
+		})
+	}
+}
+
+func (n *Node) serveCall(l *link, stream *quic.Stream) {
+	defer stream.CancelRead(streamCanceled) // no effect where all was read
+	head, run, err := n.readRequest(l, stream)
+	var frame *FrameError
+	if errors.As(err, &frame) {
+		n.reportMalformed(l, err)
+		return
+	}
+	var link *LinkError
+	if errors.As(err, &link) || !n.isCurrent(l.peer) {
+		cancelStream(stream, streamRefused)
+		return
+	}
+	var answer []byte
+	if err == nil {
+		answer, err = runHandler(stream, head, l.peer, run)
+	}
+	n.writeAnswer(stream, answer, err)
+}
+
+type runFunc func(ctx context.Context, from Identity) ([]byte, error)
+
+// readRequest reads a whole request up to the end of its stream. The limit of
+// its size is known from its kind before the body is read.
+func (n *Node) readRequest(l *link, stream *quic.Stream) (head callHeader, run runFunc, err error) {
+	if err := stream.SetReadDeadline(time.Now().Add(requestReadTimeout)); err != nil {
+		return head, nil, linkError("read", err)
+	}
+	if err := readInto(stream, maxHeader, &head); err != nil {
+		return head, nil, err
+	}
+	h, known := n.registry.call(head.Kind)
+	if !known {
+		return head, nil, &UnknownKindError{Kind: head.Kind}
+	}
+	size, err := readLength(stream, h.limit)
+	if err != nil {
+		return head, nil, err
+	}
+	if size > MaxOrdinary {
+		if err := n.budget.Acquire(l.conn.Context(), int64(size)); err != nil {
+			return head, nil, linkError("read", err)
+		}
+		defer n.budget.Release(int64(size))
+	}
+	body, err := readBody(stream, size)
+	if err != nil {
+		return head, nil, err
+	}
+	if err := expectEnd(stream); err != nil {
+		return head, nil, err
+	}
+	run, err = h.prepare(body)
+	return head, run, err
+}
+
+// expectEnd checks that the request ends here. A caller that gave up before
+// the end has reset the stream, and its request is not handled.
+func expectEnd(stream io.Reader) error {
+	var one [1]byte
+	switch count, err := stream.Read(one[:]); {
+	case count > 0:
+		return &FrameError{Detail: "bytes after the request"}
+	case errors.Is(err, io.EOF):
+		return nil
+	default:
+		return linkError("read", err)
+	}
+}
+
+// runHandler bounds the handler by the time its caller waits, in case the word
+// of the caller's giving up is lost.
+func runHandler(stream *quic.Stream, head callHeader, from Identity, run runFunc) ([]byte, error) {
+	timeout := min(time.Duration(head.TimeoutMillis)*time.Millisecond, defaultCallTimeout)
+	ctx, cancel := context.WithTimeout(stream.Context(), timeout)
+	defer cancel()
+	return run(ctx, from)
+}
+
+func (n *Node) writeAnswer(stream *quic.Stream, answer []byte, failure error) {
+	var head answerHeader
+	if failure != nil {
+		head = answerHeader{Type: clip(remoteType(failure)), Detail: clip(failure.Error())}
+	}
+	data, err := encode(head, maxHeader+2*maxDetail)
+	if err != nil {
+		cancelStream(stream, streamCanceled)
+		return
+	}
+	buf := appendFrame(nil, data)
+	if failure == nil {
+		buf = appendFrame(buf, answer)
+	}
+	if _, err := stream.Write(buf); err != nil {
+		return // the caller has gone
+	}
+	_ = stream.Close()
+}
