--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -16,6 +16,9 @@
 	fetchLimit = 2 * time.Second
 )
 
+// transfer lets records and states be larger than ordinary messages.
+var transfer = peer.MaxBytes(peer.MaxTransfer)
+
 // handlePeers registers what peers may ask. Handlers run outside the control
 // goroutine and go through it for state.
 func (n *Node) handlePeers() {
@@ -29,7 +32,7 @@
 				return ans, &StoppedError{}
 			}
 			return ans, nil
-		})
+		}, transfer)
 	peer.Handle(n.opts.Peers, kindState,
 		func(_ context.Context, _ peer.Identity, req StateRequest) (ans StateAnswer, err error) {
 			ok := n.Do(func() {
@@ -41,7 +44,7 @@
 				return ans, &StoppedError{}
 			}
 			return ans, err
-		})
+		}, transfer)
 }
 
 // setPeers dials the members of the fold and, until those are known, the seeds
@@ -59,7 +62,9 @@
 		return
 	}
 	n.wanted = wanted
-	n.opts.Peers.SetPeers(wanted)
+	if err := n.opts.Peers.SetPeers(wanted); err != nil {
+		n.log.Warn("peers not set", "error", err.Error())
+	}
 }
 
 func sameMap(a, b map[string]string) bool {
@@ -159,7 +164,7 @@
 		defer cancel()
 		var records []platform.LogRecord
 		if !cold {
-			ans, err := peer.Call[RecordsRequest, RecordsAnswer](ctx, n.opts.Peers, id, kindRecords, RecordsRequest{From: next})
+			ans, err := peer.Call[RecordsRequest, RecordsAnswer](ctx, n.opts.Peers, id, kindRecords, RecordsRequest{From: next}, transfer)
 			if err == nil {
 				records = ans.Records
 			}
@@ -173,7 +178,7 @@
 }
 
 func (n *Node) fetchState(ctx context.Context, id string, above uint64) *fleetlog.State {
-	ans, err := peer.Call[StateRequest, StateAnswer](ctx, n.opts.Peers, id, kindState, StateRequest{Above: above})
+	ans, err := peer.Call[StateRequest, StateAnswer](ctx, n.opts.Peers, id, kindState, StateRequest{Above: above}, transfer)
 	if err != nil || len(ans.Encoded) == 0 {
 		return nil
 	}
--- a/internal/planner/tasks.go
+++ b/internal/planner/tasks.go
@@ -44,7 +44,7 @@
 func newTaskRunner(p *Planner) *taskRunner {
 	return &taskRunner{
 		p: p, reported: make(map[string]platform.TaskState), asked: make(map[string]time.Duration),
-		estimator: placement.NewEstimator(),
+		estimator: &placement.Estimator{},
 	}
 }
 
@@ -74,18 +74,24 @@
 
 func (t *taskRunner) observe(reports []platform.TaskReport) {
 	st := t.p.node.State()
+	jobs := jobsByName(st.Manifest.Current())
 	clear(t.reported)
 	t.ended = t.ended[:0]
 	for _, r := range reports {
-		if _, held := st.Tasks.Tasks[r.ID]; !held {
+		held, ok := st.Tasks.Tasks[r.ID]
+		if !ok {
 			continue
 		}
 		t.reported[r.ID] = r.State
 		if placement.Ended(r.State) {
 			t.ended = append(t.ended, placement.End{ID: r.ID, State: r.State})
+			t.estimator.End(held.Job, r.ID)
+			continue
+		}
+		if job, known := jobs[held.Job]; known {
+			t.estimator.Observe(job, r, held.PlacedMillis, st.TimeMillis)
 		}
 	}
-	t.estimator.Observe(reports, st.TimeMillis)
 	t.p.dirty = true
 }
 
@@ -196,6 +202,9 @@
 
 func jobsByName(m *manifest.Manifest) map[string]manifest.Job {
 	jobs := make(map[string]manifest.Job)
+	if m == nil {
+		return jobs
+	}
 	for _, p := range m.Pools {
 		for _, j := range p.Jobs {
 			jobs[j.Name] = j
