--- /dev/null
+++ b/internal/standin/endpoint_test.go
@@ -0,0 +1,150 @@
+package standin_test
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/platform"
+	"cyclamenwheel/internal/standin"
+)
+
+// httpClient has connections of its own, closed at the end of the test.
+func httpClient() *http.Client {
+	transport := &http.Transport{}
+	DeferCleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport, Timeout: 20 * time.Second}
+}
+
+var _ = Describe("Endpoints", func() {
+	It("refuses over its slots as not run, and runs nothing of it", func() {
+		r := start(nil)
+		var wg sync.WaitGroup
+		for _, id := range []string{"r1", "r2"} {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				resp, err := r.get(httpClient(), "w001", id, "60000")
+				if err == nil {
+					_ = resp.Body.Close()
+				}
+			})
+		}
+		Eventually(r.runs, "10s").Should(HaveLen(2))
+		resp, err := r.get(httpClient(), "w001", "r3", "0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(resp.Header.Get(standin.HeaderNotRun)).To(Equal("true"))
+		Expect(r.runs()).To(HaveLen(2))
+		Expect(r.control.Violations(ctx)).To(HaveField("SlotViolations", map[string]int{"w001": 1}))
+		Expect(r.control.SetState(ctx, "w001", platform.StateGone)).To(Succeed())
+		wg.Wait()
+		Expect(r.runs()).To(HaveEach(HaveField("Cut", true)))
+	})
+
+	It("answers the health check by state, and refuses connections when gone", func() {
+		r := start(nil)
+		url := "http://" + r.truth("w001").Addr + standin.PathHealth
+		status := func() int {
+			resp, err := httpClient().Get(url)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Body.Close()).To(Succeed())
+			return resp.StatusCode
+		}
+		Expect(status()).To(Equal(http.StatusOK))
+		Expect(r.control.SetState(ctx, "w001", platform.StateLeaving)).To(Succeed())
+		Expect(status()).To(Equal(http.StatusServiceUnavailable))
+		Expect(r.control.SetState(ctx, "w001", platform.StateGone)).To(Succeed())
+		_, err := httpClient().Get(url)
+		Expect(err).To(MatchError(ContainSubstring("connection refused")))
+	})
+
+	// Every one of these requests has run; what the caller gets is no whole
+	// answer of its own.
+	DescribeTable("faults after the run", func(f standin.EndpointFault, check func(*http.Response, error)) {
+		r := start(nil)
+		Expect(r.control.SetEndpointFault(ctx, "w001", f)).To(Succeed())
+		hc := httpClient()
+		hc.Timeout = time.Second
+		check(r.get(hc, "w001", "r1", "0"))
+		Eventually(r.runs, "10s").Should(ConsistOf(HaveField("RequestID", "r1")))
+	},
+		Entry("cut", standin.EndpointFault{CutBody: true}, func(resp *http.Response, err error) {
+			Expect(err).NotTo(HaveOccurred())
+			_, err = body(resp)
+			Expect(err).To(HaveOccurred())
+		}),
+		Entry("wrong id", standin.EndpointFault{WrongRequestID: true}, func(resp *http.Response, err error) {
+			Expect(err).NotTo(HaveOccurred())
+			_, _ = body(resp)
+			Expect(resp.Header.Get(standin.HeaderRequestID)).To(Equal("wrong-r1"))
+		}),
+		Entry("closed", standin.EndpointFault{CloseAfterRun: true}, func(_ *http.Response, err error) {
+			Expect(err).To(HaveOccurred())
+		}),
+		Entry("held back", standin.EndpointFault{HoldBack: true}, func(_ *http.Response, err error) {
+			Expect(err).To(MatchError(ContainSubstring("Timeout")))
+		}),
+	)
+
+	It("crosses the answers of two requests", func() {
+		r := start(nil)
+		Expect(r.control.SetEndpointFault(ctx, "w001", standin.EndpointFault{Cross: true})).To(Succeed())
+		ids := []string{"r1", "r2"}
+		got := make([]string, len(ids))
+		// An answer that finds no partner in time is not crossed.
+		Eventually(func() []string {
+			var wg sync.WaitGroup
+			for i, id := range ids {
+				wg.Go(func() {
+					defer GinkgoRecover()
+					resp, err := r.get(httpClient(), "w001", id, "0")
+					Expect(err).NotTo(HaveOccurred())
+					a, err := body(resp)
+					Expect(err).NotTo(HaveOccurred())
+					got[i] = a.RequestID
+				})
+			}
+			wg.Wait()
+			return got
+		}, "10s").Should(Equal([]string{"r2", "r1"}))
+	})
+
+	It("bounds a fault to the next requests", func() {
+		r := start(nil)
+		Expect(r.control.SetEndpointFault(ctx, "w001", standin.EndpointFault{FailStatus: 500, Next: 1})).To(Succeed())
+		for _, want := range []int{500, 200} {
+			resp, err := r.get(httpClient(), "w001", "r", "0")
+			Expect(err).NotTo(HaveOccurred())
+			_, err = body(resp)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(want))
+		}
+	})
+})
+
+var _ = Describe("Fleet description", func() {
+	DescribeTable("of the examples", func(name string, zones int) {
+		spec, err := standin.ReadFleet(filepath.Join("..", "..", "examples", name, "fleet.json"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(spec.Zones).To(HaveLen(zones))
+		Expect(spec.Entries).To(HaveLen(7))
+		racks := 0
+		for _, z := range spec.Zones {
+			racks += z.Racks
+		}
+		Expect(racks * spec.InstancesPerRack).To(Equal(52))
+	}, Entry(nil, "portlouis", 4), Entry(nil, "kelaniya", 3))
+
+	It("refuses unknown fields by name", func() {
+		data, err := os.ReadFile(filepath.Join("..", "..", "examples", "portlouis", "fleet.json"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = standin.ParseFleet(append([]byte(`{"colour":1,`), data[1:]...))
+		Expect(err).To(MatchError(ContainSubstring("colour")))
+	})
+})
--- /dev/null
+++ b/internal/standin/serve.go
@@ -0,0 +1,211 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"cyclamenwheel/internal/platform"
+)
+
+// Headers that endpoints know.
+const (
+	HeaderRequestID      = "X-Request-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderNotRun is "true" on a 503 by which an endpoint vouches that it did
+	// not run the request.
+	HeaderNotRun = "X-Not-Run"
+	// HeaderWork asks for a service time in milliseconds.
+	HeaderWork = "X-Work-Ms"
+	// PathHealth is the health check of an instance.
+	PathHealth = "/healthz"
+)
+
+const (
+	// maxBodyBytes bounds a request's body.
+	maxBodyBytes = 16 << 20
+	// maxWork bounds what a request may ask for.
+	maxWork = 10 * time.Minute
+	// jsonType is the content type of all answers.
+	jsonType = "application/json"
+)
+
+// EndpointAnswer is the body of an endpoint's answer.
+type EndpointAnswer struct {
+	Instance       string `json:"instance"`
+	BootID         string `json:"boot_id"`
+	Pool           string `json:"pool"`
+	Service        string `json:"service"`
+	RequestID      string `json:"request_id"`
+	IdempotencyKey string `json:"idempotency_key,omitempty"`
+	// Run is the number of this run in the history.
+	Run        int    `json:"run"`
+	BodySHA256 string `json:"body_sha256"`
+}
+
+// Health is the body of a health check.
+type Health struct {
+	Instance string `json:"instance"`
+	BootID   string `json:"boot_id"`
+	Pool     string `json:"pool"`
+}
+
+// exchange is one connection's state. HTTP is spoken on the bare connection,
+// since the faults need answers cut, doubled and out of turn, which
+// http.Server prevents.
+type exchange struct {
+	s    *session
+	conn net.Conn
+	// held is an answer kept back until the next request.
+	held []byte
+}
+
+func (s *session) serve(conn net.Conn) {
+	x := &exchange{s: s, conn: conn}
+	br := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
+			x.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		}
+		body, err := io.ReadAll(io.LimitReader(req.Body, maxBodyBytes))
+		if err != nil || !x.handle(req, body) || req.Close {
+			return
+		}
+	}
+}
+
+// handle answers one request and reports whether the connection stays open.
+func (x *exchange) handle(req *http.Request, body []byte) bool {
+	if req.URL.Path == PathHealth {
+		return x.write(x.health(req))
+	}
+	fault := x.s.ep.nextFault()
+	if fault.Hang {
+		<-x.s.done
+		return false
+	}
+	service, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
+	sum := sha256.Sum256(body)
+	run, verdict := x.s.begin(Run{Service: service, RequestID: req.Header.Get(HeaderRequestID),
+		IdempotencyKey: req.Header.Get(HeaderIdempotencyKey), Method: req.Method,
+		Path: req.URL.Path, BodySHA256: hex.EncodeToString(sum[:])})
+	switch verdict {
+	case slotsTaken:
+		return x.write(render(req, http.StatusServiceUnavailable, http.Header{HeaderNotRun: {"true"}}, nil))
+	case shuttingDown:
+		return false
+	}
+	return x.run(req, run, fault)
+}
+
+// run is a request that has a slot. It keeps the slot until its answer is
+// written: a planned reboot must not cut the answer either.
+func (x *exchange) run(req *http.Request, run Run, fault EndpointFault) bool {
+	completed := false
+	defer func() { x.s.end(run, completed) }()
+	if !x.work(fault.workTime(workAsked(req))) {
+		return false
+	}
+	if fault.CloseAfterRun {
+		completed = true
+		return false
+	}
+	ok := x.answer(req, run, fault)
+	completed = ok || !x.s.cut()
+	return ok
+}
+
+// work takes d unless the instance goes down meanwhile.
+func (x *exchange) work(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return !x.s.cut()
+	case <-x.s.done:
+		return false
+	}
+}
+
+func (x *exchange) answer(req *http.Request, run Run, fault EndpointFault) bool {
+	status := http.StatusOK
+	if fault.FailStatus != 0 {
+		status = fault.FailStatus
+	}
+	header := http.Header{HeaderRequestID: {run.RequestID}}
+	if fault.WrongRequestID {
+		header.Set(HeaderRequestID, "wrong-"+run.RequestID)
+	}
+	payload := mustJSON(EndpointAnswer{Instance: run.Instance, BootID: run.BootID, Pool: run.Pool,
+		Service: run.Service, RequestID: run.RequestID, IdempotencyKey: run.IdempotencyKey,
+		Run: run.Seq, BodySHA256: run.BodySHA256})
+	out := render(req, status, header, payload)
+	if fault.Cross {
+		out = x.s.cross(out)
+	}
+	switch {
+	case fault.CutBody:
+		x.write(out[:len(out)-len(payload)/2])
+		return false
+	case fault.HoldBack:
+		x.held = append(x.held, out...)
+		return true
+	case fault.Duplicate:
+		out = append(out, out...)
+	}
+	return x.write(out)
+}
+
+// write sends what was held back and then out.
+func (x *exchange) write(out []byte) bool {
+	data := append(x.held, out...)
+	x.held = nil
+	_, err := x.conn.Write(data)
+	return err == nil
+}
+
+func (x *exchange) health(req *http.Request) []byte {
+	pool, state := x.s.identity()
+	status := http.StatusOK
+	if state != platform.StateLive {
+		status = http.StatusServiceUnavailable
+	}
+	return render(req, status, http.Header{}, mustJSON(Health{Instance: x.s.ep.id, BootID: x.s.boot, Pool: pool}))
+}
+
+func workAsked(req *http.Request) time.Duration {
+	ms, err := strconv.ParseInt(req.Header.Get(HeaderWork), 10, 64)
+	if err != nil || ms < 0 {
+		return 0
+	}
+	return min(time.Duration(ms)*time.Millisecond, maxWork)
+}
+
+// render is the answer as it goes over the wire.
+func render(req *http.Request, status int, header http.Header, body []byte) []byte {
+	header.Set("Content-Type", jsonType)
+	resp := &http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: header,
+		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)), Request: req, Close: req.Close}
+	var buf bytes.Buffer
+	// Writing to memory a body of known length does not fail.
+	_ = resp.Write(&buf)
+	return buf.Bytes()
+}
+
+// mustJSON encodes structs of strings and numbers, which cannot fail.
+func mustJSON(v any) []byte {
+	data, _ := json.Marshal(v)
+	return data
+}
