--- /dev/null
+++ b/internal/pools/decide_test.go
@@ -0,0 +1,175 @@
+package pools_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/manifest"
+	"cyclamenwheel/internal/pools"
+)
+
+// fleet makes n instances, four to a rack, racks dealt over the zones, all of
+// them in one pool.
+func fleet(prefix, pool string, n, zones int) []*pools.Instance {
+	var all []*pools.Instance
+	for i := range n {
+		rack := i / 4
+		all = append(all, &pools.Instance{
+			ID: fmt.Sprintf("%s%03d", prefix, i), Pool: pool, Phase: pools.PhaseServing,
+			Zone: fmt.Sprintf("z%d", rack%zones), Rack: fmt.Sprintf("%s-r%d", prefix, rack),
+			Cores: 16, MemoryMB: 65536,
+		})
+	}
+	return all
+}
+
+func counted(name string, count int) manifest.Pool {
+	return manifest.Pool{Name: name, Instances: manifest.Selection{Count: count}}
+}
+
+func service(pool string, least int) manifest.Service {
+	return manifest.Service{Name: "svc-" + pool, Pool: pool, MinAvailable: least}
+}
+
+// settle carries out all moves of a decision at once.
+func settle(all []*pools.Instance, d pools.Decision) {
+	for _, m := range d.Moves {
+		for _, inst := range all {
+			if inst.ID == m.Instance {
+				inst.Pool = m.To
+			}
+		}
+	}
+}
+
+func count(all []*pools.Instance, pool string) int {
+	n := 0
+	for _, inst := range all {
+		if inst.Pool == pool && inst.Phase == pools.PhaseServing {
+			n++
+		}
+	}
+	return n
+}
+
+var _ = Describe("Deciding moves", func() {
+	It("fills pools from the spares, spread over zones and racks, and then rests", func() {
+		m := &manifest.Manifest{Pools: []manifest.Pool{counted("a", 8), counted("b", 4)}}
+		all := fleet("w", "", 16, 4)
+		in := pools.Input{Manifest: m, Instances: all}
+		d := pools.Decide(in)
+		Expect(d.Moves).To(HaveLen(pools.LowerBound(in)))
+		settle(all, d)
+		zones, racks := map[string]int{}, map[string]int{}
+		for _, inst := range all {
+			if inst.Pool == "a" {
+				zones[inst.Zone]++
+				racks[inst.Rack]++
+			}
+		}
+		Expect(zones).To(Equal(map[string]int{"z0": 2, "z1": 2, "z2": 2, "z3": 2}))
+		Expect(racks).To(HaveLen(4))
+		Expect(pools.Decide(in)).To(Equal(pools.Decision{}))
+	})
+
+	It("moves surplus straight to the pool that is short", func() {
+		m := &manifest.Manifest{Pools: []manifest.Pool{counted("a", 6), counted("b", 6)}}
+		all := append(fleet("a", "a", 8, 4), fleet("b", "b", 4, 4)...)
+		all = append(all, fleet("s", "", 4, 4)...)
+		d := pools.Decide(pools.Input{Manifest: m, Instances: all})
+		Expect(d.Moves).To(HaveLen(2))
+		for _, move := range d.Moves {
+			Expect(move.From).To(Equal("a"))
+			Expect(move.To).To(Equal("b"))
+		}
+	})
+
+	// An operator lists two instances of a busy pool for another. Taking both at
+	// once would leave the busy pool's service with less than its budget. One
+	// replacement per listed instance comes in first; then the listed ones go.
+	It("steals exactly the listed instances, within the budget of their pool", func() {
+		m := &manifest.Manifest{
+			Pools: []manifest.Pool{
+				counted("a", 8),
+				{Name: "b", Instances: manifest.Selection{IDs: []string{"a000", "a001"}}},
+			},
+			Services: []manifest.Service{service("a", 8)},
+		}
+		all := append(fleet("a", "a", 8, 4), fleet("s", "", 4, 4)...)
+		in := pools.Input{Manifest: m, Instances: all}
+		d := pools.Decide(in)
+		Expect(d.Moves).To(HaveLen(2))
+		Expect(d.Waits).To(HaveLen(2))
+		Expect(d.Waits[0].Reason).To(Equal(pools.WaitBudget))
+		settle(all, d)
+		d = pools.Decide(in)
+		Expect([]string{d.Moves[0].Instance, d.Moves[1].Instance}).To(ConsistOf("a000", "a001"))
+		settle(all, d)
+		Expect(pools.Decide(in).Moves).To(BeEmpty())
+		Expect(count(all, "a")).To(Equal(8))
+	})
+
+	// A zone goes while the bound on moves is spent and pool a is at its budget.
+	// Callers of a see fewer endpoints until spares are in. The repairs begin in
+	// the same round, because neither bound is there to protect a spare.
+	It("repairs at once from the spares", func() {
+		m := &manifest.Manifest{
+			Pools:    []manifest.Pool{counted("a", 8)},
+			Services: []manifest.Service{service("a", 8)},
+		}
+		all := append(fleet("a", "a", 8, 4), fleet("s", "", 4, 4)...)
+		all[0].Phase, all[1].Phase = pools.PhaseDown, pools.PhaseDown
+		d := pools.Decide(pools.Input{Manifest: m, Instances: all, Limits: pools.Limits{MaxMovesInFlight: 1}})
+		Expect(d.Moves).To(HaveLen(2))
+		Expect(d.Moves[0].Reason).To(Equal(pools.MoveReplaceLost))
+		Expect(d.Moves[0].From).To(BeEmpty())
+	})
+
+	It("makes room by a chain where a selector allows no spare", func() {
+		bound := counted("b", 2)
+		bound.Instances.Select = &manifest.Selector{Zones: []string{"z0"}}
+		m := &manifest.Manifest{Pools: []manifest.Pool{counted("a", 4), bound}}
+		all := fleet("a", "a", 4, 1)
+		spares := fleet("s", "", 2, 1)
+		for _, s := range spares {
+			s.Zone = "z1"
+		}
+		all = append(all, spares...)
+		in := pools.Input{Manifest: m, Instances: all}
+		d := pools.Decide(in)
+		Expect(d.Moves).To(HaveLen(4))
+		Expect(d.Shortfalls).To(BeEmpty())
+		settle(all, d)
+		Expect(pools.Decide(in)).To(Equal(pools.Decision{}))
+	})
+
+	It("says what it can't fill and why", func() {
+		bound := counted("b", 2)
+		bound.Instances.Select = &manifest.Selector{Accelerators: 1}
+		m := &manifest.Manifest{Pools: []manifest.Pool{
+			counted("a", 3), bound, {Name: "c", Instances: manifest.Selection{IDs: []string{"nowhere"}}},
+		}}
+		d := pools.Decide(pools.Input{Manifest: m, Instances: fleet("s", "", 4, 4)})
+		Expect(d.Shortfalls).To(ConsistOf(
+			pools.Shortfall{Pool: "b", Missing: 2, Reason: pools.ShortSelector},
+			pools.Shortfall{Pool: "c", Missing: 1, Reason: pools.ShortListedUnknown}))
+	})
+})
+
+var _ = Describe("Sizing the spare", func() {
+	It("counts the worst single domain, not each pool's worst", func() {
+		m := &manifest.Manifest{
+			Pools:    []manifest.Pool{counted("a", 4), counted("b", 4)},
+			Services: []manifest.Service{service("a", 3), service("b", 3)},
+			Buffer:   manifest.Buffer{Survive: manifest.DomainRack},
+		}
+		all := append(fleet("a", "a", 4, 1), fleet("b", "b", 4, 1)...)
+		all = append(all, fleet("s", "", 2, 1)...)
+		need := pools.Spare(pools.Input{Manifest: m, Instances: all})
+		Expect(need.Needed).To(Equal(3))
+		Expect(need.Held).To(Equal(2))
+		Expect(need.Missing()).To(Equal(1))
+	})
+})
