--- a/cmd/cyclamenctl/main.go
+++ b/cmd/cyclamenctl/main.go
@@ -1,3 +1,18 @@
+// Command cyclamenctl is the operators' tool.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"cyclamenwheel/internal/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := ctl.Main(ctx, os.Args[1:], ctl.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr})
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/ctl/settings.go
@@ -0,0 +1,47 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+
+	"cyclamenwheel/internal/settings"
+)
+
+// daemons are what settings can be asked for.
+var daemons = map[string]func() settings.Table{
+	"entry":   settings.EntryTable,
+	"control": settings.ControlTable,
+}
+
+func settingsCommand() *Command {
+	return &Command{
+		Name:    "settings",
+		Summary: "Print the reference of a daemon's settings as an INI file.",
+		Args:    "entry|control",
+		Run: func(_ context.Context, streams Streams, args []string) error {
+			table, rest, err := tableFor("settings", args)
+			if err != nil {
+				return err
+			}
+			if len(rest) > 0 {
+				return &UsageError{Detail: "settings: name one daemon, entry or control"}
+			}
+			if err := table.Reference(streams.Out); err != nil {
+				return &OutputError{Cause: err}
+			}
+			return nil
+		},
+	}
+}
+
+// tableFor takes the daemon's name off args.
+func tableFor(command string, args []string) (settings.Table, []string, error) {
+	if len(args) == 0 {
+		return settings.Table{}, nil, &UsageError{Detail: command + ": name the daemon, entry or control"}
+	}
+	table, known := daemons[args[0]]
+	if !known {
+		return settings.Table{}, nil, &UsageError{Detail: fmt.Sprintf("%s: %q is neither entry nor control", command, args[0])}
+	}
+	return table(), args[1:], nil
+}
--- a/internal/manifest/errors.go
+++ b/internal/manifest/errors.go
@@ -67,11 +67,12 @@
 
 func (e *EmptyError) Error() string { return "manifest: empty" }
 
-// TooLargeError says that the document exceeds MaxBytes.
+// TooLargeError says that the document exceeds MaxBytes. Bytes is how much of
+// it was read: readers stop early.
 type TooLargeError struct{ Bytes int }
 
 func (e *TooLargeError) Error() string {
-	return fmt.Sprintf("manifest: %d bytes, at most %d are allowed", e.Bytes, MaxBytes)
+	return fmt.Sprintf("manifest: at least %d bytes, at most %d are allowed", e.Bytes, MaxBytes)
 }
 
 // SyntaxError says that the document is not JSON.
