Stand-in: a fence takes effect once per operation id

A fence whose repetition came late stopped the instance that had meanwhile come back under the same id. Tests for doubled answers, hanging and refusing endpoints and the connection limit.

--- a/internal/standin/endpoint_test.go
+++ b/internal/standin/endpoint_test.go
@@ -1,6 +1,9 @@
 package standin_test
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -92,6 +95,45 @@
 		}),
 	)
 
+	It("sends an answer twice on a kept-alive connection", func() {
+		r := start(nil)
+		Expect(r.control.SetEndpointFault(ctx, "w001", standin.EndpointFault{Duplicate: true, Next: 1})).To(Succeed())
+		conn, err := net.Dial("tcp", r.truth("w001").Addr)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "GET /tabs/1 HTTP/1.1\r\nHost: w\r\nX-Request-Id: r1\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		br := bufio.NewReader(conn)
+		for range 2 {
+			resp, err := http.ReadResponse(br, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body(resp)).To(HaveField("RequestID", "r1"))
+		}
+		Expect(r.runs()).To(HaveLen(1))
+	})
+
+	DescribeTable("requests that hang or are refused never run", func(f standin.EndpointFault) {
+		r := start(nil)
+		Expect(r.control.SetEndpointFault(ctx, "w001", f)).To(Succeed())
+		hc := httpClient()
+		hc.Timeout = 200 * time.Millisecond
+		_, err := r.get(hc, "w001", "r1", "0")
+		Expect(err).To(HaveOccurred())
+		Expect(r.runs()).To(BeEmpty())
+	}, Entry("hang", standin.EndpointFault{Hang: true}), Entry("refuse", standin.EndpointFault{Refuse: true}))
+
+	It("closes connections over its limit", func() {
+		r := start(nil)
+		addr := r.truth("w001").Addr
+		for range 5 {
+			conn, err := net.Dial("tcp", addr)
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = conn.Close() }()
+		}
+		Eventually(func() (standin.Violations, error) { return r.control.Violations(ctx) }, "10s").
+			Should(HaveField("ConnectionViolations", map[string]int{"w001": 1}))
+	})
+
 	It("crosses the answers of two requests", func() {
 		r := start(nil)
 		Expect(r.control.SetEndpointFault(ctx, "w001", standin.EndpointFault{Cross: true})).To(Succeed())
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -38,6 +38,7 @@
 	changed   chan struct{}
 	avail     availability
 	ops       map[string]*opRecord
+	fences    map[string]bool
 	lag       time.Duration
 	reboot    time.Duration
 	drain     time.Duration
@@ -48,7 +49,7 @@
 
 func newFleet(ctx context.Context, opts Options, tasks *taskStore) *fleet {
 	return &fleet{ctx: ctx, members: map[string]*member{}, changed: make(chan struct{}),
-		avail: availability{pools: map[string]PoolAvailability{}}, ops: map[string]*opRecord{},
+		avail: availability{pools: map[string]PoolAvailability{}}, ops: map[string]*opRecord{}, fences: map[string]bool{},
 		lag: opts.Lag, reboot: opts.Reboot, drain: opts.DrainLimit, tasks: tasks}
 }
 
--- a/internal/standin/load/outcome.go
+++ b/internal/standin/load/outcome.go
@@ -6,8 +6,10 @@
 	"io"
 	"mime"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"cyclamenwheel/internal/standin"
@@ -46,6 +48,9 @@
 	Kind      Kind
 	Detail    string
 	Latency   time.Duration
+	// Resent tells that the caller's own transport sent the request more than
+	// once, as it may with a GET. A refusal then speaks of the last time only.
+	Resent bool
 }
 
 // problem is the part of a problem document that the check needs.
@@ -63,8 +68,13 @@
 		out.Kind, out.Detail = Broken, err.Error()
 		return out
 	}
+	var sent atomic.Int32
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Add(1) },
+	}))
 	began := time.Now()
 	resp, err := d.hc.Do(req)
+	out.Resent = sent.Load() > 1
 	if err != nil {
 		out.Kind, out.Detail, out.Latency = Broken, err.Error(), time.Since(began)
 		return out
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -83,6 +83,19 @@
 		Expect(r.platform.Reboot(ctx, other)).To(HaveField("Status", 409))
 	})
 
+	It("takes an operation that is repeated once, and a late fence not at all", func() {
+		r := start(nil)
+		Expect(r.control.SetFault(ctx, standin.ClassOperations, standin.PlatformFault{RepeatNext: 2})).To(Succeed())
+		Expect(r.platform.Reboot(ctx, operation)).To(Succeed())
+		Eventually(func() string { return r.truth("w001").Operation }, "10s").Should(Equal("op1"))
+		Expect(r.truth("w001").Boots).To(Equal(2))
+		Expect(r.platform.Fence(ctx, "w001", "f1")).To(Succeed())
+		Expect(r.truth("w001").State).To(Equal(platform.StateGone))
+		Expect(r.control.SetState(ctx, "w001", platform.StateLive)).To(Succeed())
+		Expect(r.platform.Fence(ctx, "w001", "f1")).To(Succeed())
+		Expect(r.truth("w001").State).To(Equal(platform.StateLive))
+	})
+
 	It("lets requests in flight end, and refuses a second operation meanwhile", func() {
 		r := start(nil)
 		done := make(chan error, 1)
--- a/internal/standin/platformapi.go
+++ b/internal/standin/platformapi.go
@@ -92,7 +92,7 @@
 }
 
 func (s *Standin) handleFence(w http.ResponseWriter, r *http.Request) {
-	accept(w, r, func(f platform.FenceRequest) error { return s.fleet.fence(f.Instance) })
+	accept(w, r, s.fleet.fence)
 }
 
 func (s *Standin) handleTaskStart(w http.ResponseWriter, r *http.Request) {
