Load: a run without a single answer does not pass

A mistyped list of entries made every request fail to connect, and the run passed, as nothing was lost or doubled. The test that called a run of nothing but cut answers passed is replaced by two: some cut answers are broken and not lost; nothing but cut answers does not pass. Broken requests are listed with their cause.

--- a/cmd/cyclamen-standin/main.go
+++ b/cmd/cyclamen-standin/main.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -65,9 +66,20 @@
 	flaggy.AttachSubcommand(sub, 1)
 	flaggy.Parse()
 	cfg.loadUsed = sub.Used
+	cfg.load.Entries = splitAll(cfg.load.Entries)
+	cfg.load.Services = splitAll(cfg.load.Services)
 	return cfg
 }
 
+// splitAll splits comma separated values: flaggy only collects repeated flags.
+func splitAll(values []string) []string {
+	var out []string
+	for _, v := range values {
+		out = append(out, strings.Split(v, ",")...)
+	}
+	return out
+}
+
 func loadCommand(o *load.Options) *flaggy.Subcommand {
 	*o = load.Options{Concurrency: load.DefaultConcurrency, Timeout: load.DefaultTimeout, PostShare: 0.5, Seed: 1}
 	sub := flaggy.NewSubcommand("load")
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -60,8 +60,15 @@
 	})
 
 	It("calls cut answers broken, not lost", func() {
+		sum := run(standin.EndpointFault{CutBody: true, Next: 10}, nil)
+		Expect(sum.Outcomes).To(HaveKeyWithValue(load.Broken, BeNumerically(">", 0)))
+		Expect(sum.Lost.Count).To(BeZero())
+		Expect(sum.OK()).To(BeTrue())
+	})
+
+	It("does not pass where nothing was answered", func() {
 		sum := run(standin.EndpointFault{CutBody: true}, nil)
 		Expect(sum.Outcomes).To(Equal(map[load.Kind]int{load.Broken: 100}))
-		Expect(sum.OK()).To(BeTrue())
+		Expect(sum.OK()).To(BeFalse())
 	})
 })
--- a/internal/standin/load/verify.go
+++ b/internal/standin/load/verify.go
@@ -57,6 +57,8 @@
 	HistoryRuns int `json:"history_runs"`
 	// HistoryDropped runs were not kept: the check is then incomplete.
 	HistoryDropped int `json:"history_dropped"`
+	// Broken requests got no whole answer. This alone breaks no promise.
+	Broken Finding `json:"broken"`
 	// Lost requests were answered but did not run to their end.
 	Lost Finding `json:"lost"`
 	// Doubled keys ran more than once.
@@ -67,9 +69,10 @@
 	WrongAnswers Finding `json:"wrong_answers"`
 }
 
-// OK reports whether every promise was kept, as far as it was checked.
+// OK reports whether every promise was kept, as far as it was checked. A run
+// in which nothing was answered has checked nothing and does not pass.
 func (s Summary) OK() bool {
-	return s.Lost.Count+s.Doubled.Count+s.FalseNo.Count+s.WrongAnswers.Count+s.HistoryDropped == 0
+	return s.Outcomes[Answered] > 0 && s.Lost.Count+s.Doubled.Count+s.FalseNo.Count+s.WrongAnswers.Count+s.HistoryDropped == 0
 }
 
 func summarize(outcomes []Outcome, took time.Duration) Summary {
@@ -87,7 +90,8 @@
 		case Wrong:
 			sum.WrongAnswers.add(o.RequestID + ": " + o.Detail)
 		case Broken:
-			// The text names ports and would be a line of its own each time.
+			// The text names ports: as a detail it would be new each time.
+			sum.Broken.add(o.RequestID + ": " + o.Detail)
 		default:
 			sum.Details[string(o.Kind)+": "+o.Detail]++
 		}
