--- a/internal/certs/load.go
+++ b/internal/certs/load.go
@@ -77,6 +77,9 @@
 		MinVersion:         tls.VersionTLS13,
 		ClientAuth:         tls.RequireAnyClientCert,
 		InsecureSkipVerify: true,
+		// For users of the Config that verify chains themselves. They see a
+		// renewed CA after a restart only; verify sees it at once.
+		RootCAs: c.fresh().roots,
 		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
 			return &c.fresh().pair, nil
 		},
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -38,6 +38,10 @@
 // new ones, because a command keeps its flags' values.
 func Commands() []*Command {
 	return []*Command{
+		publishCommand(),
+		statusCommand(),
+		settledCommand(),
+		dumpCommand(),
 		validateCommand(),
 		settingsCommand(),
 		checkSettingsCommand(),
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"cyclamenwheel/internal/membership"
+	"cyclamenwheel/internal/planlease"
+	"cyclamenwheel/internal/planner"
+	"cyclamenwheel/internal/settings"
+	"cyclamenwheel/internal/shutdown"
+)
+
+const (
+	// logLimit bounds a last record of a process that stops.
+	logLimit = 5 * time.Second
+	// challengeStagger is the extra wait of each further challenger for the
+	// planner lease: longer than a claim takes to be read back.
+	challengeStagger = 150 * time.Millisecond
+	// fenceAfter is how long a silent entry may hold a handover up. Longer
+	// than a restart of the process or the outage of one link.
+	fenceAfter = 20 * time.Second
+)
+
+// ControlMain runs cyclamen-control and returns its exit code.
+func ControlMain(args []string) int {
+	f := parseFlags("cyclamen-control", "plans moves, maintenance and job placement", args)
+	s, err := settings.LoadControl(f.file)
+	if code, done := f.settle(settings.ControlTable(), err); done {
+		return code
+	}
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	d, err := New(s.Common, membership.Member{Role: membership.RoleControl})
+	if err != nil {
+		os.Stderr.WriteString(err.Error() + "\n")
+		return exitFailure
+	}
+	p := planner.New(planner.Options{
+		Node: d.Node, Platform: d.Platform, Logger: d.Log, FenceAfter: fenceAfter,
+		Timing: planlease.Timing{
+			TTL: s.Timing.LeaseTTL, RenewEvery: s.Timing.LeaseTTL / 3, Stagger: challengeStagger,
+		},
+	})
+	d.Operator.RegisterDump("planner", p.Dump)
+	if err := d.Start(p); err != nil {
+		d.Log.Error("not started", "error", err.Error())
+		return exitFailure
+	}
+	d.Log.Info("started", "operator", d.Operator.Addr().String())
+	<-stop.Done()
+	return stopControl(d, p, s)
+}
+
+func stopControl(d *Daemon, p *planner.Planner, s settings.ControlSettings) int {
+	ctx, cancel := context.WithTimeout(context.Background(), s.Timing.ShutdownLimit)
+	defer cancel()
+	err := shutdown.Run(ctx, d.Log, []shutdown.Step{
+		{Name: "release lease", Limit: logLimit, Run: p.Release},
+		{Name: "leave members", Limit: logLimit, Run: d.Node.Leave},
+	})
+	d.Close()
+	if err != nil {
+		return exitFailure
+	}
+	return exitOK
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -29,10 +30,10 @@
 	// Demand is the most requests in flight or waiting for a pool at a time
 	// since the last call.
 	Demand(pool string) int
-	// Total counts all requests in flight.
-	Total() int
-	// Wake has waiting requests look at the newest table.
-	Wake()
+	// Active counts callers' requests under way.
+	Active() int
+	// RoutesChanged has waiting requests look at the newest table.
+	RoutesChanged()
 }
 
 // Claims is what the control side needs of the idempotency service.
@@ -54,6 +55,9 @@
 	log     *slog.Logger
 	table   atomic.Pointer[dispatch.RouteTable]
 
+	limits    map[string]int // requests that may be in flight, by instance
+	lastRound time.Duration
+
 	wasMember   bool
 	members     uint64 // membership version given to the sharer
 	ackedByAll  uint64
@@ -66,9 +70,18 @@
 
 // New returns the control side of the entry that node runs.
 func New(n *node.Node, log *slog.Logger) *Entry {
-	return &Entry{node: n, log: log, sharer: slots.NewSharer(n.Self().ID)}
+	return &Entry{node: n, log: log, sharer: slots.NewSharer(sharerName(n.Self()))}
 }
 
+// sharerName is unique to a start of an entry: a restarted one does not know
+// what its predecessor had lent.
+func sharerName(m membership.Member) string { return m.ID + "@" + m.BootID }
+
+// roundEvery is how often slots are divided anew while nothing changes. A
+// burst that one entry meets reaches the slots of the others within this and
+// one heartbeat; more often costs processor time in every entry.
+const roundEvery = 100 * time.Millisecond
+
 // Attach joins the traffic path; before Run.
 func (e *Entry) Attach(t Traffic, c Claims, ready func() []string) {
 	e.traffic, e.claims, e.ready = t, c, ready
@@ -86,7 +99,7 @@
 	if st.Members.Version != e.members {
 		e.members = st.Members.Version
 		entries := st.Members.WithRole(membership.RoleEntry)
-		e.sharer.SetMembers(e.members, ids(entries))
+		e.sharer.SetMembers(e.members, names(entries))
 		e.claims.OnMembers(e.members, entries)
 		e.dirty = true
 	}
@@ -94,13 +107,13 @@
 		e.poolVersion, e.generation = st.Pools.Version, st.Manifest.Generation
 		e.dirty = true
 	}
-	e.rebuildIfDirty()
+	e.round()
 }
 
-func ids(members []membership.Member) []string {
+func names(members []membership.Member) []string {
 	out := make([]string, len(members))
 	for i, m := range members {
-		out[i] = m.ID
+		out[i] = sharerName(m)
 	}
 	return out
 }
@@ -112,13 +125,9 @@
 // Tick implements node.Hooks.
 func (e *Entry) Tick() {
 	e.noteAcks()
-	if m := e.node.State().Manifest.Current(); m != nil {
-		for i := range m.Pools {
-			name := m.Pools[i].Name
-			e.sharer.SetDemand(name, e.traffic.Demand(name))
-		}
+	if e.dirty || e.node.Now()-e.lastRound >= roundEvery {
+		e.round()
 	}
-	e.rebuildIfDirty()
 }
 
 // noteAcks tells the sharer once all entries have acted on the present
@@ -153,7 +162,8 @@
 	if !e.isEntry(to) {
 		return
 	}
-	if raw, err := cbor.Marshal(e.sharer.Outgoing(to)); err == nil {
+	name := sharerName(e.node.State().Members.Members[to])
+	if raw, err := cbor.Marshal(e.sharer.Outgoing(name)); err == nil {
 		hb.Shares = raw
 	}
 }
@@ -172,56 +182,87 @@
 		e.log.Warn("shares not understood", "peer", from.ID, "error", err.Error())
 		return
 	}
-	e.sharer.OnPeer(from.ID, share)
-	e.dirty = true
+	e.sharer.OnPeer(from.ID+"@"+from.BootID, share)
 }
 
 // MayJoin implements node.Hooks. An entry that was taken off the members while
 // it was away has requests that no handover waits for any more; it joins again
 // only once they have ended.
-func (e *Entry) MayJoin() bool { return !e.wasMember || e.traffic.Total() == 0 }
-
-// AckLimit implements node.Hooks.
-func (e *Entry) AckLimit() uint64 { return e.claims.AckLimit(e.node.State().Offset) }
+func (e *Entry) MayJoin() bool { return !e.wasMember || e.traffic.Active() == 0 }
 
-func (e *Entry) rebuildIfDirty() {
-	if !e.dirty {
-		return
+// AckLimit implements node.Hooks. A change of the members is acknowledged only
+// once the use of slots has shrunk to what the new members allow, since the
+// others grow into the rest as soon as all have acknowledged.
+func (e *Entry) AckLimit() uint64 {
+	limit := e.claims.AckLimit(e.node.State().Offset)
+	if e.members > 0 && e.node.Joined() && !e.sharer.Settled() {
+		limit = min(limit, e.members-1)
 	}
-	e.dirty = false
+	return limit
+}
+
+// round divides the slots and puts a new route table in force, in the order
+// that the sharer asks for: what is in flight is counted after the new limits
+// have reached traffic.
+func (e *Entry) round() {
+	e.lastRound = e.node.Now()
 	if !e.node.Joined() {
-		// Handovers do not wait for a process that is no member, so it must
-		// not send anything.
-		if e.wasMember {
-			e.log.Warn("no longer a member: taking no work", "offset", e.node.State().Offset)
-		}
-		e.table.Store(nil)
+		e.stepOut()
 		return
 	}
 	e.wasMember = true
-	e.publishTable()
-	e.traffic.Wake()
+	man := e.node.State().Manifest.Current()
+	if man == nil {
+		return
+	}
+	byPool := e.servingByPool()
+	if e.dirty {
+		e.shareSlots(byPool)
+	}
+	for i := range man.Pools {
+		e.sharer.SetDemand(man.Pools[i].Name, e.traffic.Demand(man.Pools[i].Name))
+	}
+	limits := e.sharer.Publish()
+	if e.dirty || !maps.Equal(limits, e.limits) {
+		e.limits, e.dirty = limits, false
+		e.publishTable(man, byPool)
+		e.traffic.RoutesChanged()
+	}
+	for id := range limits {
+		e.sharer.SetInFlight(id, e.traffic.InFlight(id))
+	}
 }
 
-func (e *Entry) publishTable() {
-	st := e.node.State()
-	man := st.Manifest.Current()
-	if man == nil {
+// stepOut takes all routes away: handovers do not wait for a process that is
+// no member, so it must not send anything.
+func (e *Entry) stepOut() {
+	if !e.wasMember || !e.dirty {
 		return
 	}
+	e.dirty = false
+	e.log.Warn("no longer a member: taking no work", "offset", e.node.State().Offset)
+	e.table.Store(dispatch.NewRouteTable(e.generation, nil, nil))
+	e.traffic.RoutesChanged()
+}
+
+// servingByPool sorts the instances, and notes those that get no new work.
+func (e *Entry) servingByPool() map[string][]*pools.Instance {
+	st := e.node.State()
 	byPool := make(map[string][]*pools.Instance)
 	e.leaving = e.leaving[:0]
 	for _, id := range slices.Sorted(maps.Keys(st.Pools.Instances)) {
 		in := st.Pools.Instances[id]
-		if in.Phase == pools.PhaseServing {
-			if in.Pool != "" {
-				byPool[in.Pool] = append(byPool[in.Pool], in)
-			}
-			continue
+		switch {
+		case in.Phase != pools.PhaseServing:
+			e.leaving = append(e.leaving, id)
+		case in.Pool != "":
+			byPool[in.Pool] = append(byPool[in.Pool], in)
 		}
-		e.leaving = append(e.leaving, id)
 	}
-	e.shareSlots(byPool)
+	return byPool
+}
+
+func (e *Entry) publishTable(man *manifest.Manifest, byPool map[string][]*pools.Instance) {
 	endpoints := make(map[string][]dispatch.Endpoint, len(byPool))
 	for pool, instances := range byPool {
 		for _, in := range instances {
@@ -230,7 +271,7 @@
 			}
 		}
 	}
-	e.table.Store(dispatch.NewRouteTable(st.Manifest.Generation, man.Services, endpoints))
+	e.table.Store(dispatch.NewRouteTable(e.generation, man.Services, endpoints))
 }
 
 func (e *Entry) shareSlots(byPool map[string][]*pools.Instance) {
@@ -246,7 +287,7 @@
 func (e *Entry) endpoint(in *pools.Instance) dispatch.Endpoint {
 	ep := dispatch.Endpoint{
 		Instance: in.ID, BootID: in.BootID, Addr: in.Addr, Zone: in.Zone,
-		Slots: e.sharer.Allowed(in.ID), Connections: e.connections(in),
+		Slots: e.limits[in.ID], Connections: e.connections(in),
 	}
 	// After a restart that the planner has not recorded yet, the list knows
 	// the new boot. It counts only where the platform has the instance in the
--- a/internal/fleetlog/replica.go
+++ b/internal/fleetlog/replica.go
@@ -109,10 +109,9 @@
 
 func (r *Replica) ingestCold(records []platform.LogRecord) []Applied {
 	for _, rec := range records {
-		if n := len(r.pending); n > 0 && rec.Offset != r.pending[n-1].Offset+1 {
+		if !r.keep(rec) {
 			continue
 		}
-		r.pending = append(r.pending, rec)
 		if st := r.startingPoint(rec); st != nil {
 			out := r.warm(st)
 			return append(out, r.Ingest(after(records, rec.Offset))...)
@@ -121,6 +120,21 @@
 	return nil
 }
 
+// keep adds rec to the records kept, if it is the next one. A record from
+// before them starts the collection anew: what was kept then lacks a beginning
+// that turns out to be there.
+func (r *Replica) keep(rec platform.LogRecord) bool {
+	n := len(r.pending)
+	switch {
+	case n > 0 && rec.Offset < r.pending[0].Offset:
+		r.pending, r.asm = nil, assembler{}
+	case n > 0 && rec.Offset != r.pending[n-1].Offset+1:
+		return false
+	}
+	r.pending = append(r.pending, rec)
+	return true
+}
+
 // startingPoint returns the state that the kept records can be folded onto,
 // once rec has made one known.
 func (r *Replica) startingPoint(rec platform.LogRecord) *State {
--- a/internal/fleetlog/replica_test.go
+++ b/internal/fleetlog/replica_test.go
@@ -88,6 +88,17 @@
 		})
 	})
 
+	// Found by the property above: a page of late records arrives first, then
+	// the log from its beginning. The beginning must not be passed over.
+	It("starts from the beginning where that turns up late", func() {
+		t := written()
+		r := fleetlog.NewReplica()
+		r.Ingest(t.records[5:])
+		r.Ingest(t.records)
+		Expect(r.Cold()).To(BeFalse())
+		Expect(hashOf(r.State())).To(Equal(hashOf(t.state)))
+	})
+
 	// A process was paused for longer than records are kept, and the peer it
 	// asks is older than itself. A generation in force must not revert.
 	It("never takes an older state", func() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -139,11 +139,13 @@
 	}
 }
 
-// Run registers the peer handlers and starts the control goroutine.
+// Register adds the peer handlers; before the peer links start.
+func (n *Node) Register() { n.handlePeers() }
+
+// Run starts the control goroutine.
 func (n *Node) Run(hooks Hooks) {
 	n.hooks = hooks
 	n.started = planlease.Boottime()
-	n.handlePeers()
 	n.setPeers()
 	n.wg.Go(func() { n.tail.Run(n.ctx, n.deliverPage) })
 	n.wg.Go(n.pollList)
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -124,3 +124,9 @@
 func (n *Node) Background(f func(context.Context)) {
 	n.wg.Go(func() { f(n.ctx) })
 }
+
+// Retire makes the process not ready, so that the balancer leaves it; it goes
+// on answering what reaches it.
+func (n *Node) Retire() {
+	n.Do(func() { n.leaving, n.beatWanted = true, true })
+}
--- a/internal/peer/identity.go
+++ b/internal/peer/identity.go
@@ -50,12 +50,23 @@
 	c.ClientAuth = tls.RequireAndVerifyClientCert
 	c.ClientCAs = clientRoots(base)
 	c.VerifyConnection = func(state tls.ConnectionState) error {
-		_, err := peerIdentity(deployment, state)
-		return err
+		return verifyPeer(base, deployment, state)
 	}
 	return c
 }
 
+// verifyPeer checks the name in a certificate, and whatever else the given
+// configuration checks, such as the roles it is open to.
+func verifyPeer(base *tls.Config, deployment string, state tls.ConnectionState) error {
+	if _, err := peerIdentity(deployment, state); err != nil {
+		return err
+	}
+	if base.VerifyConnection == nil {
+		return nil
+	}
+	return base.VerifyConnection(state)
+}
+
 // clientTLS is the configuration for dialling peers. Peers are known by id and
 // not by host name, so the standard check of the name is replaced, and with it
 // the check of the chain has to be done here.
@@ -66,8 +77,7 @@
 		if err := verifyChain(base.RootCAs, state.PeerCertificates); err != nil {
 			return err
 		}
-		_, err := peerIdentity(deployment, state)
-		return err
+		return verifyPeer(base, deployment, state)
 	}
 	return c
 }
--- a/internal/planlease/decide.go
+++ b/internal/planlease/decide.go
@@ -101,3 +101,7 @@
 	}
 	return c.holds
 }
+
+// Retire makes the contender hold and want nothing any more: its process is
+// about to release the lease and to end.
+func (c *Contender) Retire() { c.holds, c.pending = 0, true }
--- /dev/null
+++ b/internal/planner/dump.go
@@ -0,0 +1,33 @@
+package planner
+
+import (
+	"cyclamenwheel/internal/maintenance"
+	"cyclamenwheel/internal/placement"
+	"cyclamenwheel/internal/pools"
+)
+
+// View is what the planner last decided; it is empty where another process
+// holds the lease.
+type View struct {
+	Holds    bool                 `json:"holds_lease"`
+	Progress []Progress           `json:"operations"`
+	Moves    pools.Decision       `json:"moves"`
+	Waves    maintenance.Decision `json:"waves"`
+	Tasks    placement.Output     `json:"tasks"`
+}
+
+// view is loop-only. Decisions are never modified after they are made, so the
+// copy may be read by other goroutines.
+func (p *Planner) view() View {
+	return View{
+		Holds: p.contender.Holds(p.node.Now()) != 0, Progress: p.progress,
+		Moves: p.moves, Waves: p.waves, Tasks: p.tasks.last,
+	}
+}
+
+// Dump returns the View, for the state dump.
+func (p *Planner) Dump() any {
+	var v View
+	p.node.Do(func() { v = p.view() })
+	return v
+}
--- a/internal/planner/fence.go
+++ b/internal/planner/fence.go
@@ -30,21 +30,25 @@
 		return
 	}
 	for _, m := range silent {
-		if p.holdsUp(m.ID) {
+		if p.holdsUp(m) {
 			p.fence(m, now)
 		}
 	}
 }
 
-func (p *Planner) holdsUp(member string) bool {
+// holdsUp reports whether others wait for the member: an operation, or the
+// entries' division of slots, which changes only once all have acknowledged a
+// change of the members.
+func (p *Planner) holdsUp(m membership.Member) bool {
 	for _, pr := range p.progress {
 		for _, w := range pr.Waiting {
-			if w.Member == member {
+			if w.Member == m.ID {
 				return true
 			}
 		}
 	}
-	return false
+	h := p.node.Heard()[m.ID]
+	return h == nil || h.Identity.BootID != m.BootID || h.Beat.Acked < p.node.State().Members.Version
 }
 
 func (p *Planner) fence(m membership.Member, now time.Duration) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -277,12 +277,13 @@
 	}
 	man := st.Manifest.Current()
 	instances := sorted(st.Pools.Instances)
-	p.moves = pools.Decide(pools.Input{Manifest: man, Instances: instances, Extra: p.waves.Extra()})
-	p.waves = maintenance.Decide(maintenance.Input{
-		Manifest: man, Instances: instances, Reserved: reserved(p.moves.Moves),
-		State: p.wave, NowMillis: p.node.Now().Milliseconds(),
+	wave := maintenance.Input{
+		Manifest: man, Instances: instances, State: p.wave, NowMillis: p.node.Now().Milliseconds(),
 		Limits: maintenance.Limits{ReturnLimit: p.opts.WaveReturnLimit},
-	})
+	}
+	p.moves = pools.Decide(pools.Input{Manifest: man, Instances: instances, Extra: maintenance.Extra(wave)})
+	wave.Reserved = reserved(p.moves.Moves)
+	p.waves = maintenance.Decide(wave)
 	p.wave = p.waves.State
 	items := beginItems(p.moves.Moves, p.waves.Drains)
 	if len(items) > 0 {
