--- a/internal/slots/loans.go
+++ b/internal/slots/loans.go
@@ -195,7 +195,7 @@
 		return
 	}
 	h.version, h.level = l.Version, l.Slots
-	h.used = h.level
+	h.used = max(h.used, h.level)
 }
 
 // confirm takes slots back that the borrower no longer uses. Only an answer to
--- a/internal/slots/sharer.go
+++ b/internal/slots/sharer.go
@@ -9,6 +9,9 @@
 // should not have to wait for a slot to come back over a heartbeat.
 const headroom = 1
 
+// Divider tells how many requests an entry may have in flight to an instance.
+type Divider interface{ Allowed(instance string) int }
+
 // Sharer is one entry's part of the division. It is owned by the goroutine
 // that owns control state. In each round the owner calls, in this order,
 //
