--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,7 +41,7 @@
 	debug.SetMemoryLimit(s.Memory)
 	self.ID, self.Zone, self.Instance = s.Process.ID, s.Process.Zone, s.Process.Instance
 	self.BootID = fleetlog.NewID().String()
-	self.PeerAddr, self.OperatorAddr = s.Peer.Listen.String(), s.OperatorListen.String()
+	self.PeerAddr, self.OperatorAddr = s.Peer.Advertise.String(), s.OperatorListen.String()
 	log := operator.NewLogger(os.Stderr, slog.LevelInfo, operator.Process{
 		ID: self.ID, Deployment: s.Process.Deployment, Zone: self.Zone, Version: Version,
 	})
@@ -53,7 +53,7 @@
 		Self: peer.Identity{
 			ID: self.ID, Role: string(self.Role), BootID: self.BootID, Zone: self.Zone,
 		},
-		Deployment: s.Process.Deployment, Listen: self.PeerAddr, Logger: log,
+		Deployment: s.Process.Deployment, Listen: s.Peer.Listen.String(), Logger: log,
 		TLS: creds.Config(certs.RoleEntry, certs.RoleControl),
 	})
 	if err != nil {
--- a/internal/settings/daemons.go
+++ b/internal/settings/daemons.go
@@ -17,7 +17,10 @@
 // Peer is how a process meets its peers.
 type Peer struct {
 	Listen netip.AddrPort
-	Seeds  []Seed
+	// Advertise is what peers dial; it differs from Listen behind an address
+	// translation.
+	Advertise netip.AddrPort
+	Seeds     []Seed
 	// CA, Cert and Key are PEM files.
 	CA, Cert, Key string
 }
@@ -98,11 +101,12 @@
 		},
 		PlatformURL: v.URL(sectionPlatform, "url"),
 		Peer: Peer{
-			Listen: v.Addr(sectionPeer, "listen"),
-			Seeds:  v.Seeds(sectionPeer, "peers"),
-			CA:     v.String(sectionPeer, "ca"),
-			Cert:   v.String(sectionPeer, "cert"),
-			Key:    v.String(sectionPeer, "key"),
+			Listen:    v.Addr(sectionPeer, "listen"),
+			Advertise: advertised(v),
+			Seeds:     v.Seeds(sectionPeer, "peers"),
+			CA:        v.String(sectionPeer, "ca"),
+			Cert:      v.String(sectionPeer, "cert"),
+			Key:       v.String(sectionPeer, "key"),
 		},
 		OperatorListen:   v.Addr(sectionOperator, "listen"),
 		Timing:           timing(v),
@@ -111,6 +115,13 @@
 	}
 }
 
+func advertised(v Values) netip.AddrPort {
+	if a := v.Addr(sectionPeer, "advertise"); a.IsValid() {
+		return a
+	}
+	return v.Addr(sectionPeer, "listen")
+}
+
 func timing(v Values) Timing {
 	return Timing{
 		Heartbeat:     v.Duration(sectionTiming, "heartbeat"),
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -63,6 +63,8 @@
 			Doc: "Base URL of the platform's log service, instance list and pools."},
 		{Section: sectionPeer, Name: "listen", Kind: KindHostPort, Required: true,
 			Doc: "UDP address for QUIC links between processes; port 0 takes a free one."},
+		{Section: sectionPeer, Name: "advertise", Kind: KindHostPort, Optional: true,
+			Doc: "Address that peers are told to dial, where it differs from listen."},
 		{Section: sectionPeer, Name: "peers", Kind: KindSeeds, Default: "",
 			Doc: "Peers to contact first, separated by commas. Others are learnt from the log."},
 		{Section: sectionPeer, Name: "ca", Kind: KindPath, Required: true,
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -97,6 +98,10 @@
 		l.fault(k.Section, k.Name, ReasonMissing, "required key is absent")
 		return
 	}
+	if !given && k.Optional {
+		l.values.m[keyID{k.Section, k.Name}] = netip.AddrPort{}
+		return
+	}
 	value, reason, detail := k.parse(text, l.dir)
 	if reason != "" {
 		l.fault(k.Section, k.Name, reason, detail)
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -37,6 +37,9 @@
 	// when it is absent.
 	Default  string
 	Required bool
+	// Optional keys have no default: an absent address stays invalid, and the
+	// settings' user derives it from another key.
+	Optional bool
 	// Unit is for the reference; Kind decides how a value is parsed.
 	Unit string
 	// Min and Max bound a number, in nanoseconds for a duration and in bytes
