Bound the settings file, move the signal test out of the suite

A device or a log given as the settings file was read without end; reading stops at 256 KiB now.

Ginkgo takes SIGUSR1 for a request to report its progress, and the race detector finds that report racing with the end of a spec. The test of the dump on SIGUSR1 sends that signal, so it runs outside the suite. What it checks is unchanged.

--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -28,6 +28,21 @@
 	RunSpecs(t, "operator")
 }
 
+// TestDumpOnSignal stands outside the suite: Ginkgo takes SIGUSR1 for a request
+// to print its progress, and its report races with the specs.
+func TestDumpOnSignal(t *testing.T) {
+	g := NewWithT(t)
+	logs := &buffer{}
+	s, err := operator.New(operator.Options{Listen: loopback,
+		Logger: operator.NewLogger(logs, slog.LevelInfo, operator.Process{})})
+	g.Expect(err).NotTo(HaveOccurred())
+	s.RegisterDump("pools", func() any { return []string{"tabs"} })
+	g.Expect(s.Start()).To(Succeed())
+	g.Expect(syscall.Kill(syscall.Getpid(), syscall.SIGUSR1)).To(Succeed())
+	g.Eventually(logs.String, "10s").Should(ContainSubstring(`"section":"pools","state":["tabs"]`))
+	g.Expect(s.Close()).To(Succeed())
+}
+
 // buffer is a log's destination that a test reads while it is written.
 type buffer struct {
 	mu sync.Mutex
@@ -115,12 +130,15 @@
 		_, body = get(http.DefaultClient, base+operator.PathDump+"?section=pools")
 		Expect(body).To(MatchJSON(`{"pools": ["tabs"]}`))
 	})
+})
 
-	It("dumps to the log on SIGUSR1", func() {
-		s.RegisterDump("pools", func() any { return []string{"tabs"} })
-		Expect(syscall.Kill(syscall.Getpid(), syscall.SIGUSR1)).To(Succeed())
-		Eventually(logs.String, "10s").Should(ContainSubstring(`"section":"pools","state":["tabs"]`))
-	})
+var _ = It("closes right after it has started", func() {
+	for range 20 {
+		s, err := operator.New(operator.Options{Listen: loopback})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Start()).To(Succeed())
+		Expect(s.Close()).To(Succeed())
+	}
 })
 
 var _ = Describe("mutual TLS", func() {
--- a/internal/settings/errors.go
+++ b/internal/settings/errors.go
@@ -68,6 +68,11 @@
 	return b.String()
 }
 
+// TooLargeError says that a file is no settings file: it exceeds Limit bytes.
+type TooLargeError struct{ Limit int }
+
+func (e *TooLargeError) Error() string { return fmt.Sprintf("more than %d bytes", e.Limit) }
+
 // UndeclaredKeyError is a mistake in the program: it asks for a key that its
 // table lacks, or by another type. It is raised by panic.
 type UndeclaredKeyError struct {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -21,10 +22,14 @@
 	KeyValueDelimiters:         "=",
 }
 
+// maxFileBytes is far above any real file. It stops the reading of a device or
+// of a log given by mistake.
+const maxFileBytes = 256 << 10
+
 // Load reads the file at path and checks it against table. The error is a
 // *FaultsError that lists all faults at once.
 func Load(path string, table Table) (Values, error) {
-	data, err := os.ReadFile(path)
+	data, err := readFile(path)
 	if err != nil {
 		return Values{}, &FaultsError{File: path, Faults: []Fault{{Reason: ReasonUnreadable, Detail: err.Error()}}}
 	}
@@ -37,6 +42,19 @@
 	return l.values, nil
 }
 
+func readFile(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	data, err := io.ReadAll(io.LimitReader(file, maxFileBytes+1))
+	if err == nil && len(data) > maxFileBytes {
+		return nil, &TooLargeError{Limit: maxFileBytes}
+	}
+	return data, err
+}
+
 type loader struct {
 	table  Table
 	lines  map[keyID]int
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -121,8 +121,10 @@
 		Expect(b.String()).NotTo(ContainSubstring("queue_per_service"))
 	})
 
-	It("reports a file that is not there", func() {
-		_, err := settings.LoadControl("/nonexistent/control.ini")
-		Expect(err).To(MatchError(ContainSubstring("unreadable_file")))
+	It("reports a file that is not there or never ends", func() {
+		for _, path := range []string{"/nonexistent/control.ini", "/dev/zero"} {
+			_, err := settings.LoadControl(path)
+			Expect(err).To(MatchError(ContainSubstring("unreadable_file")))
+		}
 	})
 })
