--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,9 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 
 	"cyclamenwheel/internal/certs"
 	"cyclamenwheel/internal/fleetlog"
@@ -16,11 +19,9 @@
 	"cyclamenwheel/internal/peer"
 	"cyclamenwheel/internal/platform"
 	"cyclamenwheel/internal/settings"
+	"cyclamenwheel/internal/version"
 )
 
-// Version is set by the linker for releases.
-var Version = "dev"
-
 // Daemon is the common part of a process.
 type Daemon struct {
 	Log      *slog.Logger
@@ -43,12 +44,18 @@
 	self.BootID = fleetlog.NewID().String()
 	self.PeerAddr, self.OperatorAddr = s.Peer.Advertise.String(), s.OperatorListen.String()
 	log := operator.NewLogger(os.Stderr, slog.LevelInfo, operator.Process{
-		ID: self.ID, Deployment: s.Process.Deployment, Zone: self.Zone, Version: Version,
+		ID: self.ID, Deployment: s.Process.Deployment, Zone: self.Zone, Version: version.Version,
 	})
 	creds, err := certs.Load(s.Peer.CA, s.Peer.Cert, s.Peer.Key)
 	if err != nil {
 		return nil, err
 	}
+	if err := checkIdentity(creds.Identity(), s.Process, self.Role); err != nil {
+		return nil, err
+	}
+	metrics.GetOrCreateGauge("cyclamen_certificate_expiry_seconds", func() float64 {
+		return time.Until(creds.NotAfter()).Seconds()
+	})
 	peers, err := peer.NewNode(peer.Options{
 		Self: peer.Identity{
 			ID: self.ID, Role: string(self.Role), BootID: self.BootID, Zone: self.Zone,
@@ -66,7 +73,7 @@
 		Heartbeat: s.Timing.Heartbeat, ListPoll: s.Timing.ListPoll, Logger: log,
 	})
 	d.Operator, err = operator.New(operator.Options{
-		Process: operator.Process{ID: self.ID, Deployment: s.Process.Deployment, Zone: self.Zone, Version: Version},
+		Process: operator.Process{ID: self.ID, Deployment: s.Process.Deployment, Zone: self.Zone, Version: version.Version},
 		Listen:  s.OperatorListen, Logger: log,
 		TLS:    creds.Config(certs.RoleOperator, certs.RoleEntry, certs.RoleControl),
 		Status: func() any { return d.status() },
@@ -74,6 +81,26 @@
 	return d, err
 }
 
+// IdentityMismatchError says that the certificate names another process than
+// the settings do: its peers would turn it away one by one.
+type IdentityMismatchError struct {
+	Certificate certs.Identity
+	Process     settings.Process
+	Role        membership.Role
+}
+
+func (e *IdentityMismatchError) Error() string {
+	return "the certificate is of " + e.Certificate.String() + ", the settings of " +
+		string(e.Role) + " " + e.Process.ID + " of " + e.Process.Deployment
+}
+
+func checkIdentity(id certs.Identity, p settings.Process, role membership.Role) error {
+	if id.ID != p.ID || id.Deployment != p.Deployment || string(id.Role) != string(role) {
+		return &IdentityMismatchError{Certificate: id, Process: p, Role: role}
+	}
+	return nil
+}
+
 func seeds(list []settings.Seed) map[string]string {
 	out := make(map[string]string, len(list))
 	for _, s := range list {
--- a/internal/daemon/flags.go
+++ b/internal/daemon/flags.go
@@ -7,6 +7,7 @@
 	"github.com/integrii/flaggy"
 
 	"cyclamenwheel/internal/settings"
+	"cyclamenwheel/internal/version"
 )
 
 // Exit codes of the daemons.
@@ -27,7 +28,7 @@
 	var f flags
 	p := flaggy.NewParser(name)
 	p.Description = description
-	p.Version = Version
+	p.Version = version.Version
 	p.String(&f.file, "s", "settings", "settings file (INI)")
 	p.Bool(&f.check, "", "check-settings", "check the settings and exit")
 	p.Bool(&f.reference, "", "reference", "print all settings with defaults and units, and exit")
