--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -80,7 +80,10 @@
 }
 
 moved() { # waits until no operation is in progress and all pools are filled
-  bin/cyclamenctl settled --platform $platform --timeout 30s
+  bin/cyclamenctl settled --platform $platform --timeout 30s || {
+    bin/cyclamenctl dump --platform $platform >"$out/dump.json"
+    return 1
+  }
 }
 
 urls=""
@@ -92,7 +95,8 @@
     --work-ms 5 --repeat-share 0.05 --control-url $control --seed "$2"
 }
 
-for _ in $(seq 100); do bin/cyclamenctl status --platform $platform >/dev/null 2>&1 && break; sleep 0.1; done
+joined() { bin/cyclamenctl status --platform $platform 2>/dev/null | grep -c -E ' (entry|control) ' || true; }
+for _ in $(seq 100); do [ "$(joined)" -eq $((2 * entries)) ] && break; sleep 0.1; done
 echo "== publishing the first manifest"
 bin/cyclamenctl publish "examples/$deployment/manifest.json" --platform $platform --wait
 ready
