Integration harness: real processes behind TCP and UDP proxies

Starts a stand-in inside the test and real entries and controls, each with a loopback address of its own, a TCP proxy towards the platform and, where asked for, a UDP proxy towards its peers.

--- /dev/null
+++ b/test/harness/load.go
@@ -0,0 +1,80 @@
+package harness
+
+import (
+	"context"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/standin/load"
+)
+
+// Defaults of a load.
+const (
+	defaultRate        = 200
+	defaultWorkMillis  = 10
+	defaultConcurrency = 256
+	// defaultTimeout is how long callers wait, and so how long one that met a
+	// frozen entry takes to give up.
+	defaultTimeout = 2 * requestDeadline
+)
+
+// Load is callers' requests in the background.
+type Load struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+	sum    load.Summary
+	err    error
+}
+
+// Load starts callers that send to the given entries, all by default, until
+// Stop. Options that are not set take defaults; Entries and ControlURL are
+// set here.
+func (c *Cluster) Load(opts load.Options, entries ...*Process) *Load {
+	if len(entries) == 0 {
+		entries = c.entries
+	}
+	for _, e := range entries {
+		opts.Entries = append(opts.Entries, e.CallerURL())
+	}
+	opts.ControlURL = c.ControlURL
+	if opts.Rate == 0 {
+		opts.Rate = defaultRate
+	}
+	if opts.WorkMillis == 0 {
+		opts.WorkMillis = defaultWorkMillis
+	}
+	if opts.Concurrency == 0 {
+		opts.Concurrency = defaultConcurrency
+	}
+	if opts.Timeout == 0 {
+		opts.Timeout = defaultTimeout
+	}
+	if opts.Duration == 0 && opts.Count == 0 {
+		opts.Duration = 2 * Patience
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Load{cancel: cancel, done: make(chan struct{})}
+	c.loads = append(c.loads, l)
+	go func() {
+		defer close(l.done)
+		l.sum, l.err = load.Run(ctx, opts)
+	}()
+	return l
+}
+
+// Stop ends the load, waits for the outcomes of all requests, and expects that
+// every promise to callers was kept.
+func (l *Load) Stop() load.Summary {
+	GinkgoHelper()
+	l.cancel()
+	Eventually(l.done, Patience).Should(BeClosed())
+	Expect(l.err).NotTo(HaveOccurred())
+	Expect(l.sum.OK()).To(BeTrue(), "a promise to callers was broken: %+v", l.sum)
+	return l.sum
+}
+
+func (l *Load) abandon() {
+	l.cancel()
+	<-l.done
+}
--- /dev/null
+++ b/test/harness/operate.go
@@ -0,0 +1,170 @@
+package harness
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/ctl"
+	"cyclamenwheel/internal/manifest"
+)
+
+// ledger notes the manifests that came into force.
+type ledger struct {
+	mu      sync.Mutex
+	entries []published
+}
+
+type published struct {
+	generation uint64
+	man        *manifest.Manifest
+}
+
+func (l *ledger) add(generation uint64, m *manifest.Manifest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = append(l.entries, published{generation: generation, man: m})
+}
+
+func (l *ledger) all() []published {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]published{}, l.entries...)
+}
+
+// CtlResult is what a run of cyclamenctl gave.
+type CtlResult struct {
+	Code     int
+	Out, Err string
+}
+
+// Ctl runs cyclamenctl against the platform, without a proxy between.
+func (c *Cluster) Ctl(args ...string) CtlResult {
+	GinkgoHelper()
+	cmd := exec.Command(binary("cyclamenctl"), args...)
+	var out, errOut bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &errOut
+	_ = cmd.Run()
+	Expect(cmd.ProcessState).NotTo(BeNil())
+	return CtlResult{Code: cmd.ProcessState.ExitCode(), Out: out.String(), Err: errOut.String()}
+}
+
+// TryPublish publishes a manifest with further flags and returns what
+// cyclamenctl said. An accepted manifest is noted for the checks.
+func (c *Cluster) TryPublish(m *manifest.Manifest, flags ...string) (ctl.Published, CtlResult) {
+	GinkgoHelper()
+	data, err := m.Encode()
+	Expect(err).NotTo(HaveOccurred())
+	file, err := os.CreateTemp(c.dir, "manifest-*.json")
+	Expect(err).NotTo(HaveOccurred())
+	_, err = file.Write(data)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(file.Close()).To(Succeed())
+	args := append([]string{"publish", filepath.Clean(file.Name()), "--json", "--platform", c.PlatformURL}, flags...)
+	res := c.Ctl(args...)
+	var pub ctl.Published
+	if res.Code == ctl.ExitOK {
+		Expect(json.Unmarshal([]byte(res.Out), &pub)).To(Succeed(), res.Out)
+		c.ledger.add(pub.Generation, m)
+	}
+	return pub, res
+}
+
+// Publish publishes a manifest and waits until it is in force on every live
+// entry.
+func (c *Cluster) Publish(m *manifest.Manifest, flags ...string) ctl.Published {
+	GinkgoHelper()
+	pub, res := c.TryPublish(m, append([]string{"--wait", "--timeout", Patience.String()}, flags...)...)
+	Expect(res.Code).To(Equal(ctl.ExitOK), res.Err)
+	return pub
+}
+
+// Settle waits until every pool has its instances and no operation is in
+// progress.
+func (c *Cluster) Settle() {
+	GinkgoHelper()
+	res := c.Ctl("settled", "--platform", c.PlatformURL, "--timeout", Patience.String())
+	Expect(res.Code).To(Equal(ctl.ExitOK), res.Err)
+}
+
+// Form publishes the first manifest, waits until the fleet is formed and all
+// entries are ready, and starts the availability timeline anew: what is
+// checked begins here.
+func (c *Cluster) Form(m *manifest.Manifest) {
+	GinkgoHelper()
+	c.Publish(m)
+	c.Settle()
+	for _, e := range c.entries {
+		e.AwaitReady()
+	}
+	Expect(c.Standin.ResetAvailability(bg)).To(Succeed())
+}
+
+// SettledAt waits until every instance of a pool has a maintenance revision
+// and nothing is in progress, as the platform itself sees it.
+func (c *Cluster) SettledAt(pool string, revision int) {
+	GinkgoHelper()
+	Eventually(func(g Gomega) {
+		rows, err := c.Standin.Instances(bg)
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, row := range rows {
+			if row.Pool == pool && row.State != "gone" {
+				g.Expect(row.Revision).To(BeNumerically(">=", revision), row.ID)
+				g.Expect(row.Running).To(BeEmpty(), row.ID)
+			}
+		}
+	}, Patience, Poll).Should(Succeed())
+	c.Settle()
+}
+
+// ServicePool describes one pool and the service of the same name.
+type ServicePool struct {
+	Name         string
+	Count        int
+	IDs          []string
+	MinAvailable int
+	Revision     int
+}
+
+// requestDeadline is the services' deadline.
+const requestDeadline = 5 * time.Second
+
+// Manifest builds a manifest of pools that each answer the service of their
+// name.
+func Manifest(waveParallel int, list ...ServicePool) *manifest.Manifest {
+	m := &manifest.Manifest{
+		Version: manifest.Version, Deployment: Deployment,
+		Buffer: manifest.Buffer{Survive: manifest.DomainInstance, WaveParallel: waveParallel},
+	}
+	for _, sp := range list {
+		m.Pools = append(m.Pools, manifest.Pool{
+			Name: sp.Name, Instances: manifest.Selection{Count: sp.Count, IDs: sp.IDs},
+			Maintenance: manifest.Maintenance{Revision: sp.Revision},
+		})
+		m.Services = append(m.Services, manifest.Service{
+			Name: sp.Name, Pool: sp.Name, MinAvailable: sp.MinAvailable,
+			Classes: []manifest.Class{
+				{Name: "read", Methods: []string{"GET"}, Idempotent: true, DeadlineMillis: requestDeadline.Milliseconds()},
+				{Name: "write", Methods: []string{"POST"}, DeadlineMillis: requestDeadline.Milliseconds()},
+			},
+		})
+	}
+	return m
+}
+
+// WorkerIDs names workers by their numbers, from 1.
+func WorkerIDs(numbers ...int) []string {
+	ids := make([]string, len(numbers))
+	for i, n := range numbers {
+		ids[i] = fmt.Sprintf("w%03d", n)
+	}
+	return ids
+}
--- /dev/null
+++ b/test/harness/process.go
@@ -0,0 +1,196 @@
+package harness
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"github.com/Shopify/toxiproxy"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	quicproxy "github.com/quic-go/quic-go/integrationtests/tools/proxy"
+
+	"cyclamenwheel/internal/platform"
+)
+
+// Role is a process's duty.
+type Role string
+
+// Roles.
+const (
+	RoleEntry   Role = "entry"
+	RoleControl Role = "control"
+)
+
+// Process is one process of the deployment, over all its restarts.
+type Process struct {
+	Role     Role
+	ID       string
+	Zone     string
+	Instance string
+	IP       string
+
+	cluster   *Cluster
+	settings  string
+	logFile   string
+	toPlat    *toxiproxy.Proxy
+	peerProxy *quicproxy.Proxy
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
+func (c *Cluster) newProcess(role Role, i int) *Process {
+	GinkgoHelper()
+	p := &Process{
+		Role: role, ID: fmt.Sprintf("%s-%d", role, i+1), Zone: zoneOf(i), Instance: instanceOf(role, i),
+		IP: c.net.ip(role, i), cluster: c,
+	}
+	p.settings = filepath.Join(c.dir, p.ID+".ini")
+	p.logFile = filepath.Join(c.dir, p.ID+".log")
+	p.openPlatformLink()
+	if c.opts.PeerProxies {
+		p.openPeerLink()
+	}
+	return p
+}
+
+// Start starts the process under a new boot.
+func (p *Process) Start() {
+	GinkgoHelper()
+	p.writeSettings()
+	out, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	Expect(err).NotTo(HaveOccurred())
+	cmd := exec.Command(binary("cyclamen-"+string(p.Role)), "--settings", p.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	// Should the test itself be killed, its processes end with it.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	Expect(cmd.Start()).To(Succeed())
+	exited := make(chan struct{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	Expect(p.alive()).To(BeFalse(), p.ID+" runs already")
+	p.cmd, p.exited = cmd, exited
+	go func() {
+		_ = cmd.Wait()
+		_ = out.Close()
+		close(exited)
+	}()
+}
+
+// Alive reports whether the process runs, frozen or not.
+func (p *Process) Alive() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.alive()
+}
+
+func (p *Process) alive() bool {
+	if p.cmd == nil {
+		return false
+	}
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// signal sends sig to the process of the present boot.
+func (p *Process) signal(sig syscall.Signal) <-chan struct{} {
+	GinkgoHelper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	Expect(p.alive()).To(BeTrue(), p.ID+" does not run")
+	Expect(p.cmd.Process.Signal(sig)).To(Succeed())
+	return p.exited
+}
+
+// Kill ends the process at once and waits until it has ended.
+func (p *Process) Kill() {
+	GinkgoHelper()
+	<-p.signal(syscall.SIGKILL)
+}
+
+// signalKill is Kill for those that must not fail a spec.
+func (p *Process) signalKill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.alive() {
+		_ = p.cmd.Process.Signal(syscall.SIGKILL)
+	}
+}
+
+// Freeze stops the process in its tracks, as a paused machine does; Wake lets
+// it go on.
+func (p *Process) Freeze() {
+	GinkgoHelper()
+	p.signal(syscall.SIGSTOP)
+}
+
+// Wake ends Freeze.
+func (p *Process) Wake() {
+	GinkgoHelper()
+	p.signal(syscall.SIGCONT)
+}
+
+// Stop asks for a planned stop, waits for it and returns the exit code.
+func (p *Process) Stop() int {
+	GinkgoHelper()
+	exited := p.signal(syscall.SIGTERM)
+	Eventually(exited, Patience).Should(BeClosed(), p.ID+" has not stopped")
+	return p.ExitCode()
+}
+
+// Exited is closed when the present boot has ended.
+func (p *Process) Exited() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exited
+}
+
+// ExitCode is that of the last boot; -1 for one that a signal ended.
+func (p *Process) ExitCode() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// Restart starts the process anew, killing it first if it runs.
+func (p *Process) Restart() {
+	GinkgoHelper()
+	if p.Alive() {
+		p.Kill()
+	}
+	p.Start()
+}
+
+// LoseHost takes the process's instance away from one moment to the next: the
+// process ends and the platform lists the instance as gone.
+func (p *Process) LoseHost() {
+	GinkgoHelper()
+	if p.Alive() {
+		p.Kill()
+	}
+	Expect(p.cluster.Standin.SetState(bg, p.Instance, platform.StateGone)).To(Succeed())
+}
+
+// Replace brings a new instance in the place of a lost one, and starts the
+// process on it.
+func (p *Process) Replace() {
+	GinkgoHelper()
+	Expect(p.cluster.Standin.SetState(bg, p.Instance, platform.StateLive)).To(Succeed())
+	p.Start()
+}
+
+func (p *Process) reap() {
+	p.signalKill()
+	if exited := p.Exited(); exited != nil {
+		<-exited
+	}
+}
--- /dev/null
+++ b/test/harness/settings.go
@@ -0,0 +1,76 @@
+package harness
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// settingsValues are the settings of one process, by section and key. Leases
+// and heartbeats are short, so that a test of a takeover takes a second.
+func (p *Process) settingsValues() map[string]map[string]string {
+	dir := p.cluster.dir
+	peerListen := p.addr(portPeer)
+	if p.peerProxy != nil {
+		peerListen = p.addr(portPeerOwn)
+	}
+	cert := filepath.Join(dir, fmt.Sprintf("%s-%s", p.Role, p.ID))
+	values := map[string]map[string]string{
+		"process":  {"id": p.ID, "zone": p.Zone, "instance": p.Instance, "deployment": Deployment},
+		"platform": {"url": "http://" + p.addr(portPlatform)},
+		"peer": {
+			"listen": peerListen, "advertise": p.addr(portPeer), "peers": p.cluster.seeds(),
+			"ca": filepath.Join(dir, "ca.pem"), "cert": cert + ".pem", "key": cert + "-key.pem",
+		},
+		"operator": {"listen": p.addr(portOperator)},
+		"timing": {
+			"heartbeat": "100ms", "lease_ttl": "1s", "list_poll": "20ms",
+			"ready_grace": "100ms", "drain_limit": "20s", "shutdown_limit": "30s",
+		},
+	}
+	if p.Role == RoleEntry {
+		values["callers"] = map[string]string{"listen": p.addr(portCallers)}
+	}
+	for section, keys := range p.cluster.opts.Settings {
+		if values[section] == nil {
+			values[section] = map[string]string{}
+		}
+		maps.Copy(values[section], keys)
+	}
+	return values
+}
+
+func (c *Cluster) seeds() string {
+	var all []string
+	for _, p := range c.All() {
+		all = append(all, p.ID+"@"+p.addr(portPeer))
+	}
+	return strings.Join(all, ", ")
+}
+
+func (p *Process) writeSettings() {
+	GinkgoHelper()
+	var b strings.Builder
+	values := p.settingsValues()
+	for _, section := range slices.Sorted(maps.Keys(values)) {
+		fmt.Fprintf(&b, "[%s]\n", section)
+		for _, key := range slices.Sorted(maps.Keys(values[section])) {
+			fmt.Fprintf(&b, "%s = %s\n", key, values[section][key])
+		}
+	}
+	Expect(os.WriteFile(p.settings, []byte(b.String()), 0o600)).To(Succeed())
+}
+
+func (p *Process) addr(port int) string { return fmt.Sprintf("%s:%d", p.IP, port) }
+
+// CallerURL is where an entry takes requests.
+func (p *Process) CallerURL() string { return "http://" + p.addr(portCallers) }
+
+// OperatorAddr is where the process answers operators.
+func (p *Process) OperatorAddr() string { return p.addr(portOperator) }
