--- a/test/harness/build.go
+++ b/test/harness/build.go
@@ -6,8 +6,8 @@
 	"path/filepath"
 	"sync"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 )
 
 // binaries holds where the processes under test were built, once per test run.
@@ -20,7 +20,7 @@
 
 // binary returns the path of a built command. RemoveBinaries deletes it.
 func binary(name string) string {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	binaries.once.Do(func() {
 		if binaries.dir, binaries.err = os.MkdirTemp("", "cyclamen-proof-"); binaries.err != nil {
 			return
@@ -29,7 +29,7 @@
 			"cyclamenwheel/cmd/cyclamen-entry", "cyclamenwheel/cmd/cyclamen-control", "cyclamenwheel/cmd/cyclamenctl")
 		binaries.out, binaries.err = cmd.CombinedOutput()
 	})
-	Expect(binaries.err).NotTo(HaveOccurred(), string(binaries.out))
+	gomega.Expect(binaries.err).NotTo(gomega.HaveOccurred(), string(binaries.out))
 	return filepath.Join(binaries.dir, name)
 }
 
--- a/test/harness/check.go
+++ b/test/harness/check.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 
 	"cyclamenwheel/internal/standin"
 )
@@ -59,17 +59,17 @@
 
 // Check expects that the platform saw no breach of any promise so far.
 func (c *Cluster) Check() {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	var seen Observed
 	var err error
 	seen.Availability, err = c.Standin.Availability(bg)
-	Expect(err).NotTo(HaveOccurred())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	seen.History, err = c.Standin.History(bg, 1)
-	Expect(err).NotTo(HaveOccurred())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	seen.Violations, err = c.Standin.Violations(bg)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(seen.History.Dropped).To(BeZero(), "the history is incomplete")
-	Expect(Judge(seen, c.ledger.rules())).To(BeEmpty())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(seen.History.Dropped).To(gomega.BeZero(), "the history is incomplete")
+	gomega.Expect(Judge(seen, c.ledger.rules())).To(gomega.BeEmpty())
 }
 
 // Judge finds all breaches in what was seen.
--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -14,8 +14,8 @@
 	"os"
 	"time"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 
 	"cyclamenwheel/internal/certs"
 	"cyclamenwheel/internal/standin"
@@ -114,10 +114,10 @@
 // New starts a deployment and waits until every process is a member. It is
 // closed at the end of the spec.
 func New(opts Options) *Cluster {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	opts = opts.withDefaults()
-	c := &Cluster{opts: opts, dir: GinkgoT().TempDir(), net: claimNetwork(), watched: make(chan struct{})}
-	DeferCleanup(c.Close)
+	c := &Cluster{opts: opts, dir: ginkgo.GinkgoT().TempDir(), net: claimNetwork(), watched: make(chan struct{})}
+	ginkgo.DeferCleanup(c.Close)
 	c.startPlatform()
 	c.peers = newPeerNetwork()
 	for i := range opts.Entries {
@@ -140,7 +140,7 @@
 }
 
 func (c *Cluster) startPlatform() {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	spec := c.opts.Workers
 	for i := range c.opts.Entries {
 		spec.Entries = append(spec.Entries, standin.EntrySpec{
@@ -154,18 +154,18 @@
 		Fleet: spec, Lag: c.opts.Lag, Reboot: c.opts.Reboot, Retention: c.opts.Retention,
 		ReportLag: reportLag, DrainLimit: drainLimit, Logger: slog.New(slog.DiscardHandler),
 	})
-	Expect(c.platform.Start()).To(Succeed())
+	gomega.Expect(c.platform.Start()).To(gomega.Succeed())
 	c.PlatformURL, c.ControlURL = c.platform.URL(), c.platform.ControlURL()
 	c.Standin = standin.NewControlClient(c.ControlURL)
 }
 
 func (c *Cluster) issueCertificates() {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	var ids []string
 	for _, p := range c.All() {
 		ids = append(ids, string(p.Role)+"/"+p.ID)
 	}
-	Expect(certs.Create(c.dir, Deployment, ids...)).To(Succeed())
+	gomega.Expect(certs.Create(c.dir, Deployment, ids...)).To(gomega.Succeed())
 }
 
 func instanceOf(role Role, i int) string { return fmt.Sprintf("host-%s-%d", role, i+1) }
@@ -190,12 +190,12 @@
 // Planner returns the control process that holds the planner lease, and waits
 // for there to be one.
 func (c *Cluster) Planner() *Process {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	var holder *Process
-	Eventually(func() bool {
+	gomega.Eventually(func() bool {
 		holder = c.planner()
 		return holder != nil
-	}, Patience, Poll).Should(BeTrue(), "no control process holds the planner lease")
+	}, Patience, Poll).Should(gomega.BeTrue(), "no control process holds the planner lease")
 	return holder
 }
 
@@ -235,7 +235,7 @@
 	for _, p := range c.All() {
 		p.reap()
 	}
-	if CurrentSpecReport().Failed() {
+	if ginkgo.CurrentSpecReport().Failed() {
 		c.printLogs()
 	}
 	for _, p := range c.All() {
@@ -260,7 +260,7 @@
 		if len(data) > logTail {
 			data = data[len(data)-logTail:]
 		}
-		_, _ = fmt.Fprintf(GinkgoWriter, "---- log of %s\n%s\n", p.ID, data)
+		_, _ = fmt.Fprintf(ginkgo.GinkgoWriter, "---- log of %s\n%s\n", p.ID, data)
 	}
 }
 
--- a/test/harness/inspect.go
+++ b/test/harness/inspect.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 
 	"cyclamenwheel/internal/entry"
 	"cyclamenwheel/internal/fleetlog"
@@ -92,23 +92,23 @@
 
 // AwaitReady waits until the process is ready.
 func (p *Process) AwaitReady() {
-	GinkgoHelper()
-	Eventually(func(g Gomega) {
+	ginkgo.GinkgoHelper()
+	gomega.Eventually(func(g gomega.Gomega) {
 		st, err := p.Status()
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(st.Readiness.Reasons).To(BeEmpty(), p.ID)
-	}, Patience, Poll).Should(Succeed())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(st.Readiness.Reasons).To(gomega.BeEmpty(), p.ID)
+	}, Patience, Poll).Should(gomega.Succeed())
 }
 
 // AwaitMember waits until the present boot answers and is a member.
 func (p *Process) AwaitMember() {
-	GinkgoHelper()
-	Eventually(func(g Gomega) {
+	ginkgo.GinkgoHelper()
+	gomega.Eventually(func(g gomega.Gomega) {
 		st, err := p.Status()
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(st.Readiness.Reasons).NotTo(ContainElement("not yet a member"), p.ID)
-		g.Expect(st.Detail.Offset).NotTo(BeZero())
-	}, Patience, Poll).Should(Succeed())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(st.Readiness.Reasons).NotTo(gomega.ContainElement("not yet a member"), p.ID)
+		g.Expect(st.Detail.Offset).NotTo(gomega.BeZero())
+	}, Patience, Poll).Should(gomega.Succeed())
 }
 
 // Generation is the generation that the process reports, 0 if it does not
@@ -121,7 +121,7 @@
 // Fold reads the platform's log itself and returns the state that it folds to.
 // It sees what is in the log, not what any process has made of it.
 func (c *Cluster) Fold() *fleetlog.State {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	st, _ := c.FoldWith(nil)
 	return st
 }
--- a/test/harness/links.go
+++ b/test/harness/links.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/Shopify/toxiproxy"
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 	quicproxy "github.com/quic-go/quic-go/integrationtests/tools/proxy"
 	"github.com/sirupsen/logrus"
 )
@@ -29,12 +29,12 @@
 // openPlatformLink starts the proxy that all of the process's calls to the
 // platform go through.
 func (p *Process) openPlatformLink() {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	p.toPlat = toxiproxy.NewProxy()
 	p.toPlat.Name = p.ID
 	p.toPlat.Listen = p.addr(portPlatform)
 	p.toPlat.Upstream = strings.TrimPrefix(p.cluster.PlatformURL, "http://")
-	Expect(p.toPlat.Start()).To(Succeed())
+	gomega.Expect(p.toPlat.Start()).To(gomega.Succeed())
 }
 
 // CutLog cuts the process off from the platform: connections break, new ones
@@ -43,32 +43,32 @@
 
 // HealLog ends CutLog, HangLog and SlowLog.
 func (p *Process) HealLog() {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	p.toPlat.Toxics.ResetToxics()
 	if !p.toPlat.Enabled {
-		Expect(p.toPlat.Start()).To(Succeed())
+		gomega.Expect(p.toPlat.Start()).To(gomega.Succeed())
 	}
 }
 
 // HangLog lets the process's connections to the platform stand open while
 // nothing passes, as where packets are dropped.
 func (p *Process) HangLog() {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	p.addToxic(toxicHang+"-up", "timeout", "upstream", `{"timeout": 0}`)
 	p.addToxic(toxicHang+"-down", "timeout", "downstream", `{"timeout": 0}`)
 }
 
 // SlowLog delays every answer of the platform.
 func (p *Process) SlowLog(by time.Duration) {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	p.addToxic(toxicSlow, "latency", "downstream", fmt.Sprintf(`{"latency": %d}`, by.Milliseconds()))
 }
 
 func (p *Process) addToxic(name, kind, stream, attributes string) {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	_, err := p.toPlat.Toxics.AddToxicJson(strings.NewReader(fmt.Sprintf(
 		`{"name": %q, "type": %q, "stream": %q, "attributes": %s}`, name, kind, stream, attributes)))
-	Expect(err).NotTo(HaveOccurred())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 }
 
 // peerNetwork decides which datagrams between processes pass.
@@ -102,23 +102,23 @@
 
 // openPeerLink starts the proxy that peers reach this process through.
 func (p *Process) openPeerLink() {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(p.IP), Port: portPeer})
-	Expect(err).NotTo(HaveOccurred())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	p.peerProxy = &quicproxy.Proxy{
 		Conn: conn, ServerAddr: &net.UDPAddr{IP: net.ParseIP(p.IP).To4(), Port: portPeerOwn},
 		DropPacket: func(_ quicproxy.Direction, from, to net.Addr, _ []byte) bool {
 			return p.cluster.peers.drops(from, to)
 		},
 	}
-	Expect(p.peerProxy.Start()).To(Succeed())
+	gomega.Expect(p.peerProxy.Start()).To(gomega.Succeed())
 }
 
 // CutPeers loses every datagram between this process and its peers, both ways.
 // It needs Options.PeerProxies.
 func (p *Process) CutPeers() {
-	GinkgoHelper()
-	Expect(p.peerProxy).NotTo(BeNil(), "the cluster has no peer proxies")
+	ginkgo.GinkgoHelper()
+	gomega.Expect(p.peerProxy).NotTo(gomega.BeNil(), "the cluster has no peer proxies")
 	p.cluster.peers.set(p.IP, true)
 }
 
--- a/test/harness/load.go
+++ b/test/harness/load.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 
 	"cyclamenwheel/internal/standin/load"
 )
@@ -66,11 +66,11 @@
 // Stop ends the load, waits for the outcomes of all requests, and expects that
 // every promise to callers was kept.
 func (l *Load) Stop() load.Summary {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	l.cancel()
-	Eventually(l.done, Patience).Should(BeClosed())
-	Expect(l.err).NotTo(HaveOccurred())
-	Expect(l.sum.OK()).To(BeTrue(), "a promise to callers was broken: %+v", l.sum)
+	gomega.Eventually(l.done, Patience).Should(gomega.BeClosed())
+	gomega.Expect(l.err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(l.sum.OK()).To(gomega.BeTrue(), "a promise to callers was broken: %+v", l.sum)
 	return l.sum
 }
 
--- a/test/harness/logview.go
+++ b/test/harness/logview.go
@@ -4,8 +4,8 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 
 	"cyclamenwheel/internal/fleetlog"
 	"cyclamenwheel/internal/platform"
@@ -17,7 +17,7 @@
 // FoldWith is Fold; each is called after every record folded, with the state
 // at that record. It returns the records folded as well.
 func (c *Cluster) FoldWith(each func(*fleetlog.State, fleetlog.Applied)) (*fleetlog.State, []fleetlog.Applied) {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	records := c.records()
 	replica := fleetlog.NewReplica()
 	var all []fleetlog.Applied
@@ -36,7 +36,7 @@
 // platform do not concern it where they are of another class than reads; the
 // caller heals those first.
 func (c *Cluster) records() []platform.LogRecord {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	hc := &http.Client{Transport: &http.Transport{}}
 	defer hc.CloseIdleConnections()
 	client := platform.NewClient(c.PlatformURL, hc)
@@ -49,7 +49,7 @@
 			next, out = trimmed.First, nil
 			continue
 		}
-		Expect(err).NotTo(HaveOccurred())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		if len(page.Records) == 0 {
 			return out
 		}
--- a/test/harness/network.go
+++ b/test/harness/network.go
@@ -5,7 +5,7 @@
 	"net"
 	"os"
 
-	. "github.com/onsi/ginkgo/v2"
+	"github.com/onsi/ginkgo/v2"
 )
 
 // Ports on a process's own loopback address.
@@ -46,7 +46,7 @@
 			return &network{prefix: prefix, lock: lock}
 		}
 	}
-	Fail("no loopback network is free")
+	ginkgo.Fail("no loopback network is free")
 	return nil
 }
 
--- a/test/harness/operate.go
+++ b/test/harness/operate.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 
 	"cyclamenwheel/internal/ctl"
 	"cyclamenwheel/internal/manifest"
@@ -48,31 +48,31 @@
 
 // Ctl runs cyclamenctl against the platform, without a proxy between.
 func (c *Cluster) Ctl(args ...string) CtlResult {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	cmd := exec.Command(binary("cyclamenctl"), args...)
 	var out, errOut bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &out, &errOut
 	_ = cmd.Run()
-	Expect(cmd.ProcessState).NotTo(BeNil())
+	gomega.Expect(cmd.ProcessState).NotTo(gomega.BeNil())
 	return CtlResult{Code: cmd.ProcessState.ExitCode(), Out: out.String(), Err: errOut.String()}
 }
 
 // TryPublish publishes a manifest with further flags and returns what
 // cyclamenctl said. An accepted manifest is noted for the checks.
 func (c *Cluster) TryPublish(m *manifest.Manifest, flags ...string) (ctl.Published, CtlResult) {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	data, err := m.Encode()
-	Expect(err).NotTo(HaveOccurred())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	file, err := os.CreateTemp(c.dir, "manifest-*.json")
-	Expect(err).NotTo(HaveOccurred())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	_, err = file.Write(data)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(file.Close()).To(Succeed())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(file.Close()).To(gomega.Succeed())
 	args := append([]string{"publish", filepath.Clean(file.Name()), "--json", "--platform", c.PlatformURL}, flags...)
 	res := c.Ctl(args...)
 	var pub ctl.Published
 	if res.Code == ctl.ExitOK {
-		Expect(json.Unmarshal([]byte(res.Out), &pub)).To(Succeed(), res.Out)
+		gomega.Expect(json.Unmarshal([]byte(res.Out), &pub)).To(gomega.Succeed(), res.Out)
 		c.ledger.add(pub.Generation, m)
 	}
 	return pub, res
@@ -81,47 +81,47 @@
 // Publish publishes a manifest and waits until it is in force on every live
 // entry.
 func (c *Cluster) Publish(m *manifest.Manifest, flags ...string) ctl.Published {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	pub, res := c.TryPublish(m, append([]string{"--wait", "--timeout", Patience.String()}, flags...)...)
-	Expect(res.Code).To(Equal(ctl.ExitOK), res.Err)
+	gomega.Expect(res.Code).To(gomega.Equal(ctl.ExitOK), res.Err)
 	return pub
 }
 
 // Settle waits until every pool has its instances and no operation is in
 // progress.
 func (c *Cluster) Settle() {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	res := c.Ctl("settled", "--platform", c.PlatformURL, "--timeout", Patience.String())
-	Expect(res.Code).To(Equal(ctl.ExitOK), res.Err)
+	gomega.Expect(res.Code).To(gomega.Equal(ctl.ExitOK), res.Err)
 }
 
 // Form publishes the first manifest, waits until the fleet is formed and all
 // entries are ready, and starts the availability timeline anew: what is
 // checked begins here.
 func (c *Cluster) Form(m *manifest.Manifest) {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	c.Publish(m)
 	c.Settle()
 	for _, e := range c.entries {
 		e.AwaitReady()
 	}
-	Expect(c.Standin.ResetAvailability(bg)).To(Succeed())
+	gomega.Expect(c.Standin.ResetAvailability(bg)).To(gomega.Succeed())
 }
 
 // SettledAt waits until every instance of a pool has a maintenance revision
 // and nothing is in progress, as the platform itself sees it.
 func (c *Cluster) SettledAt(pool string, revision int) {
-	GinkgoHelper()
-	Eventually(func(g Gomega) {
+	ginkgo.GinkgoHelper()
+	gomega.Eventually(func(g gomega.Gomega) {
 		rows, err := c.Standin.Instances(bg)
-		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
 		for _, row := range rows {
 			if row.Pool == pool && row.State != "gone" {
-				g.Expect(row.Revision).To(BeNumerically(">=", revision), row.ID)
-				g.Expect(row.Running).To(BeEmpty(), row.ID)
+				g.Expect(row.Revision).To(gomega.BeNumerically(">=", revision), row.ID)
+				g.Expect(row.Running).To(gomega.BeEmpty(), row.ID)
 			}
 		}
-	}, Patience, Poll).Should(Succeed())
+	}, Patience, Poll).Should(gomega.Succeed())
 	c.Settle()
 }
 
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -9,8 +9,8 @@
 	"syscall"
 
 	"github.com/Shopify/toxiproxy"
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 	quicproxy "github.com/quic-go/quic-go/integrationtests/tools/proxy"
 
 	"cyclamenwheel/internal/platform"
@@ -45,7 +45,7 @@
 }
 
 func (c *Cluster) newProcess(role Role, i int) *Process {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	p := &Process{
 		Role: role, ID: fmt.Sprintf("%s-%d", role, i+1), Zone: zoneOf(i), Instance: instanceOf(role, i),
 		IP: c.net.ip(role, i), cluster: c,
@@ -61,19 +61,19 @@
 
 // Start starts the process under a new boot.
 func (p *Process) Start() {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	p.writeSettings()
 	out, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	Expect(err).NotTo(HaveOccurred())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	cmd := exec.Command(binary("cyclamen-"+string(p.Role)), "--settings", p.settings)
 	cmd.Stdout, cmd.Stderr = out, out
 	// Should the test itself be killed, its processes end with it.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	Expect(cmd.Start()).To(Succeed())
+	gomega.Expect(cmd.Start()).To(gomega.Succeed())
 	exited := make(chan struct{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	Expect(p.alive()).To(BeFalse(), p.ID+" runs already")
+	gomega.Expect(p.alive()).To(gomega.BeFalse(), p.ID+" runs already")
 	p.cmd, p.exited = cmd, exited
 	go func() {
 		_ = cmd.Wait()
@@ -103,17 +103,17 @@
 
 // signal sends sig to the process of the present boot.
 func (p *Process) signal(sig syscall.Signal) <-chan struct{} {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	Expect(p.alive()).To(BeTrue(), p.ID+" does not run")
-	Expect(p.cmd.Process.Signal(sig)).To(Succeed())
+	gomega.Expect(p.alive()).To(gomega.BeTrue(), p.ID+" does not run")
+	gomega.Expect(p.cmd.Process.Signal(sig)).To(gomega.Succeed())
 	return p.exited
 }
 
 // Kill ends the process at once and waits until it has ended.
 func (p *Process) Kill() {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	<-p.signal(syscall.SIGKILL)
 }
 
@@ -129,21 +129,21 @@
 // Freeze stops the process in its tracks, as a paused machine does; Wake lets
 // it go on.
 func (p *Process) Freeze() {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	p.signal(syscall.SIGSTOP)
 }
 
 // Wake ends Freeze.
 func (p *Process) Wake() {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	p.signal(syscall.SIGCONT)
 }
 
 // Stop asks for a planned stop, waits for it and returns the exit code.
 func (p *Process) Stop() int {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	exited := p.signal(syscall.SIGTERM)
-	Eventually(exited, Patience).Should(BeClosed(), p.ID+" has not stopped")
+	gomega.Eventually(exited, Patience).Should(gomega.BeClosed(), p.ID+" has not stopped")
 	return p.ExitCode()
 }
 
@@ -163,7 +163,7 @@
 
 // Restart starts the process anew, killing it first if it runs.
 func (p *Process) Restart() {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	if p.Alive() {
 		p.Kill()
 	}
@@ -173,18 +173,18 @@
 // LoseHost takes the process's instance away from one moment to the next: the
 // process ends and the platform lists the instance as gone.
 func (p *Process) LoseHost() {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	if p.Alive() {
 		p.Kill()
 	}
-	Expect(p.cluster.Standin.SetState(bg, p.Instance, platform.StateGone)).To(Succeed())
+	gomega.Expect(p.cluster.Standin.SetState(bg, p.Instance, platform.StateGone)).To(gomega.Succeed())
 }
 
 // Replace brings a new instance in the place of a lost one, and starts the
 // process on it.
 func (p *Process) Replace() {
-	GinkgoHelper()
-	Expect(p.cluster.Standin.SetState(bg, p.Instance, platform.StateLive)).To(Succeed())
+	ginkgo.GinkgoHelper()
+	gomega.Expect(p.cluster.Standin.SetState(bg, p.Instance, platform.StateLive)).To(gomega.Succeed())
 	p.Start()
 }
 
--- a/test/harness/settings.go
+++ b/test/harness/settings.go
@@ -8,8 +8,8 @@
 	"slices"
 	"strings"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 )
 
 // settingsValues are the settings of one process, by section and key. Leases
@@ -55,7 +55,7 @@
 }
 
 func (p *Process) writeSettings() {
-	GinkgoHelper()
+	ginkgo.GinkgoHelper()
 	var b strings.Builder
 	values := p.settingsValues()
 	for _, section := range slices.Sorted(maps.Keys(values)) {
@@ -64,7 +64,7 @@
 			fmt.Fprintf(&b, "%s = %s\n", key, values[section][key])
 		}
 	}
-	Expect(os.WriteFile(p.settings, []byte(b.String()), 0o600)).To(Succeed())
+	gomega.Expect(os.WriteFile(p.settings, []byte(b.String()), 0o600)).To(gomega.Succeed())
 }
 
 func (p *Process) addr(port int) string { return fmt.Sprintf("%s:%d", p.IP, port) }
