Share a shortage by budgets; first measures of the fleet's decisions

The first run of the measures lost a rack and then a zone and needed more workers under a looser budget than under a tighter one. The cause: needs were filled pool by pool up to each pool's count, so the last pools got nothing of a short supply although the first stood above their budgets. Needs are now filled up to every budget first and to the counts after, and as a last resort a pool above its budget gives to one below.

--- /dev/null
+++ b/internal/measure/fleet/cost.go
@@ -0,0 +1,169 @@
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"slices"
+	"time"
+
+	"cyclamenwheel/internal/maintenance"
+	"cyclamenwheel/internal/manifest"
+	"cyclamenwheel/internal/placement"
+	"cyclamenwheel/internal/platform"
+	"cyclamenwheel/internal/pools"
+)
+
+const (
+	costPools      = 33
+	tasksPerWorker = 5
+	jobsPerPool    = 20
+	costRepeats    = 5
+)
+
+var costSizes = []int{50, 500, 5_000, 11_000}
+
+// costCase is one kind of planning round.
+type costCase struct {
+	name string
+	run  func(w *world, in placement.Input)
+}
+
+var costCases = []costCase{
+	{"moves, fill an empty fleet", func(w *world, _ placement.Input) {
+		empty := w.poolsInput()
+		empty.Instances = copyOf(w.instances, func(inst *pools.Instance) { inst.Pool = "" })
+		pools.Decide(empty)
+	}},
+	{"moves, a zone lost", func(w *world, _ placement.Input) {
+		lost := w.poolsInput()
+		lost.Instances = copyOf(w.instances, func(inst *pools.Instance) {
+			if inst.Zone == "z0" {
+				inst.Phase = pools.PhaseDown
+			}
+		})
+		pools.Decide(lost)
+	}},
+	{"moves, nothing to do", func(w *world, _ placement.Input) { pools.Decide(w.poolsInput()) }},
+	{"spare", func(w *world, _ placement.Input) { pools.Spare(w.poolsInput()) }},
+	{"maintenance, all pools", func(w *world, _ placement.Input) {
+		in := w.waveInput()
+		raised := *w.m
+		raised.Pools = slices.Clone(w.m.Pools)
+		for i := range raised.Pools {
+			raised.Pools[i].Maintenance.Revision++
+		}
+		in.Manifest = &raised
+		maintenance.Decide(in)
+	}},
+	{"placement, all tasks new", func(_ *world, in placement.Input) {
+		in.Tasks = nil
+		placement.Decide(in)
+	}},
+	{"placement, nothing to do", func(_ *world, in placement.Input) { placement.Decide(in) }},
+	{"placement, all cancelled", func(w *world, in placement.Input) {
+		in.Manifest = wanted(countsOf(len(w.instances)), allButOne)
+		placement.Decide(in)
+	}},
+}
+
+// measureCost times one planning round at growing sizes.
+func measureCost(r report) {
+	r.line("## Cost of a planning round")
+	r.line("")
+	r.line("%d pools, %d tasks a worker. Median of %d rounds in ms, and MB allocated by a round; the growth is the", costPools, tasksPerWorker, costRepeats)
+	r.line("slope of a least-squares line through the logarithms of time and size from 500 workers on (1: linear).")
+	r.line("")
+	r.line("| round | 50 | 500 | 5,000 | 11,000 | growth | MB at 11,000 |")
+	r.line("|---|---|---|---|---|---|---|")
+	times := make([][]float64, len(costCases))
+	memory := make([]float64, len(costCases))
+	for _, size := range costSizes {
+		w, in := settled(size)
+		for i, c := range costCases {
+			ms, mb := cost(func() { c.run(w, in) })
+			times[i], memory[i] = append(times[i], ms), mb
+		}
+	}
+	for i, c := range costCases {
+		t := times[i]
+		r.line("| %s | %.2f | %.2f | %.1f | %.1f | %.2f | %.1f |", c.name, t[0], t[1], t[2], t[3],
+			slope(costSizes[1:], t[1:]), memory[i])
+	}
+	r.line("")
+}
+
+// countsOf spreads nine tenths of the workers over the pools.
+func countsOf(workers int) []int {
+	counts := make([]int, costPools)
+	for i := range counts {
+		counts[i] = max(1, workers*9/10/costPools)
+	}
+	return counts
+}
+
+// settled is a fleet whose pools are full and whose tasks all run.
+func settled(workers int) (*world, placement.Input) {
+	d := deployment{workers: workers, zones: 4, cores: 16, memoryMB: 64 << 10}
+	w := newWorld(d, wanted(countsOf(workers), allButOne))
+	for _, m := range pools.Decide(pools.Input{
+		Manifest: w.m, Instances: w.instances, Limits: pools.Limits{MaxMovesInFlight: workers},
+	}).Moves {
+		w.byID[m.Instance].Pool = m.To
+	}
+	for i := range w.m.Pools {
+		p := &w.m.Pools[i]
+		for k := range jobsPerPool {
+			p.Jobs = append(p.Jobs, manifest.Job{
+				Name: fmt.Sprintf("%s-j%02d", p.Name, k), Cores: 1 + float64(k%3), MemoryMB: 1024,
+				Tasks: max(1, p.Instances.Count*tasksPerWorker/jobsPerPool),
+			})
+		}
+	}
+	in := placement.Input{Manifest: w.m, Instances: w.instances, History: &placement.History{}}
+	for i, p := range placement.Decide(in).Places {
+		in.Tasks = append(in.Tasks, placement.Task{
+			ID: fmt.Sprintf("t%07d", i), Job: p.Job, Index: p.Index, Instance: p.Instance, State: platform.TaskRunning,
+		})
+	}
+	in.NowMillis = 60_000
+	return w, in
+}
+
+func copyOf(instances []*pools.Instance, change func(*pools.Instance)) []*pools.Instance {
+	copies := make([]*pools.Instance, len(instances))
+	for i, inst := range instances {
+		c := *inst
+		change(&c)
+		copies[i] = &c
+	}
+	return copies
+}
+
+// cost is the median time of a round and what it allocates.
+func cost(run func()) (ms, mb float64) {
+	var before, after runtime.MemStats
+	times := make([]float64, costRepeats)
+	for i := range times {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		start := time.Now()
+		run()
+		times[i] = float64(time.Since(start).Microseconds()) / 1000
+		runtime.ReadMemStats(&after)
+		mb = float64(after.TotalAlloc-before.TotalAlloc) / (1 << 20)
+	}
+	slices.Sort(times)
+	return times[costRepeats/2], mb
+}
+
+// slope fits a line through the logarithms.
+func slope(sizes []int, times []float64) float64 {
+	var sx, sy, sxx, sxy float64
+	n := float64(len(sizes))
+	for i, size := range sizes {
+		x, y := math.Log(float64(size)), math.Log(max(times[i], 0.001))
+		sx, sy, sxx, sxy = sx+x, sy+y, sxx+x*x, sxy+x*y
+	}
+	return (n*sxy - sx*sy) / (n*sxx - sx*sx)
+}
--- /dev/null
+++ b/internal/measure/fleet/fleet_test.go
@@ -0,0 +1,39 @@
+package fleet_test
+
+import (
+	"bytes"
+	"errors"
+	"os"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/measure/fleet"
+)
+
+// outFile names the file that the figures are written to, if set.
+const outFile = "FLEET_MEASURES"
+
+type fullDisk struct{}
+
+func (fullDisk) Write([]byte) (int, error) { return 0, errors.New("disk full") }
+
+var _ = Describe("Measuring the fleet", func() {
+	It("prints every section", func() {
+		var page bytes.Buffer
+		Expect(fleet.Run(&page)).To(Succeed())
+		for _, section := range []string{
+			"## Buffer cost", "## Moves", "## Roll-out time", "## WaveParallel", "## Urgent work", "## Cost of a planning round",
+		} {
+			Expect(page.String()).To(ContainSubstring(section))
+		}
+		if name := os.Getenv(outFile); name != "" {
+			Expect(os.WriteFile(name, page.Bytes(), 0o644)).To(Succeed())
+		}
+	})
+
+	It("says so when the figures can't be written", func() {
+		var failed *fleet.ReportError
+		Expect(errors.As(fleet.Run(fullDisk{}), &failed)).To(BeTrue())
+	})
+})
--- a/internal/pools/decide.go
+++ b/internal/pools/decide.go
@@ -18,6 +18,9 @@
 const (
 	// MoveReplaceLost fills the place of an instance that is down.
 	MoveReplaceLost MoveReason = "replace_lost"
+	// MoveBelowBudget takes an instance from a pool that is above its budget to
+	// one that is below its own, where the fleet has none left.
+	MoveBelowBudget MoveReason = "below_budget"
 	// MoveListedElsewhere brings an instance to the pool that lists its id.
 	MoveListedElsewhere MoveReason = "listed_elsewhere"
 	// MovePoolShort fills a pool that has fewer instances than it should.
--- a/internal/pools/decide_chain.go
+++ b/internal/pools/decide_chain.go
@@ -1,5 +1,7 @@
 package pools
 
+import "slices"
+
 // link is how a pool was reached in the search for a chain: from gives an
 // instance to the pool that was reached before.
 type link struct {
@@ -15,8 +17,8 @@
 // that takes any instance. Harm prevented: the bound pool stays short although
 // the fleet has spares. Limit: once no chain is found for a pool, none can
 // arise in this round, so every pool is searched in vain at the most once.
-func (p *plan) fillByChain(pool int) {
-	for p.pools[pool].need > 0 {
+func (p *plan) fillByChain(pool, until int) {
+	for p.pools[pool].need > until {
 		if !p.chain(pool) {
 			return
 		}
@@ -73,22 +75,27 @@
 	if last == pool {
 		reason = p.fillReason(g, false)
 	}
-	p.pools[last].need++
 	p.take(g, last, reason)
+	if last == pool {
+		return
+	}
+	// The last pool gave one and got one, as did every one between.
+	p.pools[last].need++
+	p.pools[last].good--
 	for at := last; at != pool; at = reached[at].taker {
 		l := reached[at]
 		p.drop(l.instance)
 		p.assign(l.instance, l.taker, MovePoolShort)
 	}
-	p.pools[pool].need--
+	p.gain(pool)
 }
 
 // drop takes an instance out of its group, where it may still be offered.
 func (p *plan) drop(instance int) {
-	for _, g := range p.groups[p.zoneOf[instance]] {
-		for at, i := range g.members {
-			if i == instance {
-				g.members = append(g.members[:at], g.members[at+1:]...)
+	for _, zones := range p.groups {
+		for _, g := range zones[p.zoneOf[instance]] {
+			if at := slices.Index(g.members, instance); at >= 0 {
+				g.members = slices.Delete(g.members, at, at+1)
 				return
 			}
 		}
--- a/internal/pools/decide_fill.go
+++ b/internal/pools/decide_fill.go
@@ -15,20 +15,47 @@
 	members    []int
 }
 
+// Sources of instances, as an index of plan.groups.
+const (
+	fromSpares = iota
+	fromPools
+	sources
+)
+
+func (g *group) source() int {
+	if g.home == noPool {
+		return fromSpares
+	}
+	return fromPools
+}
+
+// each calls f for every group until it returns false.
+func (p *plan) each(f func(*group) bool) {
+	for _, zones := range p.groups {
+		for _, groups := range zones {
+			for _, g := range groups {
+				if !f(g) {
+					return
+				}
+			}
+		}
+	}
+}
+
 type groupKey struct {
 	rack, home, accelerators int
 	misplaced                bool
 }
 
-// planNeeds fills every pool that is short, those that lost instances first.
+// planNeeds fills every pool that is short, in three passes. Each pool first
+// gets what its budget asks for and only then what its count does: where a
+// fleet is too small for all counts, pools filled one by one to their count
+// would leave the last ones without what callers were promised.
 func (p *plan) planNeeds() {
 	p.buildGroups()
-	for _, pool := range p.needOrder() {
-		p.fillDirect(pool)
-	}
-	for _, pool := range p.needOrder() {
-		p.fillByChain(pool)
-	}
+	p.fill(func(v *poolView) int { return v.budget - v.good })
+	p.fill(func(v *poolView) int { return v.need })
+	p.shareShortage()
 	for i := range p.pools {
 		if v := &p.pools[i]; v.need > 0 {
 			p.addShortfall(v.name, v.need, p.shortfallReason())
@@ -36,9 +63,24 @@
 	}
 }
 
+// fill fills pools as far as target asks for, by a free instance if there is
+// one and else by a chain.
+func (p *plan) fill(target func(*poolView) int) {
+	for _, pool := range p.needOrder() {
+		v := &p.pools[pool]
+		p.fillDirect(pool, max(0, v.need-max(0, target(v))))
+	}
+	for _, pool := range p.needOrder() {
+		v := &p.pools[pool]
+		p.fillByChain(pool, max(0, v.need-max(0, target(v))))
+	}
+}
+
 func (p *plan) buildGroups() {
 	byKey := map[groupKey]*group{}
-	p.groups = make([][]*group, p.zones)
+	for source := range p.groups {
+		p.groups[source] = make([][]*group, p.zones)
+	}
 	for i := len(p.instances) - 1; i >= 0; i-- {
 		if p.held[i] {
 			continue
@@ -48,7 +90,7 @@
 		if g == nil {
 			g = &group{zone: p.zoneOf[i], rack: p.rackOf[i], home: p.home[i], misplaced: p.misplaced[i]}
 			byKey[key] = g
-			p.groups[g.zone] = append(p.groups[g.zone], g)
+			p.groups[g.source()][g.zone] = append(p.groups[g.source()][g.zone], g)
 		}
 		g.members = append(g.members, i)
 	}
@@ -78,13 +120,12 @@
 
 func (p *plan) countCandidates(pool int) int {
 	n := 0
-	for _, groups := range p.groups {
-		for _, g := range groups {
-			if p.offers(g, pool) {
-				n += len(g.members)
-			}
+	p.each(func(g *group) bool {
+		if p.offers(g, pool) {
+			n += len(g.members)
 		}
-	}
+		return true
+	})
 	return n
 }
 
@@ -100,9 +141,9 @@
 	return p.allows(pool, g.members[0])
 }
 
-func (p *plan) fillDirect(pool int) {
+func (p *plan) fillDirect(pool, until int) {
 	v := &p.pools[pool]
-	for v.need > 0 {
+	for v.need > until {
 		repair := v.lost > v.repaired
 		g := p.bestGroup(pool, repair)
 		if g == nil {
@@ -131,9 +172,16 @@
 	g.members = g.members[:len(g.members)-1]
 	if g.home != noPool && !g.misplaced {
 		p.pools[g.home].over--
+		p.pools[g.home].good--
 	}
 	p.assign(i, pool, reason)
+	p.gain(pool)
+}
+
+// gain counts an instance that a pool gets.
+func (p *plan) gain(pool int) {
 	p.pools[pool].need--
+	p.pools[pool].good++
 }
 
 // bestGroup chooses where the next instance of a pool comes from.
@@ -145,104 +193,63 @@
 // that the loss of a rack or zone takes as few of a pool as can be; then the
 // place that is most crowded at the source.
 func (p *plan) bestGroup(pool int, repair bool) *group {
-	var best *group
-	for _, zone := range p.zonesByCrowding(pool) {
-		for _, g := range p.groups[zone] {
-			if p.offers(g, pool) && (best == nil || p.compare(g, best, pool, repair) < 0) {
-				best = g
+	order := [sources]int{fromPools, fromSpares}
+	if repair {
+		order = [sources]int{fromSpares, fromPools}
+	}
+	zones := p.zonesByCrowding(pool)
+	for _, source := range order {
+		for _, zone := range zones {
+			if g := p.bestInZone(pool, source, zone); g != nil {
+				return g
 			}
 		}
 	}
+	return nil
+}
+
+func (p *plan) bestInZone(pool, source, zone int) *group {
+	var best *group
+	kept := p.groups[source][zone][:0]
+	for _, g := range p.groups[source][zone] {
+		if len(g.members) == 0 {
+			continue
+		}
+		kept = append(kept, g)
+		if p.offers(g, pool) && (best == nil || p.compare(g, best, pool) < 0) {
+			best = g
+		}
+	}
+	p.groups[source][zone] = kept
 	return best
 }
 
+// zonesByCrowding orders zones by the instances that the pool has there; among
+// equals the zone with the most spares comes first, so that these stay spread.
 func (p *plan) zonesByCrowding(pool int) []int {
 	zones := make([]int, p.zones)
 	for i := range zones {
 		zones[i] = i
 	}
 	counts := p.pools[pool].zones
-	slices.SortStableFunc(zones, func(a, b int) int { return cmp.Compare(counts[a], counts[b]) })
+	slices.SortStableFunc(zones, func(a, b int) int {
+		return cmp.Or(cmp.Compare(counts[a], counts[b]), -cmp.Compare(p.spareZones[a], p.spareZones[b]))
+	})
 	return zones
 }
 
-func (p *plan) compare(a, b *group, pool int, repair bool) int {
-	v := &p.pools[pool]
+func (p *plan) compare(a, b *group, pool int) int {
+	racks := p.pools[pool].racks
 	return cmp.Or(
-		cmp.Compare(sourceRank(a, repair), sourceRank(b, repair)),
-		cmp.Compare(v.zones[a.zone], v.zones[b.zone]),
-		cmp.Compare(v.racks[a.rack], v.racks[b.rack]),
+		cmp.Compare(racks[a.rack], racks[b.rack]),
 		-cmp.Compare(p.sourceRacks(a), p.sourceRacks(b)),
 		cmp.Compare(a.rack, b.rack),
 		cmp.Compare(a.home, b.home))
 }
 
-func sourceRank(g *group, repair bool) int {
-	if (g.home == noPool) == repair {
-		return 0
-	}
-	return 1
-}
-
 func (p *plan) sourceRacks(g *group) int {
 	if g.home == noPool {
 		return p.spareRacks[g.rack]
 	}
 	return p.pools[g.home].racks[g.rack]
 }
-
-// shortfallReason is called once nothing more can be filled.
-func (p *plan) shortfallReason() ShortfallReason {
-	for _, groups := range p.groups {
-		for _, g := range groups {
-			if len(g.members) > 0 && (g.home == noPool || g.misplaced || p.pools[g.home].over > 0) {
-				return ShortSelector
-			}
-		}
-	}
-	return ShortNoInstance
-}
-
-// planReleases takes to the spares what no pool is short of: first instances
-// that their pool may not keep, then the surplus from the most crowded racks
-// and zones of the pool.
-func (p *plan) planReleases() {
-	for _, groups := range p.groups {
-		for _, g := range groups {
-			for g.misplaced && g.home != noPool && len(g.members) > 0 {
-				i := g.members[len(g.members)-1]
-				g.members = g.members[:len(g.members)-1]
-				p.assign(i, noPool, MoveReleaseToSpare)
-			}
-		}
-	}
-	for pool := range p.pools {
-		for p.pools[pool].over > 0 && p.releaseOne(pool) {
-			p.pools[pool].over--
-		}
-	}
-}
-
-func (p *plan) releaseOne(pool int) bool {
-	v := &p.pools[pool]
-	var best *group
-	for _, groups := range p.groups {
-		for _, g := range groups {
-			if g.home != pool || g.misplaced || len(g.members) == 0 {
-				continue
-			}
-			if best == nil || cmp.Or(
-				-cmp.Compare(v.racks[g.rack], v.racks[best.rack]),
-				-cmp.Compare(v.zones[g.zone], v.zones[best.zone])) < 0 {
-				best = g
-			}
-		}
-	}
-	if best == nil {
-		return false
-	}
-	i := best.members[len(best.members)-1]
-	best.members = best.members[:len(best.members)-1]
-	p.assign(i, noPool, MoveReleaseToSpare)
-	return true
-}
--- a/internal/pools/decide_order.go
+++ b/internal/pools/decide_order.go
@@ -10,11 +10,12 @@
 // first, what only tidies up last.
 var moveOrder = map[MoveReason]int{
 	MoveReplaceLost:     0,
-	MoveListedElsewhere: 1,
-	MoveMakeRoom:        2,
-	MovePoolShort:       3,
-	MovePoolOver:        4,
-	MoveReleaseToSpare:  5,
+	MoveBelowBudget:     1,
+	MoveListedElsewhere: 2,
+	MoveMakeRoom:        3,
+	MovePoolShort:       4,
+	MovePoolOver:        5,
+	MoveReleaseToSpare:  6,
 }
 
 // decision turns the plan into moves that may begin now and moves that wait.
@@ -69,7 +70,8 @@
 			return WaitBudget, true
 		}
 	}
-	return WaitInFlight, full && m.Reason != MoveReplaceLost
+	repair := m.Reason == MoveReplaceLost || m.Reason == MoveBelowBudget
+	return WaitInFlight, full && !repair
 }
 
 func (p *plan) move(i int) Move {
@@ -78,11 +80,11 @@
 	if to := p.dest[i]; to != noPool {
 		v := &p.pools[to]
 		m.Revision = v.spec.Maintenance.Revision
-		m.Detail = fmt.Sprintf("%s wants %d, had %d, lost %d", v.name, v.want, v.good, v.lost)
+		m.Detail = fmt.Sprintf("%s wants %d, had %d, lost %d", v.name, v.want, v.had, v.lost)
 		return m
 	}
 	v := &p.pools[p.home[i]]
-	m.Detail = fmt.Sprintf("%s wants %d, had %d", v.name, v.want, v.good)
+	m.Detail = fmt.Sprintf("%s wants %d, had %d", v.name, v.want, v.had)
 	return m
 }
 
--- a/internal/pools/decide_plan.go
+++ b/internal/pools/decide_plan.go
@@ -19,8 +19,9 @@
 	want   int
 	budget int
 	// good counts instances that are in the pool, or on their way to it, and
-	// rightly so.
+	// rightly so; had is the number before this round's plan.
 	good int
+	had  int
 	// lost counts instances of the pool that are down.
 	lost int
 	// repaired counts lost instances whose place is planned to be filled.
@@ -57,7 +58,8 @@
 	misplaced  []bool
 	spareZones []int
 	spareRacks []int
-	groups     [][]*group
+	// groups holds the instances that may be planned, by source and zone.
+	groups     [sources][][]*group
 	reasons    map[int]MoveReason
 	shortfalls []Shortfall
 }
@@ -71,6 +73,7 @@
 	p.classify()
 	for i := range p.pools {
 		v := &p.pools[i]
+		v.had = v.good
 		if v.listed {
 			continue // its instances are named; none is missing or too many
 		}
--- a/internal/pools/decide_test.go
+++ b/internal/pools/decide_test.go
@@ -145,6 +145,25 @@
 		Expect(pools.Decide(in)).To(Equal(pools.Decision{}))
 	})
 
+	// A zone is lost and the fleet is too small for every pool's count. Callers of
+	// b would be refused while a still has more than it promised. Instances go
+	// to whoever is below the budget, from the spares and then from a.
+	It("shares a shortage by budgets, not by counts", func() {
+		m := &manifest.Manifest{
+			Pools:    []manifest.Pool{counted("a", 8), counted("b", 8)},
+			Services: []manifest.Service{service("a", 4), service("b", 7)},
+		}
+		all := append(fleet("a", "a", 7, 4), fleet("b", "b", 4, 4)...)
+		all = append(all, fleet("s", "", 1, 4)...)
+		in := pools.Input{Manifest: m, Instances: all}
+		d := pools.Decide(in)
+		Expect(d.Moves).To(HaveLen(3))
+		settle(all, d)
+		Expect(count(all, "a")).To(Equal(5))
+		Expect(count(all, "b")).To(Equal(7))
+		Expect(pools.Decide(in).Moves).To(BeEmpty())
+	})
+
 	It("says what it can't fill and why", func() {
 		bound := counted("b", 2)
 		bound.Instances.Select = &manifest.Selector{Accelerators: 1}
