--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -101,6 +101,11 @@
 	var buf bytes.Buffer
 	buf.Grow(min(size, MaxOrdinary))
 	if _, err := io.CopyN(&buf, r, int64(size)); err != nil {
+		// An end in mid-frame must not pass for a stream that ended between
+		// two frames.
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
 		return nil, readError(err)
 	}
 	return buf.Bytes(), nil
