--- a/internal/pools/decide_chain.go
+++ b/internal/pools/decide_chain.go
@@ -15,17 +15,16 @@
 //
 // Load: selectors that overlap, such as one pool bound to a zone and another
 // that takes any instance. Harm prevented: the bound pool stays short although
-// the fleet has spares. Limit: once no chain is found for a pool, none can
-// arise in this round, so every pool is searched in vain at the most once.
+// the fleet has spares. Limit: once no chain is found from a pool, none can
+// arise in this round, neither for it nor for the pools that the search
+// reached, so each pool is searched in vain at the most once.
 func (p *plan) fillByChain(pool, until int) {
-	for p.pools[pool].need > until {
-		if !p.chain(pool) {
-			return
-		}
+	for p.pools[pool].need > until && !p.pools[pool].chainless {
+		p.chain(pool)
 	}
 }
 
-func (p *plan) chain(pool int) bool {
+func (p *plan) chain(pool int) {
 	reached := map[int]link{pool: {taker: noPool}}
 	queue := []int{pool}
 	for len(queue) > 0 {
@@ -33,7 +32,7 @@
 		queue = queue[1:]
 		if g := p.bestGroup(q, false); g != nil {
 			p.applyChain(pool, q, g, reached)
-			return true
+			return
 		}
 		for giver, instance := range p.givers(q) {
 			if _, seen := reached[giver]; !seen && instance >= 0 {
@@ -42,7 +41,9 @@
 			}
 		}
 	}
-	return false
+	for q := range reached {
+		p.pools[q].chainless = true
+	}
 }
 
 // givers finds for each pool an instance that it could give to taker: one that
--- a/internal/pools/decide_plan.go
+++ b/internal/pools/decide_plan.go
@@ -29,6 +29,8 @@
 	serving  int
 	need     int
 	over     int
+	// chainless: the search for a chain has reached the pool in vain.
+	chainless bool
 	// zones and racks count the pool's instances by place, as planned.
 	zones []int
 	racks []int
