--- a/internal/fleetlog/apply.go
+++ b/internal/fleetlog/apply.go
@@ -34,10 +34,19 @@
 		meta := fold.Meta{Offset: s.Offset, TimeMillis: s.TimeMillis, Author: rec.Author, Epoch: rec.Epoch}
 		out.Verdict = s.dispatch(meta, rec)
 	}
-	s.Counts[string(rec.Kind)+"/"+string(out.Verdict.Reason)]++
+	s.count(rec.Kind, out.Verdict.Reason)
 	return out
 }
 
+// count keeps the totals that dumps show. Kinds that are not known share one
+// row, or any writer could make every process's state grow.
+func (s *State) count(k Kind, reason fold.Reason) {
+	if !k.Known() {
+		k = "unknown"
+	}
+	s.Counts[string(k)+"/"+string(reason)]++
+}
+
 // dispatch hands the record to the part of the state that owns its kind.
 func (s *State) dispatch(m fold.Meta, rec Record) fold.Verdict {
 	if needsPlanner(rec.Kind) && !s.Lease.Current(m.Epoch) {
--- a/internal/fleetlog/record.go
+++ b/internal/fleetlog/record.go
@@ -40,6 +40,17 @@
 	KindPart         Kind = "snapshot.part"
 )
 
+// Known reports whether this version folds the kind.
+func (k Kind) Known() bool {
+	switch k {
+	case KindPublish, KindLeaseClaim, KindLeaseRenew, KindLeaseRelease, KindJoin, KindLeave,
+		KindSeen, KindDown, KindForget, KindBegin, KindCommit, KindTasks,
+		KindKeyClaim, KindKeyFinish, KindMark, KindPart:
+		return true
+	}
+	return false
+}
+
 // ID identifies a record. A repeated append carries the same id and is folded
 // once.
 type ID [16]byte
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,6 +121,7 @@
 	ackedOffset uint64
 	ackHeld     bool // hooks keep the newest offsets from being acknowledged
 	snapshotter snapshotter
+	gauges      *gauges
 }
 
 // New returns a node that is not yet running.
@@ -138,6 +139,7 @@
 		wanted:    make(map[string]string),
 		listIndex: make(map[string]*platform.Instance),
 		waiters:   make(map[fleetlog.ID]chan fold.Verdict),
+		gauges:    newGauges(),
 	}
 }
 
@@ -265,6 +267,7 @@
 }
 
 func (n *Node) afterFold(applied []fleetlog.Applied) {
+	countVerdicts(applied)
 	n.setPeers()
 	n.hooks.Applied(applied)
 	n.acknowledge()
@@ -300,4 +303,5 @@
 	n.snapshotIfDue()
 	n.hooks.Tick()
 	n.acknowledge()
+	n.updateGauges()
 }
--- /dev/null
+++ b/internal/planner/metrics.go
@@ -0,0 +1,58 @@
+package planner
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cyclamenwheel/internal/fleetlog"
+)
+
+// countDecisions counts what a planning round has begun and what it could not,
+// by reason. Gauges of pools are set anew in each round.
+func (p *Planner) countDecisions(st *fleetlog.State) {
+	for _, m := range p.moves.Moves {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`cyclamen_moves_decided_total{reason=%q}`, m.Reason)).Inc()
+	}
+	for _, d := range p.waves.Drains {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`cyclamen_drains_decided_total{pool=%q}`, d.Pool)).Inc()
+	}
+	missing := make(map[string]int)
+	for _, s := range p.moves.Shortfalls {
+		missing[s.Pool] += s.Missing
+	}
+	held := make(map[string]int)
+	for _, h := range p.waves.Halts {
+		held[h.Pool] = 1
+	}
+	for _, pool := range st.Manifest.Current().Pools {
+		set("cyclamen_pool_serving", pool.Name, st.Pools.Available(pool.Name))
+		set("cyclamen_pool_wanted", pool.Name, pool.Instances.Size())
+		set("cyclamen_pool_budget", pool.Name, st.Manifest.MinAvailable(pool.Name))
+		set("cyclamen_pool_missing", pool.Name, missing[pool.Name])
+		set("cyclamen_wave_held", pool.Name, held[pool.Name])
+	}
+}
+
+func set(name, pool string, v int) {
+	metrics.GetOrCreateFloatCounter(fmt.Sprintf(`%s{pool=%q}`, name, pool)).Set(float64(v))
+}
+
+// countTasks counts placement decisions by reason.
+func (t *taskRunner) countTasks() {
+	for _, pl := range t.last.Places {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`cyclamen_tasks_placed_total{reason=%q}`, pl.Reason)).Inc()
+	}
+	for _, s := range t.last.Stops {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`cyclamen_tasks_stopped_total{reason=%q}`, s.Reason)).Inc()
+	}
+	waiting := make(map[string]int)
+	for _, w := range t.last.Waiting {
+		waiting[string(w.Reason)] += w.Tasks
+	}
+	for reason, n := range waiting {
+		metrics.GetOrCreateFloatCounter(fmt.Sprintf(`cyclamen_tasks_waiting{reason=%q}`, reason)).Set(float64(n))
+	}
+	metrics.GetOrCreateFloatCounter(`cyclamen_jobs_set_aside`).Set(float64(len(t.last.SetAside)))
+	metrics.GetOrCreateFloatCounter(`cyclamen_workers_quarantined`).Set(float64(len(t.last.Quarantine)))
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -38,6 +38,9 @@
 	// roundEvery bounds how often a round runs while nothing changes; timers
 	// inside decisions (a drain that takes too long) need no finer grain.
 	roundEvery = 500 * time.Millisecond
+	// roundSpacing keeps a burst of records from becoming a burst of rounds:
+	// one of 11,000 instances takes tens of milliseconds.
+	roundSpacing = 10 * time.Millisecond
 	// batchMax bounds the items of one record: at 200 bytes an item, a record
 	// stays far under the log's limit.
 	batchMax = 1000
@@ -87,11 +90,18 @@
 	return p
 }
 
-// Applied implements node.Hooks.
-func (p *Planner) Applied([]fleetlog.Applied) { p.dirty = true }
+// Applied implements node.Hooks. The next step follows at once rather than on
+// the next tick: a move takes four records one after the other.
+func (p *Planner) Applied([]fleetlog.Applied) {
+	p.dirty = true
+	p.Tick()
+}
 
 // ListChanged implements node.Hooks.
-func (p *Planner) ListChanged() { p.dirty = true }
+func (p *Planner) ListChanged() {
+	p.dirty = true
+	p.Tick()
+}
 
 // Beat implements node.Hooks.
 func (p *Planner) Beat(_ string, hb *node.Heartbeat) { hb.Ready = len(p.node.NotReady()) == 0 }
@@ -113,7 +123,8 @@
 		p.progress = nil
 		return
 	}
-	if !p.dirty && now-p.lastRun < roundEvery {
+	since := now - p.lastRun
+	if since < roundSpacing || !p.dirty && since < roundEvery {
 		return
 	}
 	p.dirty, p.lastRun = false, now
@@ -285,6 +296,7 @@
 	wave.Reserved = reserved(p.moves.Moves)
 	p.waves = maintenance.Decide(wave)
 	p.wave = p.waves.State
+	p.countDecisions(st)
 	items := beginItems(p.moves.Moves, p.waves.Drains)
 	if len(items) > 0 {
 		p.submit(fleetlog.KindBegin, pools.Begin{Items: items[:min(len(items), batchMax)]})
--- a/internal/planner/tasks.go
+++ b/internal/planner/tasks.go
@@ -105,6 +105,7 @@
 		Tasks: st.Tasks.Current(t.reported), Sizer: t.estimator, History: &st.Tasks.History,
 		NowMillis: st.TimeMillis, Limits: placement.Limits{MaxPlaces: tasksPerRecord},
 	})
+	t.countTasks()
 	rec := placement.Tasks{End: slices.Clone(t.ended)}
 	for _, pl := range t.last.Places {
 		rec.Place = append(rec.Place, placement.Placed{
