idempotency: fold part, owner's ledger, witness and service

The fold keeps the first claim of a key in log order. The owner's ledger is pure: it grants an attempt once its own claim has been read back, or, while the log is late, once a witness in another zone holds it too. While members change, a key that gets another owner has none until all have acknowledged.

Weighed: one claim per append (the log's several hundred appends a second would be the ceiling of all keyed requests); owner and witness without a barrier (two views of the members could grant one key during an outage).

--- /dev/null
+++ b/internal/idempotency/links.go
@@ -0,0 +1,74 @@
+package idempotency
+
+import (
+	"context"
+
+	"cyclamenwheel/internal/peer"
+)
+
+// Kinds of messages between entries.
+const (
+	kindClaim   = "idem.claim"
+	kindFinish  = "idem.finish"
+	kindWitness = "idem.witness"
+)
+
+// answerLimit bounds a message that carries an answer: MaxAnswerBytes counts
+// an overhead for each header, so this leaves room for the frame.
+const answerLimit = MaxAnswerBytes + 16<<10
+
+type claimReply struct {
+	Decision Decision `cbor:"1,keyasint"`
+	Answer   *Answer  `cbor:"2,keyasint,omitempty"`
+}
+
+type finishRequest struct {
+	Report FinishReport `cbor:"1,keyasint"`
+}
+
+type holdRequest struct {
+	Claims []ClaimRecord `cbor:"1,keyasint"`
+}
+
+type done struct{}
+
+// links are the calls to other entries.
+type links interface {
+	claim(ctx context.Context, to string, c Claim) (claimReply, error)
+	finish(ctx context.Context, to string, f FinishReport) error
+	hold(ctx context.Context, to string, claims []ClaimRecord) error
+}
+
+// peerLinks are links over a node.
+type peerLinks struct{ node *peer.Node }
+
+func (p peerLinks) claim(ctx context.Context, to string, c Claim) (claimReply, error) {
+	return peer.Call[Claim, claimReply](ctx, p.node, to, kindClaim, c, peer.MaxBytes(answerLimit))
+}
+
+func (p peerLinks) finish(ctx context.Context, to string, f FinishReport) error {
+	_, err := peer.Call[finishRequest, done](ctx, p.node, to, kindFinish, finishRequest{Report: f}, peer.MaxBytes(answerLimit))
+	return err
+}
+
+func (p peerLinks) hold(ctx context.Context, to string, claims []ClaimRecord) error {
+	_, err := peer.Call[holdRequest, done](ctx, p.node, to, kindWitness, holdRequest{Claims: claims})
+	return err
+}
+
+// register serves the calls of other entries.
+func (s *Service) register(n *peer.Node) {
+	peer.Handle(n, kindClaim, func(ctx context.Context, from peer.Identity, c Claim) (claimReply, error) {
+		return s.serveClaim(ctx, member(from), c)
+	}, peer.MaxBytes(answerLimit))
+	peer.Handle(n, kindFinish, func(_ context.Context, _ peer.Identity, r finishRequest) (done, error) {
+		return done{}, s.serveFinish(r.Report)
+	}, peer.MaxBytes(answerLimit))
+	peer.Handle(n, kindWitness, func(_ context.Context, from peer.Identity, r holdRequest) (done, error) {
+		return done{}, s.serveHold(member(from), r.Claims)
+	})
+}
+
+func member(id peer.Identity) Member {
+	return Member{ID: id.ID, BootID: id.BootID, Zone: id.Zone}
+}
