Idempotency keys joined to the fold: claims journalled, owners changed by the barrier

Keys lost with both an owner and its witness are marked as uncertain by the fold, unless the second one had written a fence since the first was lost.

--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -1,27 +1,22 @@
 package daemon
 
 import (
-	"context"
-
-	"cyclamenwheel/internal/fleetlog"
+	"cyclamenwheel/internal/entry"
 	"cyclamenwheel/internal/idempotency"
-	"cyclamenwheel/internal/membership"
 	"cyclamenwheel/internal/settings"
 )
 
-// UnsupportedError says that requests with a key are not served yet.
-type UnsupportedError struct{}
-
-func (*UnsupportedError) Error() string { return "requests with a key are not served yet" }
-
-type noClaims struct{}
-
-func newClaims(*Daemon, settings.EntrySettings) noClaims { return noClaims{} }
-
-func (noClaims) Begin(context.Context, idempotency.Claim) (idempotency.Decision, *idempotency.Answer, error) {
-	return 0, nil, &UnsupportedError{}
+// newKeys joins the idempotency service to the fold. Its handlers are
+// registered on the peer links, which have not started yet.
+func newKeys(d *Daemon, s settings.EntrySettings) (*entry.Keys, *idempotency.Service) {
+	keys := entry.NewKeys(d.Node, d.Platform)
+	self := d.Node.Self()
+	limits := idempotency.DefaultLimits
+	limits.AppendsPerSecond = float64(s.AppendsPerSecond)
+	service := idempotency.NewService(idempotency.Options{
+		Self: idempotency.Member{ID: self.ID, BootID: self.BootID, Zone: self.Zone},
+		Node: d.Peers, Table: keys, Journal: keys, Limits: limits, Logger: d.Log,
+	})
+	keys.Attach(service)
+	return keys, service
 }
-func (noClaims) Finish(idempotency.Claim, idempotency.Outcome, *idempotency.Answer) {}
-func (noClaims) OnApplied([]fleetlog.Applied)                                       {}
-func (noClaims) OnMembers(uint64, []membership.Member)                              {}
-func (noClaims) AckLimit(offset uint64) uint64                                      { return offset }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -11,6 +11,7 @@
 
 	"cyclamenwheel/internal/dispatch"
 	"cyclamenwheel/internal/entry"
+	"cyclamenwheel/internal/idempotency"
 	"cyclamenwheel/internal/membership"
 	"cyclamenwheel/internal/settings"
 	"cyclamenwheel/internal/shutdown"
@@ -48,13 +49,15 @@
 
 func runEntry(stop context.Context, d *Daemon, s settings.EntrySettings) int {
 	e := entry.New(d.Node, d.Log)
-	claims := newClaims(d, s)
+	keys, claims := newKeys(d, s)
+	defer claims.Close()
 	handler := dispatch.NewHandler(dispatch.Options{
 		Routes: e.Routes, Claims: claims, Zone: s.Process.Zone, Log: d.Log,
 		MaxBody: s.Callers.MaxBody,
 	})
-	e.Attach(handler, claims, d.Node.NotReady)
+	e.Attach(handler, keys, d.Node.NotReady)
 	d.Operator.RegisterDump("entry", e.Dump(d.Node.Do))
+	d.Operator.RegisterDump("keys", func() any { return claims.Status() })
 	listener, err := net.Listen("tcp", s.Callers.Listen.String())
 	if err != nil {
 		d.Log.Error("callers' port", "error", err.Error())
@@ -71,13 +74,14 @@
 	go func() { _ = server.Serve(listener) }()
 	d.Log.Info("started", "callers", listener.Addr().String(), "operator", d.Operator.Addr().String())
 	<-stop.Done()
-	return stopEntry(d, s, server, handler)
+	return stopEntry(d, s, server, handler, claims)
 }
 
 // stopEntry leaves in the order that loses nothing: the balancer first stops
 // sending, then connections close after their answer, then what is in flight
 // ends, and only then do handovers stop waiting for this entry.
-func stopEntry(d *Daemon, s settings.EntrySettings, server *http.Server, handler *dispatch.Handler) int {
+func stopEntry(d *Daemon, s settings.EntrySettings, server *http.Server, handler *dispatch.Handler,
+	claims *idempotency.Service) int {
 	ctx, cancel := context.WithTimeout(context.Background(), s.Timing.ShutdownLimit)
 	defer cancel()
 	err := shutdown.Run(ctx, d.Log, []shutdown.Step{
@@ -90,6 +94,7 @@
 			}
 			return handler.Drain(ctx)
 		}},
+		{Name: "hand keys over", Limit: logLimit, Run: claims.Drain},
 		{Name: "leave members", Limit: logLimit, Run: d.Node.Leave},
 	})
 	d.Close()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,13 +36,13 @@
 	RoutesChanged()
 }
 
-// Claims is what the control side needs of the idempotency service.
+// Claims is what the control side needs of the idempotency keys.
 type Claims interface {
-	// OnApplied is told of every folded record.
+	// OnApplied is told of every folded record, in order.
 	OnApplied(batch []fleetlog.Applied)
-	// OnMembers is told of a change of the entries.
-	OnMembers(version uint64, members []membership.Member)
-	// AckLimit bounds what may be acknowledged.
+	// AllAcked is told that all entries have acknowledged the newest members.
+	AllAcked()
+	// AckLimit bounds what may be acknowledged of the offsets up to offset.
 	AckLimit(offset uint64) uint64
 }
 
@@ -101,7 +101,6 @@
 		e.members = st.Members.Version
 		entries := st.Members.WithRole(membership.RoleEntry)
 		e.sharer.SetMembers(e.members, names(entries))
-		e.claims.OnMembers(e.members, entries)
 		e.dirty = true
 	}
 	if st.Pools.Version != e.poolVersion || st.Manifest.Generation != e.generation {
@@ -166,6 +165,7 @@
 	}
 	e.ackedByAll = e.members
 	e.sharer.SetAllAcked(e.members)
+	e.claims.AllAcked()
 	e.dirty = true
 }
 
--- a/internal/fleetlog/apply.go
+++ b/internal/fleetlog/apply.go
@@ -1,7 +1,10 @@
 package fleetlog
 
 import (
+	"slices"
+
 	"cyclamenwheel/internal/fold"
+	"cyclamenwheel/internal/idempotency"
 	"cyclamenwheel/internal/manifest"
 	"cyclamenwheel/internal/membership"
 	"cyclamenwheel/internal/placement"
@@ -15,6 +18,11 @@
 	Offset  uint64
 	Record  Record
 	Verdict fold.Verdict
+	// Keys is set for records of idempotency keys.
+	Keys *KeysApplied
+	// Entries is set where the record changed the members: the entries from
+	// this offset on.
+	Entries []idempotency.Member
 }
 
 // Apply folds the next record of the log. entry.Offset must be s.Offset+1; the
@@ -32,7 +40,10 @@
 		out.Verdict = fold.Reject(fold.ReasonDuplicate, "")
 	default:
 		meta := fold.Meta{Offset: s.Offset, TimeMillis: s.TimeMillis, Author: rec.Author, Epoch: rec.Epoch}
-		out.Verdict = s.dispatch(meta, rec)
+		out.Verdict = s.dispatch(meta, rec, &out)
+	}
+	if s.Members.Version == s.Offset {
+		out.Entries = s.Entries()
 	}
 	s.count(rec.Kind, out.Verdict.Reason)
 	return out
@@ -48,7 +59,7 @@
 }
 
 // dispatch hands the record to the part of the state that owns its kind.
-func (s *State) dispatch(m fold.Meta, rec Record) fold.Verdict {
+func (s *State) dispatch(m fold.Meta, rec Record, out *Applied) fold.Verdict {
 	if needsPlanner(rec.Kind) && !s.Lease.Current(m.Epoch) {
 		return fold.Reject(fold.ReasonStaleEpoch, "holder is "+s.Lease.Holder)
 	}
@@ -79,6 +90,16 @@
 		return apply(rec, func(b placement.Tasks) fold.Verdict {
 			return s.Tasks.Apply(m, b, s.Manifest.Current(), s.Pools.Instances)
 		})
+	case KindKeyClaim:
+		return apply(rec, func(b idempotency.ClaimBatch) (v fold.Verdict) {
+			v, out.Keys = s.applyClaims(m, b)
+			return v
+		})
+	case KindKeyFinish:
+		return apply(rec, func(b idempotency.FinishBatch) (v fold.Verdict) {
+			v, out.Keys = s.applyFinishes(m, b)
+			return v
+		})
 	case KindMark:
 		return apply(rec, func(b Mark) fold.Verdict { return s.applyMark(m, b) })
 	case KindPart:
@@ -119,20 +140,26 @@
 }
 
 func (s *State) applyJoin(m fold.Meta, b membership.Join) fold.Verdict {
+	before := s.Entries()
 	v, lost := s.Members.ApplyJoin(m, b)
-	s.memberLost(lost)
+	s.memberLost(m, lost, before)
 	return v
 }
 
 func (s *State) applyLeave(m fold.Meta, b membership.Leave) fold.Verdict {
+	before := s.Entries()
 	v, lost := s.Members.ApplyLeave(m, b, s.Lease.Current(m.Epoch))
-	s.memberLost(lost)
+	s.memberLost(m, lost, before)
 	return v
 }
 
 // memberLost is told of a process that ended without a graceful leave.
-func (s *State) memberLost(lost *membership.Lost) {
+func (s *State) memberLost(m fold.Meta, lost *membership.Lost, before []idempotency.Member) {
 	if lost == nil {
 		return
 	}
+	wasEntry := func(e idempotency.Member) bool { return e.ID == lost.ID }
+	if slices.ContainsFunc(before, wasEntry) {
+		s.entryLost(m, lost.ID, before)
+	}
 }
--- a/internal/fleetlog/record.go
+++ b/internal/fleetlog/record.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"cyclamenwheel/internal/fold"
+	"cyclamenwheel/internal/idempotency"
 )
 
 // Kind names a record's type. Values are part of the log's format.
@@ -34,8 +35,8 @@
 	KindBegin        Kind = "instance.begin"
 	KindCommit       Kind = "instance.commit"
 	KindTasks        Kind = "tasks"
-	KindKeyClaim     Kind = "key.claim"
-	KindKeyFinish    Kind = "key.finish"
+	KindKeyClaim     Kind = idempotency.KindClaims
+	KindKeyFinish    Kind = idempotency.KindFinishes
 	KindMark         Kind = "snapshot.mark"
 	KindPart         Kind = "snapshot.part"
 )
--- a/internal/fleetlog/snapshot.go
+++ b/internal/fleetlog/snapshot.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 
 	"cyclamenwheel/internal/fold"
+	"cyclamenwheel/internal/idempotency"
 	"cyclamenwheel/internal/platform"
 )
 
@@ -77,6 +78,9 @@
 	if err := stateDecMode.Unmarshal(data, s); err != nil {
 		return nil, &MalformedError{What: "state", Cause: err}
 	}
+	if s.Keys == nil {
+		s.Keys = idempotency.NewState()
+	}
 	if s.Counts == nil {
 		s.Counts = make(map[string]uint64)
 	}
--- a/internal/fleetlog/state.go
+++ b/internal/fleetlog/state.go
@@ -1,6 +1,7 @@
 package fleetlog
 
 import (
+	"cyclamenwheel/internal/idempotency"
 	"cyclamenwheel/internal/manifest"
 	"cyclamenwheel/internal/membership"
 	"cyclamenwheel/internal/placement"
@@ -18,20 +19,23 @@
 // State is everything that the fold knows. It belongs to one goroutine.
 type State struct {
 	// Offset is the newest record folded, TimeMillis its append time.
-	Offset     uint64            `cbor:"1,keyasint" json:"offset"`
-	TimeMillis int64             `cbor:"2,keyasint" json:"time_ms"`
-	Manifest   manifest.State    `cbor:"3,keyasint" json:"manifest"`
-	Lease      planlease.State   `cbor:"4,keyasint" json:"lease"`
-	Members    membership.State  `cbor:"5,keyasint" json:"members"`
-	Pools      pools.State       `cbor:"6,keyasint" json:"pools"`
-	Tasks      placement.State   `cbor:"7,keyasint" json:"tasks"`
-	Recent     recentIDs         `cbor:"9,keyasint" json:"-"`
-	Snapshot   snapshotMark      `cbor:"10,keyasint" json:"snapshot"`
-	Counts     map[string]uint64 `cbor:"11,keyasint" json:"verdicts"`
+	Offset     uint64           `cbor:"1,keyasint" json:"offset"`
+	TimeMillis int64            `cbor:"2,keyasint" json:"time_ms"`
+	Manifest   manifest.State   `cbor:"3,keyasint" json:"manifest"`
+	Lease      planlease.State  `cbor:"4,keyasint" json:"lease"`
+	Members    membership.State `cbor:"5,keyasint" json:"members"`
+	Pools      pools.State      `cbor:"6,keyasint" json:"pools"`
+	Tasks      placement.State  `cbor:"7,keyasint" json:"tasks"`
+	// Keys are the idempotency keys, Guard what tells where some were lost.
+	Keys     *idempotency.State `cbor:"8,keyasint" json:"-"`
+	Guard    keyGuard           `cbor:"12,keyasint" json:"key_guard"`
+	Recent   recentIDs          `cbor:"9,keyasint" json:"-"`
+	Snapshot snapshotMark       `cbor:"10,keyasint" json:"snapshot"`
+	Counts   map[string]uint64  `cbor:"11,keyasint" json:"verdicts"`
 }
 
 // NewState returns the state before the first record.
-func NewState() *State { return &State{Counts: make(map[string]uint64)} }
+func NewState() *State { return &State{Counts: make(map[string]uint64), Keys: idempotency.NewState()} }
 
 // recentIDs remembers the ids of the newest records. Order holds them oldest
 // first with their offsets.
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -126,9 +126,9 @@
 		{Section: sectionLimits, Name: "memory", Kind: KindBytes, Default: "512MiB", Unit: "MiB, GiB",
 			Min: minMemory, Max: maxMemory,
 			Doc: "Soft memory limit of the process; the collector works harder near it."},
-		{Section: sectionLimits, Name: "appends_per_second", Kind: KindInt, Default: "40", Unit: "1/s",
+		{Section: sectionLimits, Name: "appends_per_second", Kind: KindInt, Default: "250", Unit: "1/s",
 			Min: 1, Max: 1000,
-			Doc: "Most log appends of this process; all processes share the log's several hundred a second."},
+			Doc: "Most log appends a second for idempotency keys, all entries together; the same in each of them."},
 	}
 }
 
