Planner lease: a claim names the renewal it has seen

Cause, found by a property test of two contenders that read late: a claim was accepted if it followed the current epoch, so a process that read the log late could take the lease from a live holder, and both believed that they held it for up to a TTL (the property failed with two holders at 4 s). Ruled out: the holder's own clock, which counts from before its accepted renewal was sent. After: the fold refuses a claim whose author had not read the newest renewal; the property passes.

--- a/internal/fleetlog/trace_test.go
+++ b/internal/fleetlog/trace_test.go
@@ -40,7 +40,7 @@
 // claim gives the lease to holder and returns its epoch.
 func (t *trace) claim(holder string) uint64 {
 	v := t.write(holder, 0, fleetlog.KindLeaseClaim,
-		planlease.Claim{Follows: t.state.Lease.Epoch, Holder: holder, BootID: "b1"})
+		planlease.Claim{Follows: t.state.Lease.Epoch, Renewed: t.state.Lease.Renewed, Holder: holder, BootID: "b1"})
 	Expect(v.Accepted).To(BeTrue())
 	return t.state.Lease.Epoch
 }
--- a/internal/planlease/decide.go
+++ b/internal/planlease/decide.go
@@ -70,9 +70,10 @@
 	c.pending = false
 }
 
-// Decide tells what to do at now; rank is this process's place among the
-// challengers.
+// Decide tells what to do at now, given the folded lease; rank is this
+// process's place among the challengers.
 func (c *Contender) Decide(s State, rank int, now time.Duration) Action {
+	c.Observe(s, now)
 	if c.pending {
 		return ActWait
 	}
--- a/internal/planlease/state.go
+++ b/internal/planlease/state.go
@@ -11,6 +11,9 @@
 	// ReasonOutrun marks a claim that another claim of the same epoch came
 	// before in the log.
 	ReasonOutrun fold.Reason = "outrun"
+	// ReasonRenewed marks a claim whose author had not read the holder's newest
+	// renewal: it took its own lag for the holder's silence.
+	ReasonRenewed fold.Reason = "renewed_meanwhile"
 	// ReasonNotHolder marks a renewal by a process that is not the holder.
 	ReasonNotHolder fold.Reason = "not_holder"
 )
@@ -22,6 +25,10 @@
 	Follows uint64 `cbor:"1,keyasint"`
 	Holder  string `cbor:"2,keyasint"`
 	BootID  string `cbor:"3,keyasint"`
+	// Renewed is State.Renewed as the claimant knows it. Without it a process
+	// that reads the log late could take the lease from a live holder, and both
+	// would believe that they hold it until the holder had read the claim.
+	Renewed uint64 `cbor:"4,keyasint"`
 }
 
 // Renew tells challengers that the holder is alive.
@@ -52,6 +59,9 @@
 	if c.Follows != s.Epoch {
 		return fold.Reject(ReasonOutrun, "holder is "+s.Holder)
 	}
+	if c.Renewed != s.Renewed {
+		return fold.Reject(ReasonRenewed, "holder is "+s.Holder)
+	}
 	*s = State{Epoch: s.Epoch + 1, Holder: c.Holder, BootID: c.BootID, Renewed: m.Offset}
 	return fold.Accept()
 }
