--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -15,10 +15,13 @@
 	// request a slot keeps every slot busy; any more would only wait and be
 	// refused later instead of now.
 	overloadPerSlot = 1
-	// overloadAfter is how long the queue must have been standing for the
+	// overloadAfter is how long requests must have been refused for the
 	// overload to count as sustained. A burst, such as the closing of tabs at
-	// the end of a shift, is over sooner and is served in order.
+	// the end of a shift, that can be served within its deadlines never does,
+	// however long its queue.
 	overloadAfter = time.Second
+	// overloadGap without a refusal ends an overload.
+	overloadGap = 500 * time.Millisecond
 	// urgentRun is how many urgent requests may pass before a normal one that
 	// waits gets its turn: urgent work goes first without starving the rest.
 	urgentRun = 4
@@ -40,18 +43,19 @@
 // answered after its caller has gone, so that a full pool does no useful work;
 // and one caller that fills the queue and starves the others.
 //
-// In a burst each caller's requests run in order of arrival. Once the queue
-// has stood for overloadAfter the newest goes first: the old ones have used up
-// their time, and serving them first would make every answer late.
+// In a burst each caller's requests run in order of arrival. Once requests have
+// been refused for overloadAfter the newest goes first: the old ones have used
+// up their time, and serving them first would make every answer late.
 type Fair struct {
-	rnd      *rand.Rand
-	slots    int
-	lanes    [2]lane // normal, urgent
-	where    map[uint64]*flow
-	urgent   int // urgent requests in a row
-	standing time.Time
-	times    estimates
-	refused  recent
+	rnd         *rand.Rand
+	slots       int
+	lanes       [2]lane // normal, urgent
+	where       map[uint64]*flow
+	urgent      int       // urgent requests in a row
+	pressed     time.Time // since when requests have been refused
+	lastRefusal time.Time
+	times       estimates
+	refused     recent
 }
 
 // Indexes of Fair.lanes.
@@ -87,11 +91,9 @@
 func (q *Fair) Offer(now time.Time, r Request) []Refusal {
 	l := &q.lanes[laneOf(r)]
 	if now.Add(q.wait(now, l, r) + q.service(r)).After(r.Deadline) {
+		q.press(now)
 		return []Refusal{q.refuse(now, r.ID, ReasonTooLate)}
 	}
-	if q.Len() == 0 {
-		q.standing = now
-	}
 	q.where[r.ID] = l.push(r)
 	return q.trim(now)
 }
@@ -113,15 +115,31 @@
 	return time.Duration(ahead+1) * q.times.all / time.Duration(q.slots)
 }
 
-// service is the part of the estimated service time that is believed.
+// service is the part of the estimated service time that is believed. It is
+// the upper estimate: a request that times out in flight has an unknown
+// outcome, which is worse for a charge than a refusal.
 func (q *Fair) service(r Request) time.Duration {
 	bound := time.Duration(trustedPart * float64(r.Deadline.Sub(r.Arrived)))
-	return min(q.times.of(r.Kind), bound)
+	return min(q.times.upper(r.Kind), bound)
 }
 
-// overloaded tells whether the queue has been standing for long.
+// overloaded tells whether requests have been refused for long.
 func (q *Fair) overloaded(now time.Time) bool {
-	return q.Len() > 0 && now.Sub(q.standing) >= overloadAfter
+	return q.pressing(now) && now.Sub(q.pressed) >= overloadAfter
+}
+
+func (q *Fair) pressing(now time.Time) bool {
+	return now.Sub(q.lastRefusal) < overloadGap
+}
+
+// press notes that there is more than can be served. Requests that run out of
+// time in the queue do not count: they are what a burst has left behind, and
+// say nothing of the load since.
+func (q *Fair) press(now time.Time) {
+	if !q.pressing(now) {
+		q.pressed = now
+	}
+	q.lastRefusal = now
 }
 
 // trim refuses what is beyond the bound: the oldest request of the caller with
@@ -139,6 +157,7 @@
 		}
 		victim := l.takeOldestOfLongest()
 		delete(q.where, victim.ID)
+		q.press(now)
 		out = append(out, q.refuse(now, victim.ID, reason))
 	}
 	return out
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -72,7 +72,11 @@
 	ans, err := h.send(c, s)
 	took := h.opts.Now().Sub(s.start)
 	if err != nil {
-		s.release(resultOf(err), took)
+		result := resultOf(err)
+		if result != pick.ResultRefused {
+			h.conns.drop(s.gate.pool, s.endpoint)
+		}
+		s.release(result, took)
 		return nil, err
 	}
 	if ans.rest == nil {
@@ -87,6 +91,9 @@
 	if errors.HasType(err, (*EndpointRefusedError)(nil)) {
 		return pick.ResultRefused
 	}
+	if errors.HasType(err, (*AnswerTimeoutError)(nil)) {
+		return pick.ResultTimeout
+	}
 	return pick.ResultFailed
 }
 
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -23,6 +23,10 @@
 	// a region both take a few milliseconds; a second lets one lost SYN be
 	// repeated.
 	connectTimeout = 1500 * time.Millisecond
+	// connectPart of the time left is the most that connecting may take:
+	// nothing has been sent yet, so that two more endpoints can be tried even
+	// for a charge.
+	connectPart = 3
 	// maxHead bounds the head of an answer.
 	maxHead = 1 << 20
 	// maxHealthBody bounds the body of a health check.
@@ -179,9 +183,8 @@
 // check is made on every new connection, and a connection cannot change its
 // far end, so no request is sent to an instance that was not confirmed.
 func connect(dial DialFunc, pool string, e Endpoint, deadline time.Time) (*conn, error) {
-	if bound := time.Now().Add(connectTimeout); deadline.After(bound) {
-		deadline = bound
-	}
+	now := time.Now()
+	deadline = now.Add(min(connectTimeout, deadline.Sub(now)/connectPart))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	raw, err := dial(ctx, e.Addr)
--- a/internal/dispatch/connset.go
+++ b/internal/dispatch/connset.go
@@ -66,6 +66,19 @@
 	return c
 }
 
+// drop closes the idle connections to an endpoint.
+//
+// Failure: a host vanishes without closing its connections. Symptom: each idle
+// connection to it swallows one more request until its deadline, with unknown
+// outcome. After one failure the others are not trusted either; a new one
+// proves itself before a request is sent.
+func (s *connSet) drop(pool string, e Endpoint) {
+	t := targetOf(pool, e)
+	for c := s.pop(t); c != nil; c = s.pop(t) {
+		c.close()
+	}
+}
+
 // put keeps a connection whose last answer has been read to its end.
 func (s *connSet) put(pool string, e Endpoint, c *conn) {
 	t := targetOf(pool, e)
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -164,7 +164,7 @@
 		g.retries.Success(now)
 	}
 	g.picker.Done(now, s.endpoint.Instance, pick.Sample{
-		Result: result, Latency: latency, Expected: s.expected,
+		Result: result, Latency: latency, Expected: g.queue.Estimate(s.kind),
 	})
 	g.pump(now)
 }
--- a/internal/dispatch/pick/leastloaded.go
+++ b/internal/dispatch/pick/leastloaded.go
@@ -1,7 +1,6 @@
 package pick
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -106,16 +105,18 @@
 func (p *LeastLoaded) Pick(now time.Time, avoid string) (string, bool) {
 	p.restore(now)
 	p.free = p.free[:0]
+	shun := p.shunStalled(now)
 	for _, s := range p.order {
-		if s.flight < s.usable(now) && s.Instance != avoid {
-			p.free = append(p.free, s)
+		if s.flight >= s.usable(now) || s.Instance == avoid || shun && p.stalled(now, s) {
+			continue
 		}
+		p.free = append(p.free, s)
 	}
 	if len(p.free) > 0 {
 		return p.take(now, p.better(now)), true
 	}
 	s := p.states[avoid]
-	if s != nil && s.present && s.flight < s.usable(now) {
+	if s != nil && s.present && s.flight < s.usable(now) && !p.stalled(now, s) {
 		return p.take(now, s), true
 	}
 	return "", false
@@ -151,15 +152,18 @@
 // load compares endpoints: the part of its slots that a request would fill.
 // Recent failures raise it, because an endpoint that fails at once is always
 // idle and would otherwise draw every request (it may still be in use where
-// the bound on ejections is reached). A stalled one comes last.
+// the bound on ejections is reached).
 func (p *LeastLoaded) load(now time.Time, s *state) float64 {
-	if p.stalled(now, s) {
-		return math.Inf(1)
-	}
 	share := float64(s.Slots) * s.ramp(now)
 	return float64(s.flight+1) / share * float64(1+s.health.failures)
 }
 
+// stalled tells whether an endpoint has given no answer for long.
+//
+// Load: an endpoint or a zone vanishes without closing its connections.
+// Harm prevented: requests go on filling its slots until the first ones reach
+// their deadline, seconds later; with this it swallows only those of the first
+// moments. Any end of a request there ends the state.
 func (p *LeastLoaded) stalled(now time.Time, s *state) bool {
 	if s.flight == 0 || p.latency == 0 {
 		return false
@@ -167,6 +171,18 @@
 	return now.Sub(s.progress) > max(stallFactor*p.latency, stallFloor)
 }
 
+// shunStalled tells whether stalled endpoints are left out. They are under the
+// same bound as ejections: where most endpoints stall, the cause is not theirs.
+func (p *LeastLoaded) shunStalled(now time.Time) bool {
+	n := p.ejected()
+	for _, s := range p.order {
+		if !s.health.ejected && p.stalled(now, s) {
+			n++
+		}
+	}
+	return n <= maxEjected(len(p.order))
+}
+
 func (p *LeastLoaded) take(now time.Time, s *state) string {
 	if s.flight == 0 {
 		s.progress = now
--- a/internal/dispatch/pick/outlier.go
+++ b/internal/dispatch/pick/outlier.go
@@ -7,18 +7,25 @@
 
 // Limits of outlier ejection.
 const (
-	// failuresToEject is how many attempts in a row must fail. One lost
-	// connection is ordinary; three in a row from an endpoint that works are
-	// not.
-	failuresToEject = 3
-	// slowRatio times the median slowness of the others marks an outlier.
-	// Mixed work and random assignment stay well below three.
+	// failuresToEject is how many attempts in a row must fail. Under overload
+	// one in ten requests may time out for lack of time left; five in a row by
+	// chance are one in a hundred thousand.
+	failuresToEject = 5
+	// slowRatio times the median slowness of the others marks an outlier. The
+	// mean of samplesToJudge exponential service times exceeds three times
+	// their expectation about once in a hundred million.
 	slowRatio = 3.0
 	// samplesToJudge is how many answers it takes to call an endpoint slow.
-	samplesToJudge = 8
+	samplesToJudge = 16
 	// samplesOnProbation is the same after a return from ejection: the
 	// suspicion stands already, and each probe costs a caller a slow answer.
-	samplesOnProbation = 2
+	samplesOnProbation = 5
+	// maxRatio bounds what one answer counts: a single very long request must
+	// not make its endpoint an outlier.
+	maxRatio = 10.0
+	// slownessWeight is the weight of a sample once there are many. With more,
+	// chance alone ejected healthy endpoints by the second under full load.
+	slownessWeight = 0.05
 	// ejectBase is the time of the first ejection; it doubles each time up to
 	// ejectCap, so that a slow endpoint that stays slow costs ever fewer
 	// probes, while one that stalled once is back after a second.
@@ -46,6 +53,10 @@
 	switch s.Result {
 	case ResultFailed, ResultRefused:
 		h.failures++
+	case ResultTimeout:
+		if s.blamesEndpoint() {
+			h.failures++
+		}
 	case ResultOK:
 		h.failures = 0
 		h.samples++
@@ -56,13 +67,18 @@
 func (h *health) observe(s Sample) {
 	ratio := 1.0
 	if s.Expected > 0 {
-		ratio = float64(s.Latency) / float64(s.Expected)
-	}
-	if h.samples == 1 {
-		h.slowness = ratio
-		return
+		ratio = min(float64(s.Latency)/float64(s.Expected), maxRatio)
 	}
-	h.slowness += latencyWeight * (ratio - h.slowness)
+	// A plain mean at first: the first sample alone would weigh for long.
+	h.slowness += max(1/float64(h.samples), slownessWeight) * (ratio - h.slowness)
+}
+
+// blamesEndpoint tells whether a timeout speaks against the endpoint. Under
+// overload a request may be sent with little time left; that it was not
+// answered in that time says nothing, and counting it would eject healthy
+// endpoints just when all of them are needed.
+func (s Sample) blamesEndpoint() bool {
+	return float64(s.Latency) >= slowRatio*float64(s.Expected)
 }
 
 // judge ejects s if it is an outlier and the bound allows it.
--- a/internal/dispatch/pick/pick.go
+++ b/internal/dispatch/pick/pick.go
@@ -24,8 +24,10 @@
 const (
 	// ResultOK: a complete answer came back.
 	ResultOK Result = iota + 1
-	// ResultFailed: no connection, a broken answer or a timeout.
+	// ResultFailed: no connection, a broken answer or a server error.
 	ResultFailed
+	// ResultTimeout: no whole answer before the deadline.
+	ResultTimeout
 	// ResultRefused: the endpoint said that it did not run the request.
 	ResultRefused
 	// ResultNone: the attempt says nothing about the endpoint.
