Harness: successors under new ids, a balancer, a steady load

Rolling replacements need a process that comes on a new instance under a new id with a certificate of its own, and callers that send new requests only to entries that are ready. The load can choose its entries at the time of each request, sends POSTs without a key, and counts requests that the callers' HTTP library had to send again: a connection that closes under a GET was otherwise seen by nobody.

--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -29,7 +29,11 @@
 type Options struct {
 	// Entries are base URLs; a request goes to one chosen at random, as a
 	// balancer would.
-	Entries  []string
+	Entries []string
+	// Targets, where set, returns the entries to choose from at the time of a
+	// request, as a balancer does that follows their readiness. Entries is then
+	// where requests go while it returns none.
+	Targets  func() []string
 	Services []string
 	// Rate is in requests a second; 0 sends as fast as Concurrency allows.
 	Rate float64
@@ -42,8 +46,11 @@
 	// RepeatShare is the part of POSTs that are sent a second time under the
 	// same key, as a caller does that lost the answer.
 	RepeatShare float64
-	WorkMillis  int64
-	Timeout     time.Duration
+	// PlainPostShare is the part of the other requests that are POSTs without
+	// a key: a caller never repeats those, and neither does its HTTP library.
+	PlainPostShare float64
+	WorkMillis     int64
+	Timeout        time.Duration
 	// ControlURL is the stand-in's control API; empty checks nothing.
 	ControlURL string
 	Seed       uint64
@@ -150,21 +157,33 @@
 	entries  [2]string
 	attempts int
 	service  string
-	post     bool
+	post     bool // with a key
+	plain    bool // a POST without one
 }
 
 func (d *driver) plan(n int) request {
 	r := request{n: n, attempts: 1, service: d.opts.Services[d.rng.IntN(len(d.opts.Services))]}
 	for i := range r.entries {
-		r.entries[i] = d.opts.Entries[d.rng.IntN(len(d.opts.Entries))]
+		r.entries[i] = d.target()
 	}
 	r.post = d.rng.Float64() < d.opts.PostShare
+	r.plain = !r.post && d.opts.PlainPostShare > 0 && d.rng.Float64() < d.opts.PlainPostShare
 	if r.post && d.rng.Float64() < d.opts.RepeatShare {
 		r.attempts = 2
 	}
 	return r
 }
 
+func (d *driver) target() string {
+	from := d.opts.Entries
+	if d.opts.Targets != nil {
+		if ready := d.opts.Targets(); len(ready) > 0 {
+			from = ready
+		}
+	}
+	return from[d.rng.IntN(len(from))]
+}
+
 func (d *driver) perform(r request) {
 	for i := range r.attempts {
 		out := d.send(r, i)
--- a/internal/standin/load/outcome.go
+++ b/internal/standin/load/outcome.go
@@ -98,6 +98,9 @@
 		// another request.
 		method, path, body = http.MethodPost, "/order/", strings.NewReader(out.Key)
 	}
+	if r.plain {
+		method, path, body = http.MethodPost, "/order/", strings.NewReader(out.RequestID)
+	}
 	url := strings.TrimRight(r.entries[attempt], "/") + "/" + r.service + path + strconv.Itoa(r.n)
 	req, err := http.NewRequest(method, url, body)
 	if err != nil {
--- a/internal/standin/load/verify.go
+++ b/internal/standin/load/verify.go
@@ -51,6 +51,9 @@
 	Outcomes      map[Kind]int   `json:"outcomes"`
 	Details       map[string]int `json:"details,omitempty"`
 	Latency       Latency        `json:"latency"`
+	// Resent requests were sent more than once by the callers' HTTP library:
+	// a connection closed under them, though they were answered in the end.
+	Resent int `json:"resent"`
 	// Verified tells that the history was compared.
 	Verified bool `json:"verified"`
 	// HistoryRuns is how many runs of this load the endpoints saw.
@@ -83,6 +86,9 @@
 	hist := hdrhistogram.New(minLatencyMicros, maxLatencyMicros, latencyDigits)
 	for _, o := range outcomes {
 		sum.Outcomes[o.Kind]++
+		if o.Resent {
+			sum.Resent++
+		}
 		switch o.Kind {
 		case Answered:
 			// A latency beyond the range cannot be: the timeout is shorter.
--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -12,6 +12,8 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -103,12 +105,16 @@
 	dir      string
 	net      *network
 	peers    *peerNetwork
-	entries  []*Process
-	controls []*Process
 	loads    []*Load
 	ledger   ledger
 	stop     context.CancelFunc
 	watched  chan struct{}
+
+	mu       sync.Mutex // guards what Successor changes
+	entries  []*Process
+	controls []*Process
+	retired  []*Process
+	started  map[Role]int
 }
 
 // New starts a deployment and waits until every process is a member. It is
@@ -116,17 +122,17 @@
 func New(opts Options) *Cluster {
 	ginkgo.GinkgoHelper()
 	opts = opts.withDefaults()
-	c := &Cluster{opts: opts, dir: ginkgo.GinkgoT().TempDir(), net: claimNetwork(), watched: make(chan struct{})}
+	c := &Cluster{opts: opts, dir: ginkgo.GinkgoT().TempDir(), net: claimNetwork(), watched: make(chan struct{}), started: map[Role]int{}}
 	ginkgo.DeferCleanup(c.Close)
 	c.startPlatform()
 	c.peers = newPeerNetwork()
-	for i := range opts.Entries {
-		c.entries = append(c.entries, c.newProcess(RoleEntry, i))
+	for range opts.Entries {
+		c.entries = append(c.entries, c.newProcess(RoleEntry))
 	}
-	for i := range opts.Controls {
-		c.controls = append(c.controls, c.newProcess(RoleControl, i))
+	for range opts.Controls {
+		c.controls = append(c.controls, c.newProcess(RoleControl))
 	}
-	c.issueCertificates()
+	c.issueCertificates(c.All()...)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.stop = cancel
 	go c.enforceFences(ctx)
@@ -159,10 +165,10 @@
 	c.Standin = standin.NewControlClient(c.ControlURL)
 }
 
-func (c *Cluster) issueCertificates() {
+func (c *Cluster) issueCertificates(processes ...*Process) {
 	ginkgo.GinkgoHelper()
 	var ids []string
-	for _, p := range c.All() {
+	for _, p := range processes {
 		ids = append(ids, string(p.Role)+"/"+p.ID)
 	}
 	gomega.Expect(certs.Create(c.dir, Deployment, ids...)).To(gomega.Succeed())
@@ -173,19 +179,27 @@
 func zoneOf(i int) string { return Zones[i%len(Zones)] }
 
 // Entry returns entry number i, from 0.
-func (c *Cluster) Entry(i int) *Process { return c.entries[i] }
+func (c *Cluster) Entry(i int) *Process { return c.Entries()[i] }
 
 // Control returns control process number i, from 0.
-func (c *Cluster) Control(i int) *Process { return c.controls[i] }
+func (c *Cluster) Control(i int) *Process { return c.Controls()[i] }
 
 // Entries returns all entries.
-func (c *Cluster) Entries() []*Process { return c.entries }
+func (c *Cluster) Entries() []*Process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.entries)
+}
 
 // Controls returns all control processes.
-func (c *Cluster) Controls() []*Process { return c.controls }
+func (c *Cluster) Controls() []*Process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.controls)
+}
 
 // All returns all processes, entries first.
-func (c *Cluster) All() []*Process { return append(append([]*Process{}, c.entries...), c.controls...) }
+func (c *Cluster) All() []*Process { return append(c.Entries(), c.Controls()...) }
 
 // Planner returns the control process that holds the planner lease, and waits
 // for there to be one.
@@ -200,7 +214,7 @@
 }
 
 func (c *Cluster) planner() *Process {
-	for _, p := range c.controls {
+	for _, p := range c.Controls() {
 		var view struct {
 			Holds bool `json:"holds_lease"`
 		}
@@ -214,7 +228,7 @@
 // OtherControls returns the control processes other than p.
 func (c *Cluster) OtherControls(p *Process) []*Process {
 	var out []*Process
-	for _, o := range c.controls {
+	for _, o := range c.Controls() {
 		if o != p {
 			out = append(out, o)
 		}
@@ -238,7 +252,7 @@
 	if ginkgo.CurrentSpecReport().Failed() {
 		c.printLogs()
 	}
-	for _, p := range c.All() {
+	for _, p := range append(c.All(), c.retired...) {
 		p.closeLinks()
 	}
 	if c.platform != nil {
@@ -252,7 +266,7 @@
 const logTail = 24 << 10
 
 func (c *Cluster) printLogs() {
-	for _, p := range c.All() {
+	for _, p := range append(c.All(), c.retired...) {
 		data, err := os.ReadFile(p.logFile)
 		if err != nil {
 			continue
--- a/test/harness/load.go
+++ b/test/harness/load.go
@@ -32,7 +32,7 @@
 // set here.
 func (c *Cluster) Load(opts load.Options, entries ...*Process) *Load {
 	if len(entries) == 0 {
-		entries = c.entries
+		entries = c.Entries()
 	}
 	for _, e := range entries {
 		opts.Entries = append(opts.Entries, e.CallerURL())
--- a/test/harness/operate.go
+++ b/test/harness/operate.go
@@ -102,7 +102,7 @@
 	ginkgo.GinkgoHelper()
 	c.Publish(m)
 	c.Settle()
-	for _, e := range c.entries {
+	for _, e := range c.Entries() {
 		e.AwaitReady()
 	}
 	gomega.Expect(c.Standin.ResetAvailability(bg)).To(gomega.Succeed())
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -44,8 +44,11 @@
 	exited chan struct{}
 }
 
-func (c *Cluster) newProcess(role Role, i int) *Process {
+// newProcess makes the next process of a role; it does not run yet.
+func (c *Cluster) newProcess(role Role) *Process {
 	ginkgo.GinkgoHelper()
+	i := c.started[role]
+	c.started[role]++
 	p := &Process{
 		Role: role, ID: fmt.Sprintf("%s-%d", role, i+1), Zone: zoneOf(i), Instance: instanceOf(role, i),
 		IP: c.net.ip(role, i), cluster: c,
