Entry: tell callers with their answer that the connection ends

Cause: on a planned stop an entry kept connections open through the ready grace and then closed them, whether or not a caller was just writing on one. A balancer that balances connections leaves the open ones with the entry, so charges ended in EOF or a reset with their outcome unknown.

Ruled out: the order of the shutdown steps (the entry was not ready for the whole grace, new connections went elsewhere) and requests in flight (those were answered). Only connections between two requests were cut.

Now every answer from the announcement on carries "Connection: close". What remains is a caller that is silent for the whole grace and writes at its end, as with any HTTP idle timeout.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -81,7 +81,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.Timing.ShutdownLimit)
 	defer cancel()
 	err := shutdown.Run(ctx, d.Log, []shutdown.Step{
-		{Name: "announce", Limit: logLimit, Run: func(context.Context) error { d.Node.Retire(); return nil }},
+		{Name: "announce", Limit: logLimit, Run: func(context.Context) error {
+			d.Node.Retire()
+			handler.AnnounceClose()
+			return nil
+		}},
 		shutdown.Wait("balancer", s.Timing.ReadyGrace),
 		{Name: "finish requests", Limit: s.Timing.DrainLimit, Run: func(ctx context.Context) error {
 			server.SetKeepAlivesEnabled(false)
--- a/internal/dispatch/handler.go
+++ b/internal/dispatch/handler.go
@@ -19,6 +19,7 @@
 	bodies  atomic.Int64
 	calls   callCount
 	metrics requestMetrics
+	closing atomic.Bool // answers tell their callers to leave
 }
 
 // NewHandler returns a Handler. It passes paths on unchanged; a router in front
@@ -58,8 +59,10 @@
 	now := h.opts.Now()
 	c := &call{id: requestID(r.Header.Get(HeaderRequestID)), arrived: now}
 	defer func() { h.metrics.count(c, h.opts.Now().Sub(now)) }()
-	if !h.calls.enter() {
+	if h.closing.Load() {
 		w.Header().Set("Connection", "close")
+	}
+	if !h.calls.enter() {
 		h.refuse(w, c, h.early(r, TypeDraining, http.StatusServiceUnavailable))
 		return
 	}
@@ -169,9 +172,20 @@
 // next request.
 func (h *Handler) RoutesChanged() { h.eachGate((*gate).wake) }
 
+// AnnounceClose has every answer from now on end its caller's connection.
+//
+// Failure: a balancer that balances connections leaves the open ones with an
+// entry that is no longer ready, and the entry closes them when it stops.
+// Symptom: a charge that was being written at that moment has an unknown
+// outcome. A caller that was told with its last answer sends nothing more on
+// that connection. Only one that was silent for the whole ready grace can
+// still meet a closed connection, as with any HTTP server's idle timeout.
+func (h *Handler) AnnounceClose() { h.closing.Store(true) }
+
 // Drain refuses new requests and waits for those in flight. It is called once
 // the listeners are closed.
 func (h *Handler) Drain(ctx context.Context) error {
+	h.AnnounceClose()
 	left := h.calls.drain(ctx)
 	h.conns.closeIdle()
 	if left > 0 {
--- a/internal/dispatch/handler_test.go
+++ b/internal/dispatch/handler_test.go
@@ -319,4 +319,17 @@
 		Expect(e.Drain(context.Background())).To(Succeed())
 		Eventually(first, short).Should(Receive(Equal(200)))
 	})
+
+	// The entry is about to stop and callers still use their connections. Each
+	// is told with its answer that the connection ends, so that none sends a
+	// charge just when it is closed.
+	It("tells callers that their connection ends", func() {
+		w := newWorker("w1", echo)
+		e := newEntry(Options{Buffer: 4}, w.Endpoint)
+		Expect(e.do("GET", "/tabs/x", "").closes).To(BeFalse())
+		e.AnnounceClose()
+		Expect(e.do("GET", "/tabs/streamed", "").closes).To(BeTrue())
+		Expect(e.do("POST", "/tabs/charge", "5").closes).To(BeTrue())
+		Expect(e.do("GET", "/unknown/x", "").closes).To(BeTrue())
+	})
 })
--- a/internal/dispatch/suite_test.go
+++ b/internal/dispatch/suite_test.go
@@ -132,6 +132,7 @@
 	header  http.Header
 	body    string
 	problem Problem
+	closes  bool // the connection ends with this answer
 	err     error
 }
 
@@ -147,7 +148,7 @@
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
-	out := outcome{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
+	out := outcome{status: resp.StatusCode, header: resp.Header, body: string(b), closes: resp.Close, err: err}
 	if resp.Header.Get("Content-Type") == ProblemContentType {
 		Expect(json.Unmarshal(b, &out.problem)).To(Succeed())
 		Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
