Tail: the first read does not wait

A process that starts on an empty log learnt that it is empty only when its first long poll ended, and joined 5 s late; so a new deployment stood still for as long. The join itself and the planner lease were ruled out: processes that start on a log with records join within 100 ms.

--- a/internal/fleetlog/tail.go
+++ b/internal/fleetlog/tail.go
@@ -60,9 +60,12 @@
 func (t *Tail) Run(ctx context.Context, deliver func(Page)) {
 	pause := appendRetryMin
 	trimmed := false
+	// The first read does not wait: on an empty log it would be readWait before
+	// a starting process knows that there is nothing to fold.
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		from := t.next.Load()
-		page, err := t.log.Read(ctx, from, readMax, readWait)
+		page, err := t.log.Read(ctx, from, readMax, wait)
 		var gone *platform.TrimmedError
 		switch {
 		case errors.As(err, &gone):
@@ -75,7 +78,7 @@
 			pause = min(2*pause, readRetryMax)
 			continue
 		}
-		pause = appendRetryMin
+		pause, wait = appendRetryMin, readWait
 		if n := len(page.Records); n > 0 {
 			t.Advance(page.Records[n-1].Offset + 1)
 		}
