Endpoint choice: slow start gives way where nobody else has room

Cause: an endpoint in slow start was capped at a tenth of its slots, and a wave brings a whole pool back within seconds, so that callers were refused as overload by an idle pool. Ruled out before: too few slots, and the division among entries. The weight of slow start in the choice stays.

--- a/internal/dispatch/pick/leastloaded.go
+++ b/internal/dispatch/pick/leastloaded.go
@@ -11,7 +11,8 @@
 	// return. A fresh process has cold caches; the full share at once would
 	// make it slow and have it ejected again.
 	slowStartTime = 5 * time.Second
-	// slowStartFloor is the part of its slots that it may use at first.
+	// slowStartFloor is the part of its slots that it is given at first while
+	// others have room.
 	slowStartFloor = 0.1
 	// stallFactor times the pool's mean latency without any answer, while
 	// requests are in flight, marks an endpoint as stalled. Ten leaves room
@@ -104,15 +105,12 @@
 // Pick implements Picker.
 func (p *LeastLoaded) Pick(now time.Time, avoid string) (string, bool) {
 	p.restore(now)
-	p.free = p.free[:0]
 	shun := p.shunStalled(now)
-	for _, s := range p.order {
-		if s.flight >= s.usable(now) || s.Instance == avoid || shun && p.stalled(now, s) {
-			continue
-		}
-		p.free = append(p.free, s)
-	}
-	if len(p.free) > 0 {
+	// Slow start holds an endpoint back only while others have room. After a
+	// maintenance wave most of a pool starts slowly at once: held to a tenth
+	// of its slots, the pool would refuse callers whom it could serve, which
+	// is worse for them than a cold endpoint.
+	if p.collect(now, avoid, shun, (*state).eased) || p.collect(now, avoid, shun, (*state).usable) {
 		return p.take(now, p.better(now)), true
 	}
 	s := p.states[avoid]
@@ -122,6 +120,18 @@
 	return "", false
 }
 
+// collect lists the endpoints with room below limit; false if there are none.
+func (p *LeastLoaded) collect(now time.Time, avoid string, shun bool, limit func(*state, time.Time) int) bool {
+	p.free = p.free[:0]
+	for _, s := range p.order {
+		if s.flight >= limit(s, now) || s.Instance == avoid || shun && p.stalled(now, s) {
+			continue
+		}
+		p.free = append(p.free, s)
+	}
+	return len(p.free) > 0
+}
+
 // better draws two of the free endpoints and returns the less loaded one.
 func (p *LeastLoaded) better(now time.Time) *state {
 	n := len(p.free)
@@ -235,15 +245,24 @@
 	return n
 }
 
-// usable is how many requests may be in flight to s now.
-func (s *state) usable(now time.Time) int {
-	if s.health.ejected || s.Slots <= 0 {
+// usable is how many requests may be in flight to s.
+func (s *state) usable(time.Time) int {
+	if s.health.ejected {
+		return 0
+	}
+	return max(0, s.Slots)
+}
+
+// eased is usable, less what slow start leaves to others.
+func (s *state) eased(now time.Time) int {
+	full := s.usable(now)
+	if full == 0 {
 		return 0
 	}
-	return max(1, int(float64(s.Slots)*s.ramp(now)))
+	return max(1, int(float64(full)*s.ramp(now)))
 }
 
-// ramp is the part of its slots that an endpoint may use during slow start.
+// ramp is the part of its slots that an endpoint in slow start is given.
 func (s *state) ramp(now time.Time) float64 {
 	if s.slowFrom.IsZero() {
 		return 1
