Moves: pools fill from the spares in one round

Cause: the bound of 16 moves in flight, made for moves that take instances out of pools, also held back those out of the spares, which serve nobody. The platform is protected by a bound of its own, 16 times as high.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -53,7 +53,7 @@
 	defer claims.Close()
 	handler := dispatch.NewHandler(dispatch.Options{
 		Routes: e.Routes, Claims: claims, Zone: s.Process.Zone, Log: d.Log,
-		MaxBody: s.Callers.MaxBody,
+		MaxBody: s.Callers.MaxBody, Metrics: callerMetrics(),
 	})
 	e.Attach(handler, keys, d.Node.NotReady)
 	d.Operator.RegisterDump("entry", e.Dump(d.Node.Do))
--- a/internal/pools/decide.go
+++ b/internal/pools/decide.go
@@ -10,6 +10,11 @@
 // manifest taking a fleet apart faster than an operator can read about it.
 const DefaultMaxMovesInFlight = 16
 
+// fillFactor times the bound is how many instances may be on their way from
+// the spares into pools: they serve nobody meanwhile, so what remains to be
+// protected is the platform, from rebooting a whole new fleet at once.
+const fillFactor = 16
+
 // MoveReason tells why an instance changes pool. Values are stable: they are
 // recorded with the move and shown by explain.
 type MoveReason string
--- a/internal/pools/decide_order.go
+++ b/internal/pools/decide_order.go
@@ -21,28 +21,44 @@
 // decision turns the plan into moves that may begin now and moves that wait.
 func (p *plan) decision() Decision {
 	d := Decision{Shortfalls: p.shortfalls}
-	inFlight := 0
-	for _, inst := range p.instances {
-		if inst.Phase == PhaseMoving {
-			inFlight++
-		}
-	}
 	limit := cmp.Or(p.in.Limits.MaxMovesInFlight, DefaultMaxMovesInFlight)
+	taken, filling := p.underWay()
 	for _, i := range p.planned() {
 		m := p.move(i)
-		if reason, wait := p.mustWait(i, m, inFlight >= limit); wait {
+		full := taken >= limit
+		if p.home[i] == noPool {
+			full = filling >= fillFactor*limit
+		}
+		if reason, wait := p.mustWait(i, m, full); wait {
 			d.Waits = append(d.Waits, Wait{Move: m, Reason: reason})
 			continue
 		}
 		if from := p.home[i]; from != noPool {
 			p.pools[from].serving--
+			taken++
+		} else {
+			filling++
 		}
-		inFlight++
 		d.Moves = append(d.Moves, m)
 	}
 	return d
 }
 
+// underWay counts the moves in progress: those that take an instance out of a
+// pool, and those that fill one from the spares.
+func (p *plan) underWay() (taken, filling int) {
+	for _, inst := range p.instances {
+		switch {
+		case inst.Phase != PhaseMoving:
+		case inst.Pool == "":
+			filling++
+		default:
+			taken++
+		}
+	}
+	return taken, filling
+}
+
 func (p *plan) planned() []int {
 	var order []int
 	for i := range p.instances {
