--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,341 @@
+// Package entry is the control side of cyclamen-entry: it turns the fold, the
+// instance list and the shares of slots into the route table that traffic
+// reads, and tells peers what it has let go of.
+package entry
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cyclamenwheel/internal/dispatch"
+	"cyclamenwheel/internal/fleetlog"
+	"cyclamenwheel/internal/manifest"
+	"cyclamenwheel/internal/membership"
+	"cyclamenwheel/internal/node"
+	"cyclamenwheel/internal/peer"
+	"cyclamenwheel/internal/pools"
+	"cyclamenwheel/internal/slots"
+)
+
+// Traffic is what the control side needs of the traffic path.
+type Traffic interface {
+	// InFlight counts this entry's requests in flight to an instance. Once it
+	// has returned, every later pick uses the newest route table.
+	InFlight(instance string) int
+	// Demand is the most requests in flight or waiting for a pool at a time
+	// since the last call.
+	Demand(pool string) int
+	// Active counts callers' requests under way.
+	Active() int
+	// RoutesChanged has waiting requests look at the newest table.
+	RoutesChanged()
+}
+
+// Claims is what the control side needs of the idempotency keys.
+type Claims interface {
+	// OnApplied is told of every folded record, in order.
+	OnApplied(batch []fleetlog.Applied)
+	// AllAcked is told that all entries have acknowledged the newest members.
+	AllAcked()
+	// AckLimit bounds what may be acknowledged of the offsets up to offset.
+	AckLimit(offset uint64) uint64
+}
+
+// Entry implements node.Hooks.
+type Entry struct {
+	node    *node.Node
+	traffic Traffic
+	claims  Claims
+	sharer  *slots.Sharer
+	log     *slog.Logger
+	table   atomic.Pointer[dispatch.RouteTable]
+
+	limits    map[string]int // requests that may be in flight, by instance
+	lastRound time.Duration
+
+	wasMember   bool
+	members     uint64 // membership version given to the sharer
+	ackedByAll  uint64
+	poolVersion uint64
+	generation  uint64
+	dirty       bool
+	leaving     []string // instances that get no new work
+	busy        []string // those of them with requests in flight from here
+	ready       func() []string
+}
+
+// New returns the control side of the entry that node runs.
+func New(n *node.Node, log *slog.Logger) *Entry {
+	return &Entry{node: n, log: log, sharer: slots.NewSharer(sharerName(n.Self()))}
+}
+
+// sharerName is unique to a start of an entry: a restarted one does not know
+// what its predecessor had lent.
+func sharerName(m membership.Member) string { return m.ID + "@" + m.BootID }
+
+// roundEvery is how often slots are divided anew while nothing changes. A
+// burst that one entry meets reaches the slots of the others within this and
+// one heartbeat; more often costs processor time in every entry.
+const roundEvery = 100 * time.Millisecond
+
+// Attach joins the traffic path; before Run.
+func (e *Entry) Attach(t Traffic, c Claims, ready func() []string) {
+	e.traffic, e.claims, e.ready = t, c, ready
+}
+
+// Routes returns the table in force, nil while there is none. Any goroutine
+// may call it.
+func (e *Entry) Routes() *dispatch.RouteTable { return e.table.Load() }
+
+// Applied implements node.Hooks. The new table is in place when it returns, so
+// that the offset acknowledged afterwards is true.
+func (e *Entry) Applied(batch []fleetlog.Applied) {
+	st := e.node.State()
+	e.claims.OnApplied(batch)
+	if st.Members.Version != e.members {
+		e.members = st.Members.Version
+		entries := st.Members.WithRole(membership.RoleEntry)
+		e.sharer.SetMembers(e.members, names(entries))
+		e.dirty = true
+	}
+	if st.Pools.Version != e.poolVersion || st.Manifest.Generation != e.generation {
+		e.poolVersion, e.generation = st.Pools.Version, st.Manifest.Generation
+		e.dirty = true
+	}
+	e.round()
+}
+
+func names(members []membership.Member) []string {
+	out := make([]string, len(members))
+	for i, m := range members {
+		out[i] = sharerName(m)
+	}
+	return out
+}
+
+// ListChanged implements node.Hooks: an instance listed as leaving gets no new
+// work, whether or not the planner has recorded it yet.
+func (e *Entry) ListChanged() { e.dirty = true }
+
+// Tick implements node.Hooks.
+func (e *Entry) Tick() {
+	e.noteAcks()
+	e.noteBusy()
+	if e.dirty || e.node.Now()-e.lastRound >= roundEvery {
+		e.round()
+	}
+}
+
+// noteBusy finds the leaving instances that still have requests in flight from
+// here. A handover waits for the last of them, so the others hear soon when
+// one has ended.
+func (e *Entry) noteBusy() {
+	var busy []string
+	for _, id := range e.leaving {
+		if e.traffic.InFlight(id) > 0 {
+			busy = append(busy, id)
+		}
+	}
+	if len(busy) < len(e.busy) {
+		e.node.Hurry()
+	}
+	e.busy = busy
+}
+
+// noteAcks tells the sharer once all entries have acted on the present
+// members: only then may static shares grow.
+func (e *Entry) noteAcks() {
+	if e.ackedByAll == e.members || e.members == 0 {
+		return
+	}
+	st, heard := e.node.State(), e.node.Heard()
+	for _, m := range st.Members.WithRole(membership.RoleEntry) {
+		if m.ID == e.node.Self().ID {
+			continue
+		}
+		h := heard[m.ID]
+		if h == nil || h.Identity.BootID != m.BootID || h.Beat.Acked < e.members {
+			return
+		}
+	}
+	e.ackedByAll = e.members
+	e.sharer.SetAllAcked(e.members)
+	e.claims.AllAcked()
+	e.dirty = true
+}
+
+// Beat implements node.Hooks.
+func (e *Entry) Beat(to string, hb *node.Heartbeat) {
+	hb.Ready = len(e.ready()) == 0
+	hb.Busy = e.busy
+	if !e.isEntry(to) {
+		return
+	}
+	name := sharerName(e.node.State().Members.Members[to])
+	if raw, err := cbor.Marshal(e.sharer.Outgoing(name)); err == nil {
+		hb.Shares = raw
+	}
+}
+
+func (e *Entry) isEntry(id string) bool {
+	return e.node.State().Members.Members[id].Role == membership.RoleEntry
+}
+
+// Heard implements node.Hooks.
+func (e *Entry) Heard(from peer.Identity, hb node.Heartbeat) {
+	if len(hb.Shares) == 0 || !e.isEntry(from.ID) {
+		return
+	}
+	var share slots.PeerShare
+	if err := cbor.Unmarshal(hb.Shares, &share); err != nil {
+		e.log.Warn("shares not understood", "peer", from.ID, "error", err.Error())
+		return
+	}
+	e.sharer.OnPeer(from.ID+"@"+from.BootID, share)
+}
+
+// MayJoin implements node.Hooks. An entry that was taken off the members while
+// it was away has requests that no handover waits for any more; it joins again
+// only once they have ended.
+func (e *Entry) MayJoin() bool { return !e.wasMember || e.traffic.Active() == 0 }
+
+// AckLimit implements node.Hooks. A change of the members is acknowledged only
+// once the use of slots has shrunk to what the new members allow, since the
+// others grow into the rest as soon as all have acknowledged.
+func (e *Entry) AckLimit() uint64 {
+	limit := e.claims.AckLimit(e.node.State().Offset)
+	if e.members > 0 && e.node.Joined() && !e.sharer.Settled() {
+		limit = min(limit, e.members-1)
+	}
+	return limit
+}
+
+// round divides the slots and puts a new route table in force, in the order
+// that the sharer asks for: what is in flight is counted after the new limits
+// have reached traffic.
+func (e *Entry) round() {
+	e.lastRound = e.node.Now()
+	if !e.node.Joined() {
+		e.stepOut()
+		return
+	}
+	e.wasMember = true
+	man := e.node.State().Manifest.Current()
+	if man == nil {
+		return
+	}
+	byPool := e.servingByPool()
+	if e.dirty {
+		e.shareSlots(byPool)
+	}
+	e.noteDemand(man)
+	limits := e.sharer.Publish()
+	if e.dirty || !maps.Equal(limits, e.limits) {
+		e.limits, e.dirty = limits, false
+		e.publishTable(man, byPool)
+		e.traffic.RoutesChanged()
+		e.noteBusy()   // before the record that took them out is acknowledged
+		e.node.Hurry() // loans offered, called back or confirmed
+	}
+	for id := range limits {
+		e.sharer.SetInFlight(id, e.traffic.InFlight(id))
+	}
+}
+
+// noteDemand tells the sharer what each pool's callers want. More than this
+// entry may use is told to the others soon: callers wait for it.
+func (e *Entry) noteDemand(man *manifest.Manifest) {
+	for i := range man.Pools {
+		name := man.Pools[i].Name
+		demand := e.traffic.Demand(name)
+		e.sharer.SetDemand(name, demand)
+		if table := e.table.Load(); table != nil && demand > slotsOf(table.Endpoints(name)) {
+			e.node.Hurry()
+		}
+	}
+}
+
+func slotsOf(endpoints []dispatch.Endpoint) int {
+	n := 0
+	for _, ep := range endpoints {
+		n += ep.Slots
+	}
+	return n
+}
+
+// stepOut takes all routes away: handovers do not wait for a process that is
+// no member, so it must not send anything.
+func (e *Entry) stepOut() {
+	if !e.wasMember || !e.dirty {
+		return
+	}
+	e.dirty = false
+	e.log.Warn("no longer a member: taking no work", "offset", e.node.State().Offset)
+	e.table.Store(dispatch.NewRouteTable(e.generation, nil, nil))
+	e.traffic.RoutesChanged()
+}
+
+// servingByPool sorts the instances, and notes those that get no new work.
+func (e *Entry) servingByPool() map[string][]*pools.Instance {
+	st := e.node.State()
+	byPool := make(map[string][]*pools.Instance)
+	e.leaving = e.leaving[:0]
+	for _, id := range slices.Sorted(maps.Keys(st.Pools.Instances)) {
+		in := st.Pools.Instances[id]
+		switch {
+		case in.Phase != pools.PhaseServing:
+			e.leaving = append(e.leaving, id)
+		case in.Pool != "":
+			byPool[in.Pool] = append(byPool[in.Pool], in)
+		}
+	}
+	return byPool
+}
+
+func (e *Entry) publishTable(man *manifest.Manifest, byPool map[string][]*pools.Instance) {
+	endpoints := make(map[string][]dispatch.Endpoint, len(byPool))
+	for pool, instances := range byPool {
+		for _, in := range instances {
+			if e.node.Live(in.ID) {
+				endpoints[pool] = append(endpoints[pool], e.endpoint(in))
+			}
+		}
+	}
+	e.table.Store(dispatch.NewRouteTable(e.generation, man.Services, endpoints))
+}
+
+func (e *Entry) shareSlots(byPool map[string][]*pools.Instance) {
+	sets := make(map[string][]slots.Instance, len(byPool))
+	for pool, instances := range byPool {
+		for _, in := range instances {
+			sets[pool] = append(sets[pool], slots.Instance{ID: in.ID, Slots: in.Slots})
+		}
+	}
+	e.sharer.SetInstances(sets)
+}
+
+func (e *Entry) endpoint(in *pools.Instance) dispatch.Endpoint {
+	ep := dispatch.Endpoint{
+		Instance: in.ID, BootID: in.BootID, Addr: in.Addr, Zone: in.Zone,
+		Slots: e.limits[in.ID], Connections: e.connections(in),
+	}
+	// After a restart that the planner has not recorded yet, the list knows
+	// the new boot. It counts only where the platform has the instance in the
+	// same pool, so that a move in progress is never taken for done.
+	if row := e.node.Listed(in.ID); row != nil && row.Pool == in.Pool && e.node.List().Version > e.node.State().Pools.List {
+		ep.BootID, ep.Addr = row.BootID, row.Addr
+	}
+	return ep
+}
+
+// connections divides an endpoint's connections evenly: a connection is only
+// of use with a slot, and there are eight times as many connections as slots.
+func (e *Entry) connections(in *pools.Instance) int {
+	entries := len(e.node.State().Members.WithRole(membership.RoleEntry))
+	return max(1, in.Connections/max(1, entries))
+}
