Measure the division of slots; lend by mean demand and recall only for need

Seven entries with half of all requests at one: peaks as demand, and a recall whenever the plan changed, left up to a third of the slots idle on their way between entries. Demand is now the mean in flight plus what clears the queue in half a second plus refused work, and a slot is called back only for somebody who lacks it.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -62,6 +62,8 @@
 	RetryAfter(now time.Time) time.Duration
 	// Len returns how many requests wait.
 	Len() int
+	// Work returns the expected service time of all that waits.
+	Work() time.Duration
 }
 
 // FIFO is the baseline: unbounded, first in first out, blind to deadlines.
@@ -113,3 +115,6 @@
 
 // Len implements Queue.
 func (q *FIFO) Len() int { return len(q.waiting) }
+
+// Work implements Queue.
+func (q *FIFO) Work() time.Duration { return time.Duration(len(q.waiting)) * q.times.all }
--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -81,6 +81,9 @@
 // Len implements Queue.
 func (q *Fair) Len() int { return q.lanes[normalLane].len + q.lanes[urgentLane].len }
 
+// Work implements Queue.
+func (q *Fair) Work() time.Duration { return time.Duration(q.Len()) * q.times.all }
+
 // Observe implements Queue.
 func (q *Fair) Observe(kind string, service time.Duration) { q.times.observe(kind, service) }
 
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -8,6 +8,7 @@
 	"cyclamenwheel/internal/admission"
 	"cyclamenwheel/internal/dispatch/pick"
 	"cyclamenwheel/internal/dispatch/retry"
+	"cyclamenwheel/internal/slots"
 )
 
 // pumpInterval is how often waiting requests are looked at while no slot is
@@ -31,11 +32,12 @@
 	waiters   map[uint64]*waiter
 	nextID    uint64
 	pumping   bool
-	peak      int
+	meter     slots.Meter
 }
 
 // waiter is a request in the queue.
 type waiter struct {
+	kind  string
 	avoid string
 	done  chan admitted // buffered: the decision never waits for the request
 }
@@ -101,18 +103,18 @@
 	g.refresh(now)
 	g.nextID++
 	r.ID = g.nextID
-	w := &waiter{avoid: avoid, done: make(chan admitted, 1)}
+	w := &waiter{kind: r.Kind, avoid: avoid, done: make(chan admitted, 1)}
 	if g.queue.Len() == 0 {
 		if id, ok := g.picker.Pick(now, avoid); ok {
 			w.done <- admitted{slot: g.grant(now, id, r.Kind)}
-			g.note()
+			g.note(now)
 			return w
 		}
 	}
 	g.queue.SetSlots(g.picker.Slots(now))
 	g.waiters[r.ID] = w
 	g.refuse(g.queue.Offer(now, *r))
-	g.note()
+	g.note(now)
 	g.schedule()
 	return w
 }
@@ -124,6 +126,7 @@
 	if g.waiters[id] == w {
 		delete(g.waiters, id)
 		g.queue.Remove(id)
+		g.note(g.now())
 		return nil, nil
 	}
 	a := <-w.done
@@ -141,6 +144,7 @@
 	for _, r := range list {
 		if w := g.waiters[r.ID]; w != nil {
 			delete(g.waiters, r.ID)
+			g.meter.Refused(g.queue.Estimate(w.kind))
 			w.done <- admitted{refusal: &r}
 		}
 	}
@@ -171,6 +175,7 @@
 
 // pump hands free slots to waiting requests.
 func (g *gate) pump(now time.Time) {
+	defer g.note(now)
 	for g.queue.Len() > 0 {
 		id, ok := g.picker.Pick(now, "")
 		if !ok {
@@ -237,16 +242,12 @@
 	return g.queue.Estimate(kind)
 }
 
-func (g *gate) note() { g.peak = max(g.peak, g.picker.Total()+g.queue.Len()) }
+func (g *gate) note(now time.Time) { g.meter.Set(now, g.picker.Total(), g.queue.Work()) }
 
-// demand is the most requests that were in flight or waiting at a time since
-// the last call: a burst between two heartbeats would otherwise go unseen.
 func (g *gate) demand() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	n := g.peak
-	g.peak = g.picker.Total() + g.queue.Len()
-	return n
+	return g.meter.Read(g.now())
 }
 
 func (g *gate) inFlight(instance string) int {
--- a/internal/dispatch/handler.go
+++ b/internal/dispatch/handler.go
@@ -161,8 +161,9 @@
 	return n
 }
 
-// Demand returns the most requests of a pool that were in flight or waiting at
-// a time since the last call.
+// Demand returns how many slots of a pool this entry could use: what is in
+// flight, and what it takes to clear the queue and not to refuse. It averages
+// over the calls, of which there is one for each heartbeat.
 func (h *Handler) Demand(pool string) int { return h.gate(pool).demand() }
 
 // RoutesChanged takes a new route table over at once, rather than with the
--- a/internal/slots/loans.go
+++ b/internal/slots/loans.go
@@ -6,21 +6,60 @@
 	"slices"
 )
 
+// keptIdle is what an entry without any demand keeps of a pool: its next request
+// should not have to wait for a loan to come back.
+const keptIdle = 1
+
 // rebalance sets what is lent of one pool.
+//
+// Slots are called back only for somebody who lacks them: a loan costs two
+// heartbeats to make and two to end, during which nobody uses the slot.
 func (s *Sharer) rebalance(pool string) {
-	plan := loans(s.claimants(pool), s.self)
+	list := s.claimants(pool)
+	plan := loans(list, s.self)
+	current := map[string]int{}
+	lacking, out := 0, 0
+	for _, borrower := range s.borrowers() {
+		current[borrower] = s.lentTo(pool, borrower)
+		out += current[borrower]
+		lacking += max(0, plan[borrower]-current[borrower])
+	}
+	owned, level := s.own(list)
+	lacking += min(level, owned) - (owned - out)
+	for _, borrower := range s.borrowers() {
+		n := min(lacking, current[borrower]-plan[borrower])
+		if n > 0 {
+			s.recall(pool, borrower, n)
+			lacking -= n
+		}
+	}
 	room := s.room(pool)
-	for _, borrower := range s.base.members {
-		if borrower == s.self {
-			continue
+	for _, borrower := range s.borrowers() {
+		if s.listening(borrower) {
+			s.offerMore(borrower, plan[borrower]-current[borrower], room)
 		}
-		diff := plan[borrower] - s.lentTo(pool, borrower)
-		if diff < 0 {
-			s.recall(pool, borrower, -diff)
-		} else if s.listening(borrower) {
-			s.offerMore(borrower, diff, room)
+	}
+}
+
+// borrowers are the other members.
+func (s *Sharer) borrowers() []string {
+	var out []string
+	for _, name := range s.base.members {
+		if name != s.self {
+			out = append(out, name)
 		}
 	}
+	return out
+}
+
+// own finds this entry's static share and fair level.
+func (s *Sharer) own(list []claimant) (owned, level int) {
+	for _, c := range list {
+		if c.name == s.self {
+			return c.owned, c.level
+		}
+	}
+	return 0, 0
 }
 
 func (s *Sharer) listening(name string) bool {
@@ -38,9 +77,9 @@
 		c := claimant{name: name}
 		switch {
 		case name == s.self:
-			c.wanted = s.demand[pool] + headroom
+			c.wanted = max(s.demand[pool], keptIdle)
 		case s.listening(name):
-			c.wanted = s.peers[name].demand[pool] + headroom
+			c.wanted = max(s.peers[name].demand[pool], keptIdle)
 		default:
 			continue
 		}
@@ -98,7 +137,7 @@
 // offerMore sets n more slots aside, one at a time of the instance with most
 // left, so that the borrower's requests spread like the lender's.
 func (s *Sharer) offerMore(borrower string, n int, room []spare) {
-	for range n {
+	for range max(n, 0) {
 		if len(room) == 0 {
 			return
 		}
--- a/internal/slots/sharer.go
+++ b/internal/slots/sharer.go
@@ -5,10 +5,6 @@
 	"slices"
 )
 
-// headroom is added to an entry's demand before it lends: the next request
-// should not have to wait for a slot to come back over a heartbeat.
-const headroom = 1
-
 // Divider tells how many requests an entry may have in flight to an instance.
 type Divider interface{ Allowed(instance string) int }
 
