--- a/test/harness/check.go
+++ b/test/harness/check.go
@@ -70,6 +70,7 @@
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	gomega.Expect(seen.History.Dropped).To(gomega.BeZero(), "the history is incomplete")
 	gomega.Expect(Judge(seen, c.ledger.rules())).To(gomega.BeEmpty())
+	gomega.Expect(c.judgeLog()).To(gomega.BeEmpty())
 }
 
 // Judge finds all breaches in what was seen.
--- a/test/harness/links.go
+++ b/test/harness/links.go
@@ -23,6 +23,7 @@
 // Names of the faults set on a link to the platform.
 const (
 	toxicSlow = "slow"
+	toxicHold = "hold"
 	toxicHang = "hang"
 )
 
@@ -41,7 +42,7 @@
 // are refused. HealLog ends it.
 func (p *Process) CutLog() { p.toPlat.Stop() }
 
-// HealLog ends CutLog, HangLog and SlowLog.
+// HealLog ends CutLog, HangLog, SlowLog and HoldCalls.
 func (p *Process) HealLog() {
 	ginkgo.GinkgoHelper()
 	p.toPlat.Toxics.ResetToxics()
@@ -64,6 +65,14 @@
 	p.addToxic(toxicSlow, "latency", "downstream", fmt.Sprintf(`{"latency": %d}`, by.Milliseconds()))
 }
 
+// HoldCalls delays every call to the platform on its way there: a record that
+// the process appends reaches the log that much later, whatever has become of
+// the process meanwhile.
+func (p *Process) HoldCalls(by time.Duration) {
+	ginkgo.GinkgoHelper()
+	p.addToxic(toxicHold, "latency", "upstream", fmt.Sprintf(`{"latency": %d}`, by.Milliseconds()))
+}
+
 func (p *Process) addToxic(name, kind, stream, attributes string) {
 	ginkgo.GinkgoHelper()
 	_, err := p.toPlat.Toxics.AddToxicJson(strings.NewReader(fmt.Sprintf(
