Ask endpoints before they get work while the instance list is out of date

Cause: an entry that reaches neither the platform nor its peers, or that was paused and has not read the list since, used its routes of before. Endpoints listed as leaving meanwhile went on getting work over connections that stood.

Ruled out: new connections (a health check comes first on each, and an endpoint that leaves answers 503) and the peers' word (nobody reaches this entry). Only kept connections were used without asking.

Now a kept connection is confirmed by a health check, at most once a second, while the list was not read within two seconds. The time counts from the sending of the read, on the clock that counts suspension: a paused process finds an answer of long ago in its socket. Reads of the list wait for news for half a second instead of five, so that a healthy entry's list is always current; that costs the platform one to two reads a second from each process.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -50,7 +50,7 @@
 	e := entry.New(d.Node, d.Log)
 	claims := newClaims(d, s)
 	handler := dispatch.NewHandler(dispatch.Options{
-		Routes: e.Routes, Claims: claims, Zone: s.Process.Zone, Log: d.Log,
+		Routes: e.Routes, Current: d.Node.ListCurrent, Claims: claims, Zone: s.Process.Zone, Log: d.Log,
 		MaxBody: s.Callers.MaxBody,
 	})
 	e.Attach(handler, claims, d.Node.NotReady)
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -15,6 +15,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"cyclamenwheel/internal/planlease"
 )
 
 // Limits of a connection to an endpoint.
@@ -46,6 +48,7 @@
 	bw        *bufio.Writer
 	written   int64
 	idleSince time.Time
+	confirmed time.Duration // on the clock that counts suspension
 }
 
 // limitedReader bounds what the head of an answer may take.
@@ -179,9 +182,7 @@
 // check is made on every new connection, and a connection cannot change its
 // far end, so no request is sent to an instance that was not confirmed.
 func connect(dial DialFunc, pool string, e Endpoint, deadline time.Time) (*conn, error) {
-	if bound := time.Now().Add(connectTimeout); deadline.After(bound) {
-		deadline = bound
-	}
+	deadline = connectBy(deadline)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	raw, err := dial(ctx, e.Addr)
@@ -196,7 +197,17 @@
 	return c, nil
 }
 
+// connectBy is the request's deadline or the end of connectTimeout.
+func connectBy(deadline time.Time) time.Time {
+	if bound := time.Now().Add(connectTimeout); deadline.After(bound) {
+		return bound
+	}
+	return deadline
+}
+
+// confirm makes a health check on the connection.
 func (c *conn) confirm(pool string, e Endpoint, deadline time.Time) error {
+	asked := planlease.Boottime()
 	req, err := http.NewRequest(http.MethodGet, "http://"+e.Addr+"/healthz", nil)
 	if err != nil {
 		return errors.Wrap(err, "health check")
@@ -216,7 +227,11 @@
 	if err := json.NewDecoder(bytes.NewReader(body)).Decode(&h); err != nil {
 		return errors.Wrap(err, "health check")
 	}
-	return h.match(pool, e)
+	if err := h.match(pool, e); err != nil {
+		return err
+	}
+	c.confirmed = asked
+	return nil
 }
 
 func (h health) match(pool string, e Endpoint) error {
--- a/internal/dispatch/connset.go
+++ b/internal/dispatch/connset.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"cyclamenwheel/internal/planlease"
 )
 
 // idleTimeout is how long an unused connection is kept. It stays below the
@@ -12,6 +14,11 @@
 // written while the far end closes has an unknown outcome.
 const idleTimeout = 4 * time.Second
 
+// confirmedFor is how long a confirmed connection counts as such while the list
+// of instances is out of date. A leaving endpoint gets new work for no longer,
+// and a connection costs one health check a second at most.
+const confirmedFor = time.Second
+
 // DialFunc opens a connection to host:port.
 type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
 
@@ -26,15 +33,16 @@
 
 // connSet keeps idle connections to endpoints.
 type connSet struct {
-	dial DialFunc
+	dial    DialFunc
+	current func() bool
 
 	mu       sync.Mutex
 	idle     map[target][]*conn
 	sweeping bool
 }
 
-func newConnSet(dial DialFunc) *connSet {
-	return &connSet{dial: dial, idle: map[target][]*conn{}}
+func newConnSet(dial DialFunc, current func() bool) *connSet {
+	return &connSet{dial: dial, current: current, idle: map[target][]*conn{}}
 }
 
 func targetOf(pool string, e Endpoint) target {
@@ -46,13 +54,31 @@
 	t := targetOf(pool, e)
 	for c := s.pop(t); c != nil; c = s.pop(t) {
 		if time.Since(c.idleSince) < idleTimeout && c.quiet() {
-			return c, nil
+			return c, s.reconfirm(c, pool, e, deadline)
 		}
 		c.close()
 	}
 	return connect(s.dial, pool, e, deadline)
 }
 
+// reconfirm asks the endpoint whether it still takes work, where the list of
+// instances cannot tell.
+//
+// Failure: the entry is cut off from the platform, or it was paused and has not
+// read the list since. Symptom: an endpoint that was listed as leaving goes on
+// getting work over connections that stand, and is stopped in the middle of it.
+// New connections are always confirmed; here the ones that are kept are too.
+func (s *connSet) reconfirm(c *conn, pool string, e Endpoint, deadline time.Time) error {
+	if s.current() || planlease.Boottime()-c.confirmed < confirmedFor {
+		return nil
+	}
+	if err := c.confirm(pool, e, connectBy(deadline)); err != nil {
+		c.close()
+		return &ConnectError{Instance: e.Instance, Cause: err}
+	}
+	return nil
+}
+
 // pop takes the connection that was used last: the others can then age out.
 func (s *connSet) pop(t target) *conn {
 	s.mu.Lock()
--- a/internal/dispatch/handler.go
+++ b/internal/dispatch/handler.go
@@ -28,7 +28,7 @@
 	o = o.withDefaults()
 	return &Handler{
 		opts:    o,
-		conns:   newConnSet(o.Dial),
+		conns:   newConnSet(o.Dial, o.Current),
 		metrics: requestMetrics{set: o.Metrics},
 	}
 }
--- a/internal/dispatch/handler_test.go
+++ b/internal/dispatch/handler_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -243,6 +244,26 @@
 		Entry("pool", health{"w1", "boot-1", "other"}),
 	)
 
+	// The instance leaves its pool while a connection to it stands, and the list
+	// of instances has not been read for a while (the entry is cut off, or was
+	// paused). The charge must not run there. The caller gets "no": only a
+	// health check was sent. While the list is current it alone decides.
+	It("is confirmed again on a kept connection while the list is out of date", func() {
+		w := newWorker("w1", echo)
+		var current atomic.Bool
+		current.Store(true)
+		e := newEntry(Options{Current: current.Load}, w.Endpoint)
+		Expect(e.do("GET", "/tabs/x", "").status).To(Equal(200))
+		time.Sleep(confirmedFor)
+		w.identity.Store(&health{"w1", "boot-1", "other"})
+		Expect(e.do("POST", "/tabs/charge", "5").status).To(Equal(200))
+		current.Store(false)
+		out := e.do("POST", "/tabs/charge", "6")
+		Expect(out.status).To(Equal(503))
+		Expect(out.problem.Ran).To(Equal(RanNo))
+		Expect(w.runs.Load()).To(Equal(int64(2)))
+	})
+
 	// Control code removes an instance while a request is in flight to it.
 	// The request is answered; new ones go elsewhere at once; InFlight tells
 	// when the instance is free.
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -32,6 +32,10 @@
 type Options struct {
 	// Routes returns the table in force; nil while there is none.
 	Routes func() *RouteTable
+	// Current reports whether the table rests on a list of instances that was
+	// read lately. While it does not, endpoints are asked before they get work.
+	// Nil stands for always.
+	Current func() bool
 	// Claims decides about requests with a key. Without it they are refused.
 	Claims idempotency.Claims
 	// Zone is the entry's own availability zone.
@@ -61,6 +65,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Current == nil {
+		o.Current = func() bool { return true }
+	}
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
--- a/internal/node/list.go
+++ b/internal/node/list.go
@@ -6,12 +6,29 @@
 	"cyclamenwheel/internal/platform"
 )
 
-const listWait = 5 * time.Second
+const (
+	// listWait is how long a read of the list waits for news. It bounds how
+	// old the knowledge gets that there are none; a process costs the platform
+	// one or two such reads a second.
+	listWait = 500 * time.Millisecond
+	// listCurrentFor is how long after a read the list counts as current: two
+	// reads without news and the usual pause between them, with room for one
+	// that is slow. An endpoint that is leaving must get no new work after a
+	// few seconds, and this is the larger part of them. Where reads are set to
+	// be rarer, endpoints are asked in between.
+	listCurrentFor = 2 * time.Second
+)
 
 func (n *Node) pollList() {
 	var since uint64
 	for n.ctx.Err() == nil {
+		asked := n.Now()
 		list, err := n.opts.Platform.Instances(n.ctx, since, listWait)
+		if err == nil {
+			// The time of asking, not of the answer: a process that was paused
+			// in between finds the answer of a time long past.
+			n.listAsked.Store(int64(asked))
+		}
 		if err == nil && list.Version > since {
 			since = list.Version
 			select {
@@ -23,6 +40,13 @@
 	}
 }
 
+// ListCurrent reports whether the platform's list was read lately. Any
+// goroutine may call it.
+func (n *Node) ListCurrent() bool {
+	asked := time.Duration(n.listAsked.Load())
+	return asked != 0 && n.Now()-asked < listCurrentFor
+}
+
 func pause(done <-chan struct{}, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cyclamenwheel/internal/fleetlog"
@@ -104,6 +105,7 @@
 	listIndex map[string]*platform.Instance
 	notLive   map[string]bool // from peers with a newer list version
 	notLiveV  uint64
+	listAsked atomic.Int64 // when the list was last asked for with success
 
 	logOK       bool
 	logAt       time.Duration // last answer of the log
