Instance list: a worker that drops off the list stays lost for peers

Cause: heartbeats name the listed workers that are not live. A worker that has gone drops off the list, and so off the heartbeats too; an entry that reaches only its peers took that for the worker's return and routed to it again.

Ruled out: a stale heartbeat (the version was newer) and the entry's own list (older; its row said live, which the peers' word overrides).

Now the workers that the fold knows and the list lacks are named as well. Before: the worker was back in the routes. After: it stays out (the proof with an entry that reaches only its peers while the log is down).

--- a/internal/node/list.go
+++ b/internal/node/list.go
@@ -81,8 +81,14 @@
 	n.hooks.ListChanged()
 }
 
-// ownNotLive is what goes on heartbeats: the newest known losses.
+// ownNotLive is what goes on heartbeats: the workers that the own list does not
+// have as live. Those that the fold knows and the list no longer has are among
+// them: an instance drops off the list when it has gone, and a peer that took
+// its absence here for its return would send work to it again.
 func (n *Node) ownNotLive() []string {
+	if n.list.Version == 0 {
+		return nil
+	}
 	var out []string
 	for i := range n.list.Instances {
 		in := &n.list.Instances[i]
@@ -90,6 +96,11 @@
 			out = append(out, in.ID)
 		}
 	}
+	for id := range n.State().Pools.Instances {
+		if n.listIndex[id] == nil {
+			out = append(out, id)
+		}
+	}
 	return out
 }
 
