--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -52,7 +52,7 @@
 	keys, claims := newKeys(d, s)
 	defer claims.Close()
 	handler := dispatch.NewHandler(dispatch.Options{
-		Routes: e.Routes, Claims: claims, Zone: s.Process.Zone, Log: d.Log,
+		Routes: e.Routes, Current: d.Node.ListCurrent, Claims: claims, Zone: s.Process.Zone, Log: d.Log,
 		MaxBody: s.Callers.MaxBody, Metrics: callerMetrics(),
 	})
 	e.Attach(handler, keys, d.Node.NotReady)
--- a/internal/node/list.go
+++ b/internal/node/list.go
@@ -6,12 +6,29 @@
 	"cyclamenwheel/internal/platform"
 )
 
-const listWait = 5 * time.Second
+const (
+	// listWait is how long a read of the list waits for news. It bounds how
+	// old the knowledge gets that there are none; a process costs the platform
+	// one or two such reads a second.
+	listWait = 500 * time.Millisecond
+	// listCurrentFor is how long after a read the list counts as current: two
+	// reads without news and the usual pause between them, with room for one
+	// that is slow. An endpoint that is leaving must get no new work after a
+	// few seconds, and this is the larger part of them. Where reads are set to
+	// be rarer, endpoints are asked in between.
+	listCurrentFor = 2 * time.Second
+)
 
 func (n *Node) pollList() {
 	var since uint64
 	for n.ctx.Err() == nil {
+		asked := n.Now()
 		list, err := n.opts.Platform.Instances(n.ctx, since, listWait)
+		if err == nil {
+			// The time of asking, not of the answer: a process that was paused
+			// in between finds the answer of a time long past.
+			n.listAsked.Store(int64(asked))
+		}
 		if err == nil && list.Version > since {
 			since = list.Version
 			select {
@@ -23,6 +40,13 @@
 	}
 }
 
+// ListCurrent reports whether the platform's list was read lately. Any
+// goroutine may call it.
+func (n *Node) ListCurrent() bool {
+	asked := time.Duration(n.listAsked.Load())
+	return asked != 0 && n.Now()-asked < listCurrentFor
+}
+
 func pause(done <-chan struct{}, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -57,8 +81,14 @@
 	n.hooks.ListChanged()
 }
 
-// ownNotLive is what goes on heartbeats: the newest known losses.
+// ownNotLive is what goes on heartbeats: the workers that the own list does not
+// have as live. Those that the fold knows and the list no longer has are among
+// them: an instance drops off the list when it has gone, and a peer that took
+// its absence here for its return would send work to it again.
 func (n *Node) ownNotLive() []string {
+	if n.list.Version == 0 {
+		return nil
+	}
 	var out []string
 	for i := range n.list.Instances {
 		in := &n.list.Instances[i]
@@ -66,6 +96,11 @@
 			out = append(out, in.ID)
 		}
 	}
+	for id := range n.State().Pools.Instances {
+		if n.listIndex[id] == nil {
+			out = append(out, id)
+		}
+	}
 	return out
 }
 
