--- a/internal/dispatch/handler_test.go
+++ b/internal/dispatch/handler_test.go
@@ -11,6 +11,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/idempotency"
 )
 
 var _ = Describe("a request", func() {
@@ -295,6 +297,35 @@
 	})
 })
 
+var _ = Describe("a request that waits", func() {
+	// The only slot is taken for longer than the second caller's deadline. That
+	// one must hear at its deadline that it did not run, although the endpoint
+	// is still busy; with a key, its claim must be given back.
+	It("is refused as not run at its deadline", func() {
+		started, hold := make(chan struct{}), make(chan struct{})
+		w := newWorker("w1", func(n int64, req *http.Request, b []byte, c net.Conn) bool {
+			close(started)
+			<-hold
+			return echo(n, req, b, c)
+		})
+		w.Slots = 1
+		claims := &fakeClaims{}
+		e := newEntry(Options{Claims: claims}, w.Endpoint)
+		first := make(chan int, 1)
+		go func() { first <- e.do("GET", "/tabs/x", "").status }()
+		Eventually(started, short).Should(BeClosed())
+		out := e.do("POST", "/tabs/charge", "5", HeaderDeadline, "300", HeaderIdempotencyKey, "k")
+		Expect(out.status).To(Equal(503))
+		Expect(out.problem.Ran).To(Equal(RanNo))
+		Expect(out.problem.RetryAfterMillis).To(BeNumerically(">=", 100))
+		Expect(claims.outcomes()).To(Equal([]idempotency.Outcome{idempotency.OutcomeNotRun}))
+		Expect(e.InFlight("w1")).To(Equal(1))
+		close(hold)
+		Eventually(first, short).Should(Receive(Equal(200)))
+		Expect(w.runs.Load()).To(Equal(int64(1)))
+	})
+})
+
 var _ = Describe("graceful shutdown", func() {
 	It("finishes what is in flight and refuses the rest as not run", func() {
 		started, hold := make(chan struct{}), make(chan struct{})
