Test two guards of slot sharing directly

With recalls for need only, the property test no longer reaches them in a thousand runs: loans while a membership version is being replaced, and a count of requests that is older than the removal of its instance.

--- a/internal/slots/sharer_test.go
+++ b/internal/slots/sharer_test.go
@@ -120,6 +120,38 @@
 		Expect(a.Publish()["w0"]).To(Equal(2))
 	})
 
+	// The borrower knows of a new membership version, the lender does not yet.
+	// A loan of the old version must not be used: once all have acknowledged,
+	// the lender takes the slot to be its own again.
+	It("uses no loan of a version that is being replaced", func() {
+		w := newWorld(1, 4, "a", "b")
+		w.entries["b"].SetDemand("p", 50)
+		w.settle(1)
+		w.round("a")
+		offer := w.entries["a"].Outgoing("b")
+		Expect(offer.Lends).NotTo(BeEmpty())
+		w.change("a", "b", "c")
+		w.learn("b")
+		w.entries["b"].OnPeer("a", offer)
+		Expect(w.entries["b"].Allowed("w0")).To(BeNumerically("<=", 2))
+	})
+
+	// Requests start after the last count, then the instance goes. The count
+	// of none from before must not pass for the present one.
+	It("does not settle on a count from before an instance went", func() {
+		w := newWorld(1, 8, "a")
+		w.settle(1)
+		w.start("a", "w0", 4)
+		w.entries["a"].SetInstances(nil)
+		w.change("a", "b")
+		w.learn("a")
+		w.round("a")
+		Expect(w.entries["a"].Settled()).To(BeFalse())
+		w.flight["a"]["w0"] = 0
+		w.round("a")
+		Expect(w.entries["a"].Settled()).To(BeTrue())
+	})
+
 	It("does not settle while requests on a lost share are in flight", func() {
 		w := newWorld(1, 8, "a")
 		w.settle(1)
