Idle processes do nothing for what has not changed

The profile of the entry: two thirds counting what is in flight to each instance under each pool's lock, in ten rounds a second; of the planner: full rounds for each heartbeat heard, each lease renewal and each task report. Changed: one pass over all pools; no round of an entry without demand, word of peers or change; no round of the planner without news.

--- a/internal/dispatch/pick/leastloaded.go
+++ b/internal/dispatch/pick/leastloaded.go
@@ -232,6 +232,18 @@
 	return 0
 }
 
+// EachInFlight implements Picker.
+func (p *LeastLoaded) EachInFlight(f func(string, int)) {
+	if p.total == 0 {
+		return
+	}
+	for id, s := range p.states {
+		if s.flight > 0 {
+			f(id, s.flight)
+		}
+	}
+}
+
 // Total implements Picker.
 func (p *LeastLoaded) Total() int { return p.total }
 
--- a/internal/dispatch/pick/pick.go
+++ b/internal/dispatch/pick/pick.go
@@ -57,6 +57,8 @@
 	Done(now time.Time, instance string, s Sample)
 	// InFlight returns how many requests are in flight to an instance.
 	InFlight(instance string) int
+	// EachInFlight calls f for every instance with requests in flight.
+	EachInFlight(f func(instance string, n int))
 	// Total returns how many requests are in flight to all instances.
 	Total() int
 	// Slots returns how many requests may be in flight to the endpoints that
@@ -118,6 +120,15 @@
 // InFlight implements Picker.
 func (p *RoundRobin) InFlight(instance string) int { return p.flight[instance] }
 
+// EachInFlight implements Picker.
+func (p *RoundRobin) EachInFlight(f func(string, int)) {
+	for id, n := range p.flight {
+		if n > 0 {
+			f(id, n)
+		}
+	}
+}
+
 // Total implements Picker.
 func (p *RoundRobin) Total() int { return p.total }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"bytes"
 	"log/slog"
 	"maps"
 	"slices"
@@ -27,6 +28,8 @@
 	// InFlight counts this entry's requests in flight to an instance. Once it
 	// has returned, every later pick uses the newest route table.
 	InFlight(instance string) int
+	// InFlightAll is InFlight of every instance that has any.
+	InFlightAll() map[string]int
 	// Demand is the most requests in flight or waiting for a pool at a time
 	// since the last call.
 	Demand(pool string) int
@@ -57,6 +60,13 @@
 
 	limits    map[string]int // requests that may be in flight, by instance
 	lastRound time.Duration
+	// byPool are the serving instances as of the last round.
+	byPool map[string][]*pools.Instance
+	// shares holds each entry's last word on slots, as it came.
+	shares map[string][]byte
+	// settled: the last round found no demand and changed nothing, and nothing
+	// has come in since that could make the next one differ.
+	settled bool
 
 	wasMember   bool
 	members     uint64 // membership version given to the sharer
@@ -71,7 +81,10 @@
 
 // New returns the control side of the entry that node runs.
 func New(n *node.Node, log *slog.Logger) *Entry {
-	return &Entry{node: n, log: log, sharer: slots.NewSharer(sharerName(n.Self()))}
+	return &Entry{
+		node: n, log: log, sharer: slots.NewSharer(sharerName(n.Self())),
+		shares: make(map[string][]byte),
+	}
 }
 
 // sharerName is unique to a start of an entry: a restarted one does not know
@@ -107,7 +120,9 @@
 		e.poolVersion, e.generation = st.Pools.Version, st.Manifest.Generation
 		e.dirty = true
 	}
-	e.round()
+	if e.dirty {
+		e.round()
+	}
 }
 
 func names(members []membership.Member) []string {
@@ -126,18 +141,26 @@
 func (e *Entry) Tick() {
 	e.noteAcks()
 	e.noteBusy()
-	if e.dirty || e.node.Now()-e.lastRound >= roundEvery {
+	if e.dirty || e.node.Now()-e.lastRound >= roundEvery && !e.atRest() {
 		e.round()
 	}
 }
 
+// atRest reports whether a round would find what the last one found. With
+// 4,000 instances, rounds for nothing took a third of a core of each entry.
+func (e *Entry) atRest() bool { return e.settled && e.traffic.Active() == 0 }
+
 // noteBusy finds the leaving instances that still have requests in flight from
 // here. A handover waits for the last of them, so the others hear soon when
 // one has ended.
 func (e *Entry) noteBusy() {
+	if len(e.leaving) == 0 && len(e.busy) == 0 {
+		return
+	}
 	var busy []string
+	inFlight := e.traffic.InFlightAll()
 	for _, id := range e.leaving {
-		if e.traffic.InFlight(id) > 0 {
+		if inFlight[id] > 0 {
 			busy = append(busy, id)
 		}
 	}
@@ -188,9 +211,10 @@
 
 // Heard implements node.Hooks.
 func (e *Entry) Heard(from peer.Identity, hb node.Heartbeat) {
-	if len(hb.Shares) == 0 || !e.isEntry(from.ID) {
+	if len(hb.Shares) == 0 || !e.isEntry(from.ID) || bytes.Equal(hb.Shares, e.shares[from.ID]) {
 		return
 	}
+	e.shares[from.ID], e.settled = hb.Shares, false
 	var share slots.PeerShare
 	if err := cbor.Unmarshal(hb.Shares, &share); err != nil {
 		e.log.Warn("shares not understood", "peer", from.ID, "error", err.Error())
@@ -209,7 +233,7 @@
 // others grow into the rest as soon as all have acknowledged.
 func (e *Entry) AckLimit() uint64 {
 	limit := e.claims.AckLimit(e.node.State().Offset)
-	if e.members > 0 && e.node.Joined() && !e.sharer.Settled() {
+	if e.members != e.ackedByAll && e.node.Joined() && !e.sharer.Settled() {
 		limit = min(limit, e.members-1)
 	}
 	return limit
@@ -229,35 +253,41 @@
 	if man == nil {
 		return
 	}
-	byPool := e.servingByPool()
 	if e.dirty {
-		e.shareSlots(byPool)
+		e.byPool = e.servingByPool()
+		e.shareSlots(e.byPool)
 	}
-	e.noteDemand(man)
+	demand := e.noteDemand(man)
 	limits := e.sharer.Publish()
-	if e.dirty || !maps.Equal(limits, e.limits) {
+	changed := e.dirty || !maps.Equal(limits, e.limits)
+	e.settled = !changed && demand == 0
+	if changed {
 		e.limits, e.dirty = limits, false
-		e.publishTable(man, byPool)
+		e.publishTable(man, e.byPool)
 		e.traffic.RoutesChanged()
 		e.noteBusy()   // before the record that took them out is acknowledged
 		e.node.Hurry() // loans offered, called back or confirmed
 	}
+	inFlight := e.traffic.InFlightAll()
 	for id := range limits {
-		e.sharer.SetInFlight(id, e.traffic.InFlight(id))
+		e.sharer.SetInFlight(id, inFlight[id])
 	}
 }
 
-// noteDemand tells the sharer what each pool's callers want. More than this
-// entry may use is told to the others soon: callers wait for it.
-func (e *Entry) noteDemand(man *manifest.Manifest) {
+// noteDemand tells the sharer what each pool's callers want, and returns the
+// sum. More than this entry may use is told to the others soon: callers wait
+// for it.
+func (e *Entry) noteDemand(man *manifest.Manifest) (total int) {
 	for i := range man.Pools {
 		name := man.Pools[i].Name
 		demand := e.traffic.Demand(name)
+		total += demand
 		e.sharer.SetDemand(name, demand)
 		if table := e.table.Load(); table != nil && demand > slotsOf(table.Endpoints(name)) {
 			e.node.Hurry()
 		}
 	}
+	return total
 }
 
 func slotsOf(endpoints []dispatch.Endpoint) int {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -35,9 +35,15 @@
 	askAgainAfter = 2 * time.Second
 	// askLimit bounds one call to the platform.
 	askLimit = 5 * time.Second
-	// roundEvery bounds how often a round runs while nothing changes; timers
-	// inside decisions (a drain that takes too long) need no finer grain.
-	roundEvery = 500 * time.Millisecond
+	// roundEvery is how often a round runs without a cause while operations are
+	// under way: they are asked for again, and drains may take too long.
+	// waitingEvery is for tasks that wait for room or a backoff. At rest only
+	// time could change a decision, and restEvery is enough: a round of 4,000
+	// instances takes some 20 ms, and one for each heartbeat took a third of a
+	// core.
+	roundEvery   = 500 * time.Millisecond
+	waitingEvery = 2 * time.Second
+	restEvery    = 10 * time.Second
 	// roundSpacing keeps a burst of records from becoming a burst of rounds:
 	// one of 11,000 instances takes tens of milliseconds.
 	roundSpacing = 10 * time.Millisecond
@@ -92,11 +98,25 @@
 
 // Applied implements node.Hooks. The next step follows at once rather than on
 // the next tick: a move takes four records one after the other.
-func (p *Planner) Applied([]fleetlog.Applied) {
+func (p *Planner) Applied(batch []fleetlog.Applied) {
+	if !slices.ContainsFunc(batch, concernsPlanner) && len(batch) > 0 {
+		return
+	}
 	p.dirty = true
 	p.Tick()
 }
 
+// concernsPlanner leaves out what no decision depends on: the lease's own
+// renewals, and the keys of callers' requests, which come many times a second.
+func concernsPlanner(a fleetlog.Applied) bool {
+	switch a.Record.Kind {
+	case fleetlog.KindLeaseRenew, fleetlog.KindKeyClaim, fleetlog.KindKeyFinish,
+		fleetlog.KindMark, fleetlog.KindPart:
+		return false
+	}
+	return true
+}
+
 // ListChanged implements node.Hooks.
 func (p *Planner) ListChanged() {
 	p.dirty = true
@@ -107,7 +127,11 @@
 func (p *Planner) Beat(_ string, hb *node.Heartbeat) { hb.Ready = len(p.node.NotReady()) == 0 }
 
 // Heard implements node.Hooks: an acknowledgement may open a barrier.
-func (p *Planner) Heard(peer.Identity, node.Heartbeat) { p.dirty = true }
+func (p *Planner) Heard(peer.Identity, node.Heartbeat) {
+	if len(p.progress) > 0 {
+		p.dirty = true
+	}
+}
 
 // MayJoin implements node.Hooks.
 func (p *Planner) MayJoin() bool { return true }
@@ -123,14 +147,26 @@
 		p.progress = nil
 		return
 	}
+	p.tasks.tick(now)
 	since := now - p.lastRun
-	if since < roundSpacing || !p.dirty && since < roundEvery {
+	if since < roundSpacing || !p.dirty && since < p.period() {
 		return
 	}
 	p.dirty, p.lastRun = false, now
 	p.round(now)
 }
 
+// period is how long rounds without a cause are apart.
+func (p *Planner) period() time.Duration {
+	switch {
+	case len(p.progress)+len(p.moves.Waits)+len(p.waves.Halts)+len(p.wave.Draining) > 0:
+		return roundEvery
+	case len(p.tasks.last.Waiting) > 0:
+		return waitingEvery
+	}
+	return restEvery
+}
+
 // contend claims or renews the lease.
 func (p *Planner) contend(now time.Duration) {
 	if !p.node.Joined() {
@@ -189,7 +225,8 @@
 		return
 	}
 	p.plan(st)
-	p.tasks.round(now)
+	p.tasks.decide()
+	p.tasks.ask(now)
 }
 
 // silence is how long a member has not been heard at its present boot. One
--- a/internal/planner/tasks.go
+++ b/internal/planner/tasks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -48,19 +49,22 @@
 	}
 }
 
-// round reads reports when due, writes what ended, decides placement, and asks
-// the platform for what the fold says should run.
-func (t *taskRunner) round(now time.Duration) {
+// tick reads reports and asks the platform for what the fold says should run,
+// when they are due. Placement itself is decided in the planner's rounds.
+func (t *taskRunner) tick(now time.Duration) {
+	if len(t.p.node.State().Tasks.Tasks) == 0 || now-t.readAt < reportsEvery {
+		return
+	}
 	t.read(now)
-	t.decide()
 	t.ask(now)
 }
 
 func (t *taskRunner) read(now time.Duration) {
-	if t.reading || now-t.readAt < reportsEvery {
+	t.readAt = now
+	if t.reading {
 		return
 	}
-	t.reading, t.readAt = true, now
+	t.reading = true
 	t.p.background(func(ctx context.Context) {
 		reports, err := t.p.opts.Platform.Reports(ctx)
 		t.p.node.Post(func() {
@@ -75,7 +79,8 @@
 func (t *taskRunner) observe(reports []platform.TaskReport) {
 	st := t.p.node.State()
 	jobs := jobsByName(st.Manifest.Current())
-	clear(t.reported)
+	before := t.reported
+	t.reported = make(map[string]platform.TaskState, len(before))
 	t.ended = t.ended[:0]
 	for _, r := range reports {
 		held, ok := st.Tasks.Tasks[r.ID]
@@ -92,7 +97,9 @@
 			t.estimator.Observe(job, r, held.PlacedMillis, st.TimeMillis)
 		}
 	}
-	t.p.dirty = true
+	if len(t.ended) > 0 || !maps.Equal(before, t.reported) {
+		t.p.dirty = true
+	}
 }
 
 func (t *taskRunner) decide() {
