settled: wait for the right instances, not for their number

A manifest that lets instances change places left every pool with the right number all the time, so that 'settled' returned before the planner had begun a move. It now asks the moves' decision, and names the first move still wanted. Rounding off by waiting for a first begin was ruled out: a manifest may need no move at all.

--- a/internal/ctl/settled.go
+++ b/internal/ctl/settled.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -120,7 +121,26 @@
 			return fmt.Sprintf("pool %s has %d of %d instances", p.Name, have, p.Instances.Size())
 		}
 	}
-	return ""
+	return wanted(st)
+}
+
+// wanted names the first move that the planner has yet to begin: where
+// instances are to change places, every pool has the right number of them all
+// the time.
+func wanted(st *fleetlog.State) string {
+	in := pools.Input{Manifest: st.Manifest.Current()}
+	for _, inst := range st.Pools.Instances {
+		in.Instances = append(in.Instances, inst)
+	}
+	d := pools.Decide(in)
+	for _, w := range d.Waits {
+		d.Moves = append(d.Moves, w.Move)
+	}
+	if len(d.Moves) == 0 {
+		return ""
+	}
+	m := d.Moves[0]
+	return fmt.Sprintf("%s is to move to %s", m.Instance, cmp.Or(m.To, "the spares"))
 }
 
 func settledResult(st *fleetlog.State, c *moveCounter) Settled {
