Idempotency keys: a joining entry says that owners are changing

An entry that has just joined has no members of its own before it has heard that all have acknowledged its joining. Others may hear of that earlier and send it claims. It answered that no member owns the key, which askers take as final, so that callers were refused with claim-unavailable (ran: unknown) although nothing had failed. It now says that the owner is changing, and askers ask again.

Ruled out: an owner that left and could not be reached; every refusal's cause in the logs was the missing owner.

--- a/internal/idempotency/view.go
+++ b/internal/idempotency/view.go
@@ -16,17 +16,16 @@
 // changing tells whether a change is under way.
 func (v View) changing() bool { return v.Pending != nil }
 
-// owner returns the member that owns key for certain.
+// owner returns the member that owns key for certain. An entry that has just
+// joined has no Members before its first change has ended: others may know of
+// that end before it and ask it already, so it says that the owner is changing.
 func (v View) owner(key KeyHash) (Member, error) {
-	owner, ok := ownerOf(key, v.Members)
-	if !ok {
+	owner, owned := ownerOf(key, v.Members)
+	next, follows := ownerOf(key, v.Pending)
+	if !owned && !follows {
 		return Member{}, &NoOwnerError{}
 	}
-	if !v.changing() {
-		return owner, nil
-	}
-	next, ok := ownerOf(key, v.Pending)
-	if !ok || next != owner {
+	if v.changing() && next != owner {
 		return Member{}, &ChangingOwnerError{From: owner.ID, To: next.ID}
 	}
 	return owner, nil
