Heartbeats at rest: what is the same is neither computed nor taken for news

Cause: demand at zero was sent for every pool, in the map's random order, so that no two messages were alike and every one woke a round; and the workers not live were gathered anew for each peer.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,6 +49,18 @@
 	AckLimit(offset uint64) uint64
 }
 
+// encMode sorts maps, so that the receiver can tell by the bytes whether
+// anything is new.
+var encMode = mustEncMode()
+
+func mustEncMode() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the options are constants of the library
+	}
+	return m
+}
+
 // Entry implements node.Hooks.
 type Entry struct {
 	node    *node.Node
@@ -200,7 +212,7 @@
 		return
 	}
 	name := sharerName(e.node.State().Members.Members[to])
-	if raw, err := cbor.Marshal(e.sharer.Outgoing(name)); err == nil {
+	if raw, err := encMode.Marshal(e.sharer.Outgoing(name)); err == nil {
 		hb.Shares = raw
 	}
 }
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -86,10 +86,11 @@
 		return
 	}
 	n.lastBeat, n.beatWanted = now, false
+	notLive := n.ownNotLive()
 	for id := range n.wanted {
 		hb := Heartbeat{
 			Acked: n.ackedOffset, Generation: n.State().Manifest.Generation,
-			ListVersion: n.list.Version, NotLive: n.ownNotLive(),
+			ListVersion: n.list.Version, NotLive: notLive,
 		}
 		n.hooks.Beat(id, &hb)
 		_ = peer.Notify(n.opts.Peers, id, kindHeartbeat, hb) // the next one says it all again
--- a/internal/node/list.go
+++ b/internal/node/list.go
@@ -86,8 +86,9 @@
 // them: an instance drops off the list when it has gone, and a peer that took
 // its absence here for its return would send work to it again.
 func (n *Node) ownNotLive() []string {
-	if n.list.Version == 0 {
-		return nil
+	at := [2]uint64{n.list.Version, n.State().Pools.Version}
+	if n.list.Version == 0 || at == n.ownNotLiveAt {
+		return n.ownNotLiveIDs
 	}
 	var out []string
 	for i := range n.list.Instances {
@@ -101,6 +102,7 @@
 			out = append(out, id)
 		}
 	}
+	n.ownNotLiveIDs, n.ownNotLiveAt = out, at
 	return out
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,7 +106,11 @@
 	listIndex map[string]*platform.Instance
 	notLive   map[string]bool // from peers with a newer list version
 	notLiveV  uint64
-	listAsked atomic.Int64 // when the list was last asked for with success
+	// ownNotLiveIDs are those of the own list, as of these versions of list
+	// and pools.
+	ownNotLiveIDs []string
+	ownNotLiveAt  [2]uint64
+	listAsked     atomic.Int64 // when the list was last asked for with success
 
 	logOK       bool
 	logAt       time.Duration // last answer of the log
--- a/internal/slots/loans.go
+++ b/internal/slots/loans.go
@@ -260,6 +260,7 @@
 // Outgoing returns what is to be said to a peer.
 func (s *Sharer) Outgoing(to string) PeerShare {
 	m := PeerShare{To: to, Membership: s.base.version, Demand: maps.Clone(s.demand)}
+	maps.DeleteFunc(m.Demand, func(_ string, n int) bool { return n == 0 })
 	for id, byBorrower := range s.lent {
 		if l := byBorrower[to]; l != nil && l.version > 0 {
 			m.Lends = append(m.Lends, Lend{Version: l.version, Instance: id, Slots: l.level})
