--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 KNOWN_RED := $(shell [ -f KNOWN-RED.txt ] && grep -v '^\#' KNOWN-RED.txt | cut -d: -f1 | paste -sd '|')
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)',)
 
-.PHONY: build test demo trial
+.PHONY: build test demo measure fuzz trial
 
 build:
 	go build -o bin/ ./cmd/...
@@ -15,6 +15,18 @@
 demo: build
 	./scripts/demo.sh
 
+# Figures of the pages in docs: minutes in all, fixed seeds.
+measure: build
+	bin/cyclamen-measure load
+	bin/cyclamen-measure fleet
+	bin/cyclamen-measure capacity
+
+# Ten seconds for each fuzz target, beyond the committed corpus that test runs.
+fuzz:
+	go test ./internal/manifest -run XXX -fuzz FuzzParse -fuzztime 10s
+	go test ./internal/fleetlog -run XXX -fuzz FuzzApply -fuzztime 10s
+	go test ./internal/peer -run XXX -fuzz Fuzz -fuzztime 10s
+
 # A trial deployment that runs until it is interrupted.
 trial: build
 	HOLD=1 ./scripts/demo.sh $(DEPLOYMENT)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -9,7 +9,9 @@
 	"slices"
 
 	"cyclamenwheel/internal/fleetlog"
+	"cyclamenwheel/internal/manifest"
 	"cyclamenwheel/internal/planner"
+	"cyclamenwheel/internal/pools"
 )
 
 // Kind is what can be explained.
@@ -111,9 +113,19 @@
 	for _, op := range view.Progress {
 		e.operation(op)
 	}
+	e.spare(m.Buffer.Survive, view.Spare)
 	e.decisions(view, "")
 }
 
+// spare tells whether the shared spare is enough for the loss it is meant for.
+func (e *Explanation) spare(domain manifest.FailureDomain, s pools.SpareNeed) {
+	e.is("%d spares; %d cover the loss of the worst %s", s.Held, s.Needed, domain)
+	if missing := s.Missing(); missing > 0 {
+		e.waits(fmt.Sprintf("%d more spares: the loss of the worst %s would leave a service below its budget", missing, domain),
+			"more instances, smaller pools, lower budgets, or a smaller failure domain in buffer.survive")
+	}
+}
+
 func orSpare(pool string) string {
 	if pool == "" {
 		return "the spares"
--- a/internal/planner/dump.go
+++ b/internal/planner/dump.go
@@ -12,6 +12,7 @@
 	Holds    bool                 `json:"holds_lease"`
 	Progress []Progress           `json:"operations"`
 	Moves    pools.Decision       `json:"moves"`
+	Spare    pools.SpareNeed      `json:"spare"`
 	Waves    maintenance.Decision `json:"waves"`
 	Tasks    placement.Output     `json:"tasks"`
 }
@@ -21,7 +22,7 @@
 func (p *Planner) view() View {
 	return View{
 		Holds: p.contender.Holds(p.node.Now()) != 0, Progress: p.progress,
-		Moves: p.moves, Waves: p.waves, Tasks: p.tasks.last,
+		Moves: p.moves, Spare: p.spare, Waves: p.waves, Tasks: p.tasks.last,
 	}
 }
 
--- a/internal/planner/metrics.go
+++ b/internal/planner/metrics.go
@@ -17,6 +17,8 @@
 	for _, d := range p.waves.Drains {
 		metrics.GetOrCreateCounter(fmt.Sprintf(`cyclamen_drains_decided_total{pool=%q}`, d.Pool)).Inc()
 	}
+	metrics.GetOrCreateFloatCounter("cyclamen_spare_needed").Set(float64(p.spare.Needed))
+	metrics.GetOrCreateFloatCounter("cyclamen_spare_held").Set(float64(p.spare.Held))
 	missing := make(map[string]int)
 	for _, s := range p.moves.Shortfalls {
 		missing[s.Pool] += s.Missing
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -80,6 +80,7 @@
 	tasks    *taskRunner
 	progress []Progress
 	moves    pools.Decision
+	spare    pools.SpareNeed
 	waves    maintenance.Decision
 }
 
@@ -328,7 +329,8 @@
 		Manifest: man, Instances: instances, State: p.wave, NowMillis: p.node.Now().Milliseconds(),
 		Limits: maintenance.Limits{ReturnLimit: p.opts.WaveReturnLimit},
 	}
-	p.moves = pools.Decide(pools.Input{Manifest: man, Instances: instances, Extra: maintenance.Extra(wave)})
+	move := pools.Input{Manifest: man, Instances: instances, Extra: maintenance.Extra(wave)}
+	p.moves, p.spare = pools.Decide(move), pools.Spare(move)
 	wave.Reserved = reserved(p.moves.Moves)
 	p.waves = maintenance.Decide(wave)
 	p.wave = p.waves.State
