--- a/scripts/fleet-of.sh
+++ b/scripts/fleet-of.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
 # Writes a fleet description and a manifest of a given size, for measurements.
 #
-# usage: fleet-of.sh WORKERS POOLS DIRECTORY
+# usage: fleet-of.sh WORKERS POOLS ENTRIES DIRECTORY
 set -euo pipefail
-workers=$1 pools=$2 dir=$3
+workers=$1 pools=$2 entries=$3 dir=$4
 zones=5
 racks=$((workers / 4 / zones))
 size=$((racks * 4 * zones * 9 / 10 / pools))
@@ -11,7 +11,7 @@
   printf '{"zones": ['
   for z in $(seq $zones); do printf '%s{"name": "zone-%d", "racks": %d}' "$([ "$z" -gt 1 ] && echo ', ')" "$z" "$racks"; done
   printf '], "instances_per_rack": 4, "cores": 16, "memory_mb": 65536, "slots": 8, "connections": 64, "id_prefix": "w",\n "entries": ['
-  for i in $(seq 7); do printf '%s\n  {"id": "e%d", "zone": "zone-%d", "addr": "127.0.0.1:%d"}' "$([ "$i" -gt 1 ] && echo ,)" "$i" $(((i - 1) % zones + 1)) $((18100 + i)); done
+  for i in $(seq "$entries"); do printf '%s\n  {"id": "e%d", "zone": "zone-%d", "addr": "127.0.0.1:%d"}' "$([ "$i" -gt 1 ] && echo ,)" "$i" $(((i - 1) % zones + 1)) $((18100 + i)); done
   printf '\n ]}\n'
 } >"$dir/fleet.json"
 {
--- a/scripts/measure-processes.sh
+++ b/scripts/measure-processes.sh
@@ -10,7 +10,7 @@
 . scripts/deployment.sh
 trap stop_all EXIT
 dir=$(mktemp -d "${TMPDIR:-/tmp}/cyclamen-fleet.XXXXXX")
-scripts/fleet-of.sh "$1" "$2" "$dir"
+scripts/fleet-of.sh "$1" "$2" "$entries" "$dir"
 start_deployment
 bin/cyclamenctl publish "$dir/manifest.json" --platform $platform --wait
 settled 300s
