idempotency: tests of the fold, the witness and the service over links

Each safeguard of owner and witness has a test that fails without it; the property with generated interleavings alone was too weak to notice most.

--- a/internal/idempotency/decide_test.go
+++ b/internal/idempotency/decide_test.go
@@ -157,6 +157,27 @@
 		Expect(decided(owner, w)).To(Equal(DecisionRun))
 	})
 
+	// The entry that dispatched leaves. Those who wait are told that the
+	// outcome is unknown, at the latest when no request can still be running.
+	It("says unknown when the asker is lost or silent", func() {
+		ask(owner, third, "first")
+		s.run()
+		again := ask(owner, fourth, "again")
+		s.advance(maxRun)
+		Expect(decided(owner, again)).To(Equal(DecisionUnknown))
+		var other ClaimRecord
+		other.Key = sibling(owner, s)
+		waiters += 2
+		owner.claim(waiters-1, third, other)
+		s.run()
+		other.Attempt = AttemptHash{1}
+		owner.claim(waiters, fourth, other)
+		third.crashed = true
+		s.remove(third.self.ID, false)
+		s.run()
+		Expect(decided(owner, waiters)).To(Equal(DecisionUnknown))
+	})
+
 	// The owner is killed while an attempt runs. Its successor knows the claim
 	// from the fold and must not run the request again; it learns the outcome
 	// from the entry that dispatched it.
@@ -250,6 +271,83 @@
 			Expect(holder.Status).To(Equal(StatusFinished))
 		})
 
+		// The answer has been dropped from memory and the log is still down, so
+		// only the owner's list of held claims knows that the request has run.
+		It("remembers a held key whose answer is gone", func() {
+			owner.holdNext(true, true)
+			owner.finish(attempt("first"), OutcomeAnswered, answer)
+			owner.ledger.done = newAnswers(maxAnswersBytes)
+			Expect(decided(owner, ask(owner, fourth, "again"))).To(Equal(DecisionFinished))
+		})
+
+		// The request ends before its claim has left for the log, as an earlier
+		// record is stuck there. The claim must still be written first, or the
+		// key would stay taken by a request that is over.
+		It("writes a claim before its finish", func() {
+			second := ClaimRecord{Key: sibling(owner, s), Attempt: AttemptHash{2}}
+			owner.claim(99, third, second)
+			owner.holdNext(true, true)
+			owner.holdNext(true, true)
+			owner.finish(second, OutcomeAnswered, answer)
+			owner.ledger.journal.claimsLast = true // it is the finishes' turn
+			witness.crashed = true
+			s.down = false
+			s.run()
+			holder, _ := third.state.Lookup(second.Key)
+			Expect(holder.Status).To(Equal(StatusFinished))
+		})
+
+		// A frozen owner was removed and wakes. Its former witness has read of
+		// the removal, so it takes nothing from it.
+		It("holds nothing for an owner that is losing the key", func() {
+			s.down = false
+			s.remove(owner.self.ID, false)
+			witness.foldNext()
+			Expect(witness.ledger.HoldFor(s.now, owner.self, []ClaimRecord{c})).To(BeAssignableToTypeOf(&NotOwnerError{}))
+			older := Member{ID: owner.self.ID, BootID: "0"}
+			Expect(third.ledger.HoldFor(s.now, older, []ClaimRecord{c})).To(BeAssignableToTypeOf(&NotOwnerError{}))
+			Expect(witness.ledger.Flushed()).To(BeTrue())
+		})
+
+		// The witness's word comes after the owner has folded a change that
+		// takes the key from it, and so has promised to grant nothing more.
+		It("grants nothing on a word that comes after the key has moved", func() {
+			s.down = false
+			s.remove(owner.self.ID, false)
+			for owner.foldNext() {
+			}
+			owner.holdNext(true, true)
+			Expect(owner.reply(w).Err).To(BeAssignableToTypeOf(&ChangingOwnerError{}))
+			Expect(owner.ledger.status().Granted).To(BeZero())
+		})
+
+		// The record of the claim goes out, the witness grants it, and the owner
+		// is removed before the record: the fold rejects it. The owner sends the
+		// claim once more as held, so that the fold learns of it.
+		It("tells the fold of a held claim that it had rejected", func() {
+			owner.holdNext(true, true)
+			witness.crashed = true
+			s.down = false
+			s.remove(owner.self.ID, false)
+			s.run()
+			holder, known := third.state.Lookup(c.Key)
+			Expect(known).To(BeTrue())
+			Expect(holder.Attempt).To(Equal(HashAttempt("first")))
+			Expect(owner.ledger.Flushed()).To(BeTrue())
+		})
+
+		// The witness knows another attempt of the key, which the owner has not
+		// read of yet. It must not help to run the request again.
+		It("refuses as a witness what it knows to be claimed", func() {
+			other := ClaimBatch{Owner: third.self.ID, OwnerBoot: "1", Claims: []ClaimRecord{attempt("earlier")}}
+			s.write(simRecord{id: "x", append: &Append{ID: "x", Claims: &other}})
+			s.down = false
+			witness.foldNext()
+			s.down = true
+			owner.holdNext(true, true)
+			Expect(owner.reply(w).Err).To(MatchError(ContainSubstring("another attempt")))
+		})
+
 		It("refuses as not run where the witness does not answer", func() {
 			owner.holdNext(false, false)
 			Expect(owner.reply(w).Err).To(BeAssignableToTypeOf(&LogUnavailableError{}))
