idempotency: take up claims after the table was replaced; name the deadline

Where records were trimmed unread, verdicts on an owner's own claims can be among them; Resync settles those from the new table and writes the rest again. Begin names the end of the caller's time as its cause: an owner's handler can notice the same deadline first.

--- a/internal/idempotency/begin.go
+++ b/internal/idempotency/begin.go
@@ -55,13 +55,23 @@
 			return r.Decision, r.Answer, nil
 		}
 		heard = heard || mayHaveHeard(err)
-		if final(err) || !sleep(ctx, jitter(askPause)) {
-			if heard {
-				s.report(FinishReport{FinishRecord: c.outcome(OutcomeNotRun)})
-			}
-			return 0, nil, &NotRunError{Cause: err}
+		if !final(err) && sleep(ctx, jitter(askPause)) {
+			continue
 		}
+		if heard {
+			s.report(FinishReport{FinishRecord: c.outcome(OutcomeNotRun)})
+		}
+		return 0, nil, notRun(ctx, err)
+	}
+}
+
+// notRun names the end of the caller's time as the cause where it is one: the
+// owner's own failure is then only the last state on the way.
+func notRun(ctx context.Context, err error) error {
+	if final(err) || ctx.Err() == nil {
+		return &NotRunError{Cause: err}
 	}
+	return &NotRunError{Cause: ctx.Err(), Last: err}
 }
 
 // Finish reports the outcome of an attempt in the background, see Claims.
--- a/internal/idempotency/decide_test.go
+++ b/internal/idempotency/decide_test.go
@@ -157,6 +157,30 @@
 		Expect(decided(owner, w)).To(Equal(DecisionRun))
 	})
 
+	// The owner's records are trimmed before it has read them, and its table
+	// comes from a snapshot. One claim is in it and one is not: the first is
+	// granted, the second is written again.
+	It("takes up its claims after its table was replaced", func() {
+		w := ask(owner, third, "first")
+		other := ClaimRecord{Key: sibling(owner, s), Attempt: AttemptHash{1}}
+		waiters++
+		lost := waiters
+		owner.appendNext(true, true)
+		owner.claim(lost, third, other)
+		s.advance(holdAfter / 10)
+		owner.appends = nil // the second record and its answer are lost
+		for third.foldNext() {
+		}
+		restored, err := RestoreState(third.state.Parts(10))
+		Expect(err).NotTo(HaveOccurred())
+		*owner.state = State{rows: restored.rows, expiry: restored.expiry, now: restored.now, owners: restored.owners}
+		owner.folded = third.folded
+		owner.do(func(l *Ledger) { l.Resync(s.now) })
+		Expect(decided(owner, w)).To(Equal(DecisionRun))
+		s.run()
+		Expect(decided(owner, lost)).To(Equal(DecisionRun))
+	})
+
 	// The entry that dispatched leaves. Those who wait are told that the
 	// outcome is unknown, at the latest when no request can still be running.
 	It("says unknown when the asker is lost or silent", func() {
--- a/internal/idempotency/errors.go
+++ b/internal/idempotency/errors.go
@@ -4,9 +4,20 @@
 
 // NotRunError says that nothing was claimed and the request did not run by
 // this attempt.
-type NotRunError struct{ Cause error }
+type NotRunError struct {
+	// Cause is the end of the caller's context or the failure that made
+	// waiting on useless.
+	Cause error
+	// Last is what the owner said last where the context ended.
+	Last error
+}
 
-func (e *NotRunError) Error() string { return fmt.Sprintf("not run: %v", e.Cause) }
+func (e *NotRunError) Error() string {
+	if e.Last == nil {
+		return fmt.Sprintf("not run: %v", e.Cause)
+	}
+	return fmt.Sprintf("not run: %v, last: %v", e.Cause, e.Last)
+}
 
 // Unwrap returns the cause.
 func (e *NotRunError) Unwrap() error { return e.Cause }
--- a/internal/idempotency/hold.go
+++ b/internal/idempotency/hold.go
@@ -11,7 +11,7 @@
 	// the witness costs a message, and later one more record.
 	holdAfter = time.Second
 	// maxHeld bounds the claims held as owner and, apart, as witness. It is 43
-	// minutes of outage at 100 claims a second and about 30 MB; past it claims
+	// minutes of outage at 100 claims a second and, by estimate, 35 MB; past it claims
 	// are refused as not run.
 	maxHeld = 1 << 18
 )
--- a/internal/idempotency/journal.go
+++ b/internal/idempotency/journal.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -216,6 +218,39 @@
 	return b
 }
 
+// Resync is to be called after the table was replaced from a snapshot, as some
+// records were trimmed unread. Verdicts on this process's own may be among
+// them: what the table shows is taken as read back, and the rest is written
+// again. The fold tells repetitions by their attempt.
+func (l *Ledger) Resync(now time.Time) {
+	j := &l.journal
+	l.viewSeq++
+	l.proven, j.inflight = false, nil
+	for _, id := range slices.Sorted(maps.Keys(j.awaiting)) {
+		b := j.awaiting[id]
+		delete(j.awaiting, id)
+		for _, c := range b.claims {
+			l.resyncClaim(now, c)
+		}
+		for _, f := range b.finishes {
+			j.finishes = append(j.finishes, pendingFinish{FinishRecord: f})
+		}
+	}
+	l.pump(now)
+}
+
+func (l *Ledger) resyncClaim(now time.Time, c *pendingClaim) {
+	e, ok := l.table.Lookup(c.Key)
+	if !ok {
+		c.sent = false
+		l.journal.queue = append(l.journal.queue, c)
+		return
+	}
+	r := ClaimResult{Won: e.Attempt == c.Attempt && e.Status == StatusClaimed, Holder: e}
+	l.observe(ClaimBatch{Claims: []ClaimRecord{c.ClaimRecord}}, []ClaimResult{r})
+	l.claimFolded(now, c, r)
+}
+
 func (j *journal) hasWork() bool { return len(j.flush)+len(j.queue)+len(j.finishes) > 0 }
 
 // Wake returns when Tick is next to be called; ok is false where nothing is
--- a/internal/idempotency/run.go
+++ b/internal/idempotency/run.go
@@ -196,6 +196,12 @@
 	s.step(func(l *Ledger, now time.Time) { l.SetView(now, v) })
 }
 
+// Resync is to be called after the table was replaced from a snapshot, before
+// any later record is folded.
+func (s *Service) Resync() {
+	s.step(func(l *Ledger, now time.Time) { l.Resync(now) })
+}
+
 // Flushed tells whether the log has every claim this process holds.
 func (s *Service) Flushed() bool {
 	s.mu.Lock()
