--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -20,9 +20,6 @@
 	// challengeStagger is the extra wait of each further challenger for the
 	// planner lease: longer than a claim takes to be read back.
 	challengeStagger = 150 * time.Millisecond
-	// fenceAfter is how long a silent entry may hold a handover up. Longer
-	// than a restart of the process or the outage of one link.
-	fenceAfter = 20 * time.Second
 )
 
 // ControlMain runs cyclamen-control and returns its exit code.
@@ -40,7 +37,7 @@
 		return exitFailure
 	}
 	p := planner.New(planner.Options{
-		Node: d.Node, Platform: d.Platform, Logger: d.Log, FenceAfter: fenceAfter,
+		Node: d.Node, Platform: d.Platform, Logger: d.Log, FenceAfter: s.FenceAfter,
 		Timing: planlease.Timing{
 			TTL: s.Timing.LeaseTTL, RenewEvery: s.Timing.LeaseTTL / 3, Stagger: challengeStagger,
 		},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,7 +71,8 @@
 	d.Platform = platform.NewClient(s.PlatformURL.String(), &http.Client{Transport: d.http})
 	d.Node = node.New(node.Options{
 		Self: self, Platform: d.Platform, Peers: peers, Seeds: seeds(s.Peer.Seeds),
-		Heartbeat: s.Timing.Heartbeat, ListPoll: s.Timing.ListPoll, Logger: log,
+		Heartbeat: s.Timing.Heartbeat, ListPoll: s.Timing.ListPoll,
+		SnapshotEvery: s.Timing.SnapshotEvery, Logger: log,
 	})
 	d.Operator, err = operator.New(operator.Options{
 		Process: operator.Process{ID: self.ID, Deployment: s.Process.Deployment, Zone: self.Zone, Version: version.Version},
--- a/internal/settings/daemons.go
+++ b/internal/settings/daemons.go
@@ -40,6 +40,7 @@
 	ReadyGrace    time.Duration
 	DrainLimit    time.Duration
 	ShutdownLimit time.Duration
+	SnapshotEvery time.Duration
 }
 
 // Common is what both daemons have.
@@ -64,6 +65,7 @@
 // ControlSettings are the settings of cyclamen-control.
 type ControlSettings struct {
 	Common
+	FenceAfter time.Duration
 }
 
 // LoadEntry reads the settings of cyclamen-entry.
@@ -88,7 +90,10 @@
 	if err != nil {
 		return ControlSettings{}, err
 	}
-	return ControlSettings{Common: common(v)}, nil
+	return ControlSettings{
+		Common:     common(v),
+		FenceAfter: v.Duration(sectionTiming, "fence_after"),
+	}, nil
 }
 
 func common(v Values) Common {
@@ -130,5 +135,6 @@
 		ReadyGrace:    v.Duration(sectionTiming, "ready_grace"),
 		DrainLimit:    v.Duration(sectionTiming, "drain_limit"),
 		ShutdownLimit: v.Duration(sectionTiming, "shutdown_limit"),
+		SnapshotEvery: v.Duration(sectionTiming, "snapshot_every"),
 	}
 }
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -44,7 +44,7 @@
 	return Table{
 		Daemon: "cyclamen-control",
 		Keys: slices.Concat(processKeys(), operatorKeys(),
-			timingKeys(), drainKeys(), limitKeys()),
+			timingKeys(), fenceKeys(), drainKeys(), limitKeys()),
 		Checks: []Check{checkLease, checkShutdown},
 	}
 }
@@ -104,6 +104,17 @@
 		{Section: sectionTiming, Name: "list_poll", Kind: KindDuration, Default: "250ms", Unit: "ms, s",
 			Min: int64(10 * time.Millisecond), Max: int64(30 * time.Second),
 			Doc: "Interval at which the platform's instance list is read."},
+		{Section: sectionTiming, Name: "snapshot_every", Kind: KindDuration, Default: "2m", Unit: "s, m",
+			Min: int64(100 * time.Millisecond), Max: int64(24 * time.Hour),
+			Doc: "Longest time between two snapshots in the log; keep it under half of the log's retention."},
+	}
+}
+
+func fenceKeys() []Key {
+	return []Key{
+		{Section: sectionTiming, Name: "fence_after", Kind: KindDuration, Default: "20s", Unit: "s, m",
+			Min: int64(time.Second), Max: int64(time.Hour),
+			Doc: "Time after which the platform is asked to stop the instance of a silent entry that holds a handover up; longer than a restart takes."},
 	}
 }
 
