--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -81,20 +81,22 @@
 // follow it.
 func (k *Keys) OnApplied(batch []fleetlog.Applied) {
 	st := k.node.State()
-	k.state.Store(st.Keys)
+	replaced := k.state.Swap(st.Keys) != st.Keys
+	if n := len(st.Guard.Losses); n > 0 {
+		k.lostAt = st.Guard.Losses[n-1].Offset
+	}
+	if replaced {
+		// The state was taken from a peer or a snapshot: the records before it
+		// were never told one by one.
+		k.change(st.Entries())
+		k.service.Resync()
+	}
 	for _, a := range batch {
 		if a.Entries != nil || a.Offset == st.Members.Version {
 			k.change(a.Entries)
 		}
-		if n := len(st.Guard.Losses); n > 0 {
-			k.lostAt = st.Guard.Losses[n-1].Offset
-		}
 		k.tell(a)
 	}
-	if len(batch) == 0 {
-		// A state taken from a peer or a snapshot.
-		k.change(st.Entries())
-	}
 }
 
 func (k *Keys) tell(a fleetlog.Applied) {
