Stand-in: late repetitions, refusals, large and chunked answers, proxies

Endpoints can refuse a request as not run, repeat an answer ahead of the next one on the connection, leave the request id out, and pad or chunk answers. An instance can be listed at the address of a proxy in front of it.

A refusal as not run now names its request, as other answers do: docs/PLATFORM.md asked for the echo already. Without it a refusal that comes late could be taken for the answer to the next request.

--- a/internal/standin/controlapi.go
+++ b/internal/standin/controlapi.go
@@ -45,6 +45,9 @@
 	State platform.InstanceState `json:"state,omitempty"`
 	// Pool puts it into a pool without a reboot, to form a fleet for a test.
 	Pool *string `json:"pool,omitempty"`
+	// Addr lists the instance at another address, such as that of a proxy in
+	// front of it. Its endpoint stays where it is.
+	Addr string `json:"addr,omitempty"`
 	// Entry adds the row of an entry or changes it.
 	Entry *EntryRow `json:"entry,omitempty"`
 }
--- a/internal/standin/endpoint_test.go
+++ b/internal/standin/endpoint_test.go
@@ -95,6 +95,58 @@
 		}),
 	)
 
+	// The refusal of the first request comes once more ahead of the answer to
+	// the second one, which has run.
+	It("repeats an answer late", func() {
+		r := start(nil)
+		Expect(r.control.SetEndpointFault(ctx, "w001",
+			standin.EndpointFault{NotRun: true, RepeatLate: true, Next: 1})).To(Succeed())
+		conn, err := net.Dial("tcp", r.truth("w001").Addr)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		br := bufio.NewReader(conn)
+		want := []string{"r1", "r1", "r2"}
+		for i, sent := range []string{"r1", "r2", ""} {
+			if sent != "" {
+				_, err = io.WriteString(conn, "GET /tabs/1 HTTP/1.1\r\nHost: w\r\nX-Request-Id: "+sent+"\r\n\r\n")
+				Expect(err).NotTo(HaveOccurred())
+			}
+			resp, err := http.ReadResponse(br, nil)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Header.Get(standin.HeaderRequestID)).To(Equal(want[i]))
+		}
+		Expect(r.runs()).To(ConsistOf(HaveField("RequestID", "r2")))
+	})
+
+	It("gives large and chunked answers, whole or cut", func() {
+		r := start(nil)
+		const size = 1 << 20
+		for _, f := range []standin.EndpointFault{{AnswerBytes: size}, {AnswerBytes: size, Chunked: true}} {
+			Expect(r.control.SetEndpointFault(ctx, "w001", f)).To(Succeed())
+			resp, err := r.get(httpClient(), "w001", "r1", "0")
+			Expect(err).NotTo(HaveOccurred())
+			data, err := io.ReadAll(resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(data).To(HaveLen(size))
+			f.CutBody = true
+			Expect(r.control.SetEndpointFault(ctx, "w001", f)).To(Succeed())
+			resp, err = r.get(httpClient(), "w001", "r1", "0")
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.ReadAll(resp.Body)
+			Expect(err).To(HaveOccurred())
+		}
+	})
+
+	It("is listed at the address of a proxy in front of it", func() {
+		r := start(nil)
+		Expect(r.control.Change(ctx, "w001", standin.InstanceChange{Addr: "127.0.0.1:1"})).To(Succeed())
+		Expect(r.truth("w001").Addr).To(Equal("127.0.0.1:1"))
+		Expect(r.control.SetState(ctx, "w001", platform.StateLive)).To(Succeed())
+		Expect(r.truth("w001").Addr).To(Equal("127.0.0.1:1"))
+	})
+
 	It("sends an answer twice on a kept-alive connection", func() {
 		r := start(nil)
 		Expect(r.control.SetEndpointFault(ctx, "w001", standin.EndpointFault{Duplicate: true, Next: 1})).To(Succeed())
--- a/internal/standin/endpointfault.go
+++ b/internal/standin/endpointfault.go
@@ -19,6 +19,9 @@
 	CutBody bool `json:"cut_body,omitempty"`
 	// Duplicate sends the answer twice on the kept-alive connection.
 	Duplicate bool `json:"duplicate,omitempty"`
+	// RepeatLate sends the answer a second time ahead of the answer to the next
+	// request on the same connection.
+	RepeatLate bool `json:"repeat_late,omitempty"`
 	// HoldBack sends no answer until the next request on the same connection,
 	// whose answer it then precedes.
 	HoldBack bool `json:"hold_back,omitempty"`
@@ -26,8 +29,12 @@
 	Cross bool `json:"cross,omitempty"`
 	// WrongRequestID answers with another X-Request-Id.
 	WrongRequestID bool `json:"wrong_request_id,omitempty"`
+	// NoRequestID leaves X-Request-Id out of answers and refusals.
+	NoRequestID bool `json:"no_request_id,omitempty"`
 	// Hang reads the request and never runs or answers it.
 	Hang bool `json:"hang,omitempty"`
+	// NotRun answers that the request did not run, which is true.
+	NotRun bool `json:"not_run,omitempty"`
 	// CloseAfterRun runs the request and closes without an answer.
 	CloseAfterRun bool `json:"close_after_run,omitempty"`
 	// Refuse closes every new connection at once.
@@ -35,6 +42,11 @@
 	// FailStatus, such as 500, is answered after the request has run.
 	FailStatus int `json:"fail_status,omitempty"`
 
+	// AnswerBytes pads the answer's body with spaces to this size, and Chunked
+	// sends it in chunks in place of a length.
+	AnswerBytes int  `json:"answer_bytes,omitempty"`
+	Chunked     bool `json:"chunked,omitempty"`
+
 	// Next bounds the faults above that concern single requests to so many;
 	// 0 sets no bound. Refuse is not bounded.
 	Next int `json:"next,omitempty"`
--- a/internal/standin/operations.go
+++ b/internal/standin/operations.go
@@ -155,6 +155,9 @@
 	if err := f.setState(m, c.State); err != nil {
 		return err
 	}
+	if c.Addr != "" {
+		m.row.Addr = c.Addr
+	}
 	if c.Pool != nil {
 		m.row.Pool = *c.Pool
 		if m.ep != nil {
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -96,6 +96,9 @@
 		<-x.s.done
 		return false
 	}
+	if fault.NotRun {
+		return x.send(refusal(req, fault), fault)
+	}
 	service, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
 	sum := sha256.Sum256(body)
 	run, verdict := x.s.begin(Run{Service: service, RequestID: req.Header.Get(HeaderRequestID),
@@ -103,13 +106,32 @@
 		Path: req.URL.Path, BodySHA256: hex.EncodeToString(sum[:])})
 	switch verdict {
 	case slotsTaken:
-		return x.write(render(req, http.StatusServiceUnavailable, http.Header{HeaderNotRun: {"true"}}, nil))
+		return x.write(refusal(req, fault))
 	case shuttingDown:
 		return false
 	}
 	return x.run(req, run, fault)
 }
 
+// refusal says that the request did not run. It names the request: without
+// that, one that comes late could be taken for the answer to the next request.
+func refusal(req *http.Request, fault EndpointFault) []byte {
+	header := fault.header(req.Header.Get(HeaderRequestID))
+	header.Set(HeaderNotRun, "true")
+	return render(req, http.StatusServiceUnavailable, header, nil)
+}
+
+// header is what every answer to a request carries.
+func (f EndpointFault) header(requestID string) http.Header {
+	switch {
+	case f.NoRequestID:
+		return http.Header{}
+	case f.WrongRequestID:
+		return http.Header{HeaderRequestID: {"wrong-" + requestID}}
+	}
+	return http.Header{HeaderRequestID: {requestID}}
+}
+
 // run is a request that has a slot. It keeps the slot until its answer is
 // written: a planned reboot must not cut the answer either.
 func (x *exchange) run(req *http.Request, run Run, fault EndpointFault) bool {
@@ -144,28 +166,41 @@
 	if fault.FailStatus != 0 {
 		status = fault.FailStatus
 	}
-	header := http.Header{HeaderRequestID: {run.RequestID}}
-	if fault.WrongRequestID {
-		header.Set(HeaderRequestID, "wrong-"+run.RequestID)
-	}
+	header := fault.header(run.RequestID)
 	payload := mustJSON(EndpointAnswer{Instance: run.Instance, BootID: run.BootID, Pool: run.Pool,
 		Service: run.Service, RequestID: run.RequestID, IdempotencyKey: run.IdempotencyKey,
 		Run: run.Seq, BodySHA256: run.BodySHA256})
+	if pad := fault.AnswerBytes - len(payload); pad > 0 {
+		payload = append(payload, bytes.Repeat([]byte{' '}, pad)...)
+	}
 	out := render(req, status, header, payload)
+	if fault.Chunked {
+		out = renderChunked(req, status, header, payload)
+	}
 	if fault.Cross {
 		out = x.s.cross(out)
 	}
-	switch {
-	case fault.CutBody:
+	if fault.CutBody {
 		x.write(out[:len(out)-len(payload)/2])
 		return false
+	}
+	return x.send(out, fault)
+}
+
+// send writes an answer, or keeps it back, and perhaps again.
+func (x *exchange) send(out []byte, fault EndpointFault) bool {
+	switch {
 	case fault.HoldBack:
 		x.held = append(x.held, out...)
 		return true
 	case fault.Duplicate:
 		out = append(out, out...)
 	}
-	return x.write(out)
+	ok := x.write(out)
+	if fault.RepeatLate {
+		x.held = out
+	}
+	return ok
 }
 
 // write sends what was held back and then out.
@@ -195,9 +230,22 @@
 
 // render is the answer as it goes over the wire.
 func render(req *http.Request, status int, header http.Header, body []byte) []byte {
+	return serialize(answerOf(req, status, header, body))
+}
+
+func renderChunked(req *http.Request, status int, header http.Header, body []byte) []byte {
+	resp := answerOf(req, status, header, body)
+	resp.ContentLength, resp.TransferEncoding = -1, []string{"chunked"}
+	return serialize(resp)
+}
+
+func answerOf(req *http.Request, status int, header http.Header, body []byte) *http.Response {
 	header.Set("Content-Type", jsonType)
-	resp := &http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: header,
+	return &http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: header,
 		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)), Request: req, Close: req.Close}
+}
+
+func serialize(resp *http.Response) []byte {
 	var buf bytes.Buffer
 	// Writing to memory a body of known length does not fail.
 	_ = resp.Write(&buf)
