A refusal does not wait for a body that nobody wants

Cause: where the entry refused a request before it had read its body (unknown service, bad key, too large, draining, a body that stopped half-way), net/http read the rest of the body first and sent the refusal after it. A caller that sent slowly or not at all got no final answer, and its connection and goroutine stayed for as long as it liked.

Ruled out: the handler (it had written the refusal and returned) and the read deadline of the body (it was lifted again before the refusal).

Now such a refusal ends the time for reading and the connection with it. The connection is closed after its answer even where the body would still have come.

--- a/internal/dispatch/handler.go
+++ b/internal/dispatch/handler.go
@@ -63,18 +63,18 @@
 		w.Header().Set("Connection", "close")
 	}
 	if !h.calls.enter() {
-		h.refuse(w, c, h.early(r, TypeDraining, http.StatusServiceUnavailable))
+		h.refuseUnread(w, r, c, h.early(r, TypeDraining, http.StatusServiceUnavailable))
 		return
 	}
 	defer h.calls.exit()
 	if p := h.open(c, r); p != nil {
-		h.refuse(w, c, *p)
+		h.refuseUnread(w, r, c, *p)
 		return
 	}
 	free, p := h.readBody(w, c, r)
 	defer free()
 	if p != nil {
-		h.refuse(w, c, *p)
+		h.refuseUnread(w, r, c, *p)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
--- a/internal/dispatch/handler_test.go
+++ b/internal/dispatch/handler_test.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -316,6 +318,33 @@
 	})
 })
 
+var _ = Describe("a body that does not come", func() {
+	// The caller announces a body and sends none of it, or stops half-way. The
+	// refusal must not wait for the rest, and the connection must not stay.
+	DescribeTable("does not hold the refusal back", func(path, sent string, header string, want int) {
+		e := newEntry(Options{MaxBody: 500}, newWorker("w1", echo).Endpoint)
+		conn, err := net.Dial("tcp", e.server.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		Expect(conn.SetDeadline(time.Now().Add(short))).To(Succeed())
+		_, err = io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: e\r\n"+header+"\r\n"+sent)
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(want))
+		Expect(resp.Close).To(BeTrue())
+		_, err = io.Copy(io.Discard, conn)
+		Expect(err).NotTo(HaveOccurred())
+	},
+		Entry("unknown service", "/nobody/x", "", "Content-Length: 100\r\n", 404),
+		Entry("key too long", "/tabs/x", "", "Content-Length: 100\r\nIdempotency-Key: "+strings.Repeat("k", 300)+"\r\n", 400),
+		Entry("too large", "/tabs/x", "", "Content-Length: 501\r\n", 413),
+		Entry("too large in chunks", "/tabs/x", "258\r\n"+strings.Repeat("x", 600), "Transfer-Encoding: chunked\r\n", 413),
+		Entry("stopped half-way", "/tabs/x", "half", "Content-Length: 100\r\nX-Deadline-Ms: 200\r\n", 400),
+		Entry("stopped half-way in chunks", "/tabs/x", "64\r\nhalf", "Transfer-Encoding: chunked\r\nX-Deadline-Ms: 200\r\n", 400),
+	)
+})
+
 var _ = Describe("graceful shutdown", func() {
 	It("finishes what is in flight and refuses the rest as not run", func() {
 		started, hold := make(chan struct{}), make(chan struct{})
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -74,14 +74,29 @@
 	// A sender that stops half-way is cut off at its own deadline.
 	_ = http.NewResponseController(w).SetReadDeadline(c.deadline) // not supported by test recorders
 	body, err := readAll(http.MaxBytesReader(w, r.Body, h.opts.MaxBody), r.ContentLength)
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	if err != nil {
 		return free, bodyRefusal(err)
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	c.body = body
 	return free, nil
 }
 
+// refuseUnread refuses a request whose body was not read to its end, and ends
+// the connection.
+//
+// Failure: the caller sends its body slowly, or stops half-way. net/http reads
+// the rest before it sends the answer, so that the refusal is held back and the
+// connection stays for as long as the caller likes. With the time for reading
+// over, the answer goes out at once.
+func (h *Handler) refuseUnread(w http.ResponseWriter, r *http.Request, c *call, p refusal) {
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+		_ = http.NewResponseController(w).SetReadDeadline(c.arrived) // not supported by test recorders
+	}
+	h.refuse(w, c, p)
+}
+
 func readAll(r io.Reader, size int64) ([]byte, error) {
 	var buf bytes.Buffer
 	if size > 0 {
