Believe "did not run" only of an endpoint that names the request

Cause: a 503 with X-Not-Run and without X-Request-Id was taken for the request that waited on the connection. If answers are crossed it speaks of another one: a request that runs was told "did not run", and the entry itself sent it to another endpoint because of it.

Now an unnamed refusal counts as a broken answer: "unknown" for what is not idempotent. The unit test of a believed refusal names its request, as the endpoints' contract asks; one without a name stands beside it.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -125,7 +125,7 @@
 		return &CrossedAnswerError{Instance: instance, Want: c.id, Got: got}
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "true" {
-		return &EndpointRefusedError{Instance: instance}
+		return refusedBy(instance, got != "")
 	}
 	chunked := len(resp.TransferEncoding) > 0
 	if resp.ContentLength < 0 && !chunked && resp.Body != http.NoBody {
@@ -134,6 +134,19 @@
 	return nil
 }
 
+// refusedBy takes an endpoint's word that it did not run a request only where
+// it names the request.
+//
+// Failure: answers are crossed, or one comes late on a kept connection. Symptom:
+// a request that runs is told "did not run", or is sent to another endpoint
+// because of it, and runs twice.
+func refusedBy(instance string, named bool) error {
+	if !named {
+		return &UnnamedRefusalError{Instance: instance}
+	}
+	return &EndpointRefusedError{Instance: instance}
+}
+
 // receive reads the answer up to the buffer's size. A connection is kept only
 // after the last byte of its answer.
 func (h *Handler) receive(s *slot, cn *conn, resp *http.Response) (*answer, error) {
--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -61,6 +61,14 @@
 	return fmt.Sprintf("endpoint %s: refused without running the request", e.Instance)
 }
 
+// UnnamedRefusalError says that the endpoint stated that it did not run a
+// request, but not which one.
+type UnnamedRefusalError struct{ Instance string }
+
+func (e *UnnamedRefusalError) Error() string {
+	return fmt.Sprintf("endpoint %s: refusal names no request", e.Instance)
+}
+
 // BrokenAnswerError says that a request was sent at least in part and no whole
 // answer came back.
 type BrokenAnswerError struct {
--- a/internal/dispatch/handler_test.go
+++ b/internal/dispatch/handler_test.go
@@ -111,8 +111,8 @@
 	// The endpoint itself says that it did not run the request (it is
 	// leaving). With nowhere else to go the caller gets "no", not "unknown".
 	It("believes an endpoint that says it did not run", func() {
-		w := newWorker("w1", func(_ int64, _ *http.Request, _ []byte, c net.Conn) bool {
-			reply(c, 503, HeaderNotRun+": true\r\n", "")
+		w := newWorker("w1", func(_ int64, req *http.Request, _ []byte, c net.Conn) bool {
+			reply(c, 503, HeaderNotRun+": true\r\n"+HeaderRequestID+": "+req.Header.Get(HeaderRequestID)+"\r\n", "")
 			return true
 		})
 		out := newEntry(Options{}, w.Endpoint).do("POST", "/tabs/charge", "5")
@@ -120,6 +120,20 @@
 		Expect(out.problem.Ran).To(Equal(RanNo))
 	})
 
+	// The same, but the refusal does not say of which request it speaks: it may
+	// be the late answer to another, and this one may run. The caller gets
+	// "unknown", and the charge is not sent again.
+	It("does not believe a refusal that names no request", func() {
+		w := newWorker("w1", func(_ int64, _ *http.Request, _ []byte, c net.Conn) bool {
+			reply(c, 503, HeaderNotRun+": true\r\n", "")
+			return true
+		})
+		out := newEntry(Options{}, w.Endpoint).do("POST", "/tabs/charge", "5")
+		Expect(out.status).To(Equal(502))
+		Expect(out.problem.Ran).To(Equal(RanUnknown))
+		Expect(w.runs.Load()).To(Equal(int64(1)))
+	})
+
 	It("retries an idempotent request whose answer broke", func() {
 		w := newWorker("w1", func(n int64, req *http.Request, b []byte, c net.Conn) bool {
 			return n > 1 && echo(n, req, b, c)
