Proof: refused as not run means that it did not run

Every verdict is compared with what the endpoints ran, and no POST may run twice. Deadlines are minutes away, so that a refusal which is held back fails the proof.

--- /dev/null
+++ b/test/harness/caller.go
@@ -0,0 +1,98 @@
+package harness
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/dispatch"
+	"cyclamenwheel/internal/standin"
+)
+
+// Request is one request of a caller.
+type Request struct {
+	// ID is the X-Request-Id, by which the endpoints' history is searched.
+	ID      string
+	Method  string // GET by default
+	Service string
+	Body    string
+	// Work is the service time asked for, Deadline the caller's own.
+	Work, Deadline time.Duration
+}
+
+// Reply is what the caller got.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Problem is set, and Refused, where the entry itself refused.
+	Problem dispatch.Problem
+	Refused bool
+	// Err is set where no whole answer came.
+	Err error
+}
+
+// caller sends each request on a connection of its own, and once.
+var caller = &http.Client{
+	Timeout:       Patience,
+	Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
+
+// Send sends a request to an entry and returns what came of it.
+func (p *Process) Send(r Request) Reply {
+	ginkgo.GinkgoHelper()
+	if r.Method == "" {
+		r.Method = http.MethodGet
+	}
+	req, err := http.NewRequest(r.Method, p.CallerURL()+"/"+r.Service+"/item/1", strings.NewReader(r.Body))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	req.GetBody = nil
+	req.Header.Set(dispatch.HeaderRequestID, r.ID)
+	if r.Work > 0 {
+		req.Header.Set(standin.HeaderWork, strconv.FormatInt(r.Work.Milliseconds(), 10))
+	}
+	if r.Deadline > 0 {
+		req.Header.Set(dispatch.HeaderDeadline, strconv.FormatInt(r.Deadline.Milliseconds(), 10))
+	}
+	resp, err := caller.Do(req)
+	if err != nil {
+		return Reply{Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out := Reply{Status: resp.StatusCode, Header: resp.Header}
+	out.Body, out.Err = io.ReadAll(resp.Body)
+	if out.Err == nil && resp.Header.Get("Content-Type") == dispatch.ProblemContentType {
+		gomega.Expect(json.Unmarshal(out.Body, &out.Problem)).To(gomega.Succeed())
+		out.Refused = true
+	}
+	return out
+}
+
+// Own reports whether the reply is the endpoint's whole answer to the request.
+func (r Reply) Own(id string) bool {
+	var answer standin.EndpointAnswer
+	return r.Err == nil && !r.Refused && json.Unmarshal(r.Body, &answer) == nil &&
+		answer.RequestID == id && r.Header.Get(dispatch.HeaderRequestID) == id
+}
+
+// RunsOf returns the runs of a request.
+func (c *Cluster) RunsOf(id string) []standin.Run {
+	ginkgo.GinkgoHelper()
+	hist, err := c.Standin.History(bg, 1)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(hist.Dropped).To(gomega.BeZero())
+	var out []standin.Run
+	for _, run := range hist.Runs {
+		if run.RequestID == id {
+			out = append(out, run)
+		}
+	}
+	return out
+}
--- a/test/harness/load.go
+++ b/test/harness/load.go
@@ -74,6 +74,14 @@
 	return l.sum
 }
 
+// Wait waits until a load of so many requests is over, and expects what Stop
+// expects.
+func (l *Load) Wait() load.Summary {
+	ginkgo.GinkgoHelper()
+	gomega.Eventually(l.done, Patience).Should(gomega.BeClosed())
+	return l.Stop()
+}
+
 func (l *Load) abandon() {
 	l.cancel()
 	<-l.done
