Peers: take a state only where the records are gone

Cause: an entry that fell behind the log asked a peer for records, and on any failure took the peer's whole state instead. It then jumped over the verdicts on its own records of keys. A peer now says whether it no longer keeps the record.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -28,7 +28,11 @@
 	peer.Handle(n.opts.Peers, kindRecords,
 		func(_ context.Context, _ peer.Identity, req RecordsRequest) (RecordsAnswer, error) {
 			var ans RecordsAnswer
-			if !n.Do(func() { ans.Records = n.ring.from(req.From, fetchBytes) }) {
+			ok := n.Do(func() {
+				ans.Records = n.ring.from(req.From, fetchBytes)
+				ans.Gone = len(ans.Records) == 0 && !n.replica.Cold() && n.State().Offset >= req.From
+			})
+			if !ok {
 				return ans, &StoppedError{}
 			}
 			return ans, nil
@@ -163,18 +167,17 @@
 	n.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(n.ctx, fetchLimit)
 		defer cancel()
-		var records []platform.LogRecord
+		ans := RecordsAnswer{Gone: cold}
 		if !cold {
-			ans, err := peer.Call[RecordsRequest, RecordsAnswer](ctx, n.opts.Peers, id, kindRecords, RecordsRequest{From: next}, transfer)
-			if err == nil {
-				records = ans.Records
-			}
+			// An error is no reason to take the state: jumping over records
+			// costs the entry what it would have learnt from them one by one.
+			ans, _ = peer.Call[RecordsRequest, RecordsAnswer](ctx, n.opts.Peers, id, kindRecords, RecordsRequest{From: next}, transfer)
 		}
 		var st *fleetlog.State
-		if len(records) == 0 {
+		if ans.Gone {
 			st = n.fetchState(ctx, id, above)
 		}
-		n.post(func() { n.fetched(id, records, st) })
+		n.post(func() { n.fetched(id, ans.Records, st) })
 	})
 }
 
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -40,10 +40,12 @@
 	From uint64 `cbor:"1,keyasint"`
 }
 
-// RecordsAnswer carries them. Empty means that the peer keeps them no longer:
-// the asker then wants its state.
+// RecordsAnswer carries them.
 type RecordsAnswer struct {
 	Records []platform.LogRecord `cbor:"1,keyasint"`
+	// Gone tells that the peer has folded the record asked for and keeps it no
+	// longer: the asker then wants its state.
+	Gone bool `cbor:"2,keyasint,omitempty"`
 }
 
 // StateRequest asks a peer for its folded state.
