--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -52,10 +52,24 @@
 	return fmt.Sprintf("can't explain a %q: instance, pool, job or manifest", e.Kind)
 }
 
+// current leaves out operations that the fold has seen end since the planner
+// looked: its view is a moment older.
+func current(st *fleetlog.State, view planner.View) planner.View {
+	var still []planner.Progress
+	for _, op := range view.Progress {
+		if in := st.Pools.Instances[op.Instance]; in != nil && in.Operation == op.Operation {
+			still = append(still, op)
+		}
+	}
+	view.Progress = still
+	return view
+}
+
 // Of explains one thing. view is the planner's; its zero value, where no
 // planner answers, leaves out what is only being considered.
 func Of(st *fleetlog.State, view planner.View, kind Kind, name string) (Explanation, error) {
 	e := &Explanation{Kind: kind, Name: name}
+	view = current(st, view)
 	var err error
 	switch kind {
 	case KindInstance:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -49,6 +49,16 @@
 	g.Expect(e.Unblock).NotTo(BeEmpty())
 }
 
+// The planner's last round still lists an operation that the fold has seen end.
+func TestOperationThatHasEndedIsNotWaitedFor(t *testing.T) {
+	g := NewWithT(t)
+	st := stateWith(t, pools.Instance{ID: "w", Pool: "a", Phase: pools.PhaseServing})
+	view := planner.View{Holds: true, Progress: []planner.Progress{{Instance: "w", Operation: "op", Asked: true}}}
+	e, err := explain.Of(st, view, explain.KindInstance, "w")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(e.WaitsFor).To(BeEmpty())
+}
+
 func TestPoolThatIsShort(t *testing.T) {
 	g := NewWithT(t)
 	st := stateWith(t, pools.Instance{ID: "w", Pool: "a", Phase: pools.PhaseServing, Revision: 1})
