No long answer without a length to a caller of HTTP/1.0

Cause: HTTP/1.0 has no chunks, so net/http ends such an answer with the caller's connection. Where the endpoint broke off in the middle, the caller saw 200 and half of the answer as if it were complete. Some balancers speak HTTP/1.0 to what is behind them.

Ruled out: answers with a length (the client counts), and short ones (they are read whole and get a length).

Now the caller is refused with "ran: yes" in place of an answer that it could not tell from the whole. Before: 200 and a part. After: 502 with the reason.

Beside it stands a test that the time for reading a long answer does not end a later one on the same connection; that held already.

--- a/internal/dispatch/handler.go
+++ b/internal/dispatch/handler.go
@@ -49,6 +49,7 @@
 	header http.Header
 	body   []byte
 
+	chunks  bool // the caller's HTTP version has chunked answers
 	claim   *idempotency.Claim
 	maybe   bool // an earlier attempt may have run
 	outcome string
@@ -102,6 +103,7 @@
 	c.treat = route.classify(r.Method, rest)
 	c.deadline = c.arrived.Add(shorter(c.treat.deadline, r.Header.Get(HeaderDeadline)))
 	c.caller = callerOf(r)
+	c.chunks = r.ProtoAtLeast(1, 1)
 	c.method, c.host, c.target = r.Method, r.Host, r.RequestURI
 	if c.target == "" || c.target[0] != '/' { // absolute form
 		c.target = r.URL.RequestURI()
--- a/internal/dispatch/handler_test.go
+++ b/internal/dispatch/handler_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -179,6 +180,42 @@
 		Entry("chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfa0\r\n"),
 	)
 
+	// The same to a caller of HTTP/1.0, which knows no chunks: for it the end of
+	// the connection is the end of the answer, whole or cut. It gets an error in
+	// place of what it could not tell from the whole.
+	It("gives a caller without chunks no large answer without a length", func() {
+		w := newWorker("w1", func(_ int64, _ *http.Request, _ []byte, c net.Conn) bool {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n" + strings.Repeat("x", 100_000)))
+			return false
+		})
+		e := newEntry(Options{Buffer: 1000}, w.Endpoint)
+		conn, err := net.Dial("tcp", e.server.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		Expect(conn.SetDeadline(time.Now().Add(short))).To(Succeed())
+		_, err = io.WriteString(conn, "GET /tabs/x HTTP/1.0\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(502))
+		var p Problem
+		Expect(json.NewDecoder(resp.Body).Decode(&p)).To(Succeed())
+		Expect(p.Ran).To(Equal(RanYes))
+		Expect(e.InFlight("w1")).To(BeZero())
+	})
+
+	// A large answer is passed on, and its caller keeps the connection. The time
+	// that it had for reading must not end the answer to a later request.
+	It("does not cut a later answer on the caller's connection", func() {
+		w := newWorker("w1", echo)
+		e := newEntry(Options{Buffer: 4}, w.Endpoint)
+		Expect(e.do("GET", "/tabs/large", "", HeaderDeadline, "100").status).To(Equal(200))
+		time.Sleep(writeGrace + 200*time.Millisecond)
+		out := e.do("POST", "/tabs/charge", "5")
+		Expect(out.err).NotTo(HaveOccurred())
+		Expect(out.status).To(Equal(200))
+	})
+
 	// An answer that ends with the connection looks the same whole or cut.
 	It("does not pass on an answer without length or chunks", func() {
 		w := newWorker("w1", func(_ int64, _ *http.Request, _ []byte, c net.Conn) bool {
--- a/internal/dispatch/problem.go
+++ b/internal/dispatch/problem.go
@@ -37,6 +37,7 @@
 	TypeNoEndpoint      Type = "urn:cyclamenwheel:problem:no-endpoint"
 	TypeEndpointFailed  Type = "urn:cyclamenwheel:problem:endpoint-failed"
 	TypeEndpointTimeout Type = "urn:cyclamenwheel:problem:endpoint-timeout"
+	TypeNeedsHTTP11     Type = "urn:cyclamenwheel:problem:answer-needs-http-1.1"
 	TypeKeyConflict     Type = "urn:cyclamenwheel:problem:key-of-another-request"
 	TypeKeyUnknown      Type = "urn:cyclamenwheel:problem:earlier-outcome-unknown"
 	TypeKeyFinished     Type = "urn:cyclamenwheel:problem:answer-no-longer-kept"
@@ -89,6 +90,7 @@
 	TypeKeyUnknown:      "An earlier attempt may have run",
 	TypeKeyFinished:     "It has run; the answer is no longer kept",
 	TypeKeyUnavailable:  "The Idempotency-Key could not be claimed",
+	TypeNeedsHTTP11:     "It has run; its long answer has no length, which HTTP/1.0 cannot carry safely",
 }
 
 // minAdvice is the Retry-After of a refusal for which nothing else is known.
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -146,6 +146,10 @@
 
 // deliver passes an answer on. It returns false if its rest did not come.
 func (h *Handler) deliver(w http.ResponseWriter, c *call, ans *answer) {
+	if ans.rest != nil && ans.rest.resp.ContentLength < 0 && !c.chunks {
+		h.withhold(w, c, ans.rest)
+		return
+	}
 	c.outcome = outcomeAnswered
 	out := w.Header()
 	stripHop(ans.header)
@@ -163,6 +167,19 @@
 	}
 }
 
+// withhold refuses to pass on a long answer without a length to a caller of
+// HTTP/1.0, as some balancers are.
+//
+// Failure: such an answer ends with the caller's connection. Symptom: half a
+// report that looks complete, if the endpoint breaks off. The request has run,
+// and the refusal says so.
+func (h *Handler) withhold(w http.ResponseWriter, c *call, r *rest) {
+	r.conn.close()
+	r.slot.release(resultOfStatus(r.resp.StatusCode), r.took)
+	h.finish(c, answeredTooLarge)
+	h.refuse(w, c, refusal{kind: TypeNeedsHTTP11, status: http.StatusBadGateway, ran: RanYes})
+}
+
 // writeGrace is how long past the deadline a caller may take to read.
 const writeGrace = time.Second
 
