Tell crossed and repeated answers apart whatever ids callers choose

Cause: an answer was known by the caller's request id. Callers may choose the same ids, or repeat their own; then an answer that the endpoint crossed with another's, or repeated on a kept connection, passed for the caller's own. So did one that named no request, once it came later than the look at the socket.

Ruled out: what lies in the socket before a request is sent (seen there, and the connection closed) and late answers after a timeout (their connection is closed).

Now - the id that goes to endpoints is the caller's with a suffix of the attempt; X-Caller-Request-Id carries the caller's alone - a connection whose answer named no request is not used again: an endpoint that does not echo the id, as its contract asks, pays with a connection a request - a second answer that lies behind that to a health check ends the connection

What remains: an endpoint that crosses answers between connections and names no request cannot be found out.

Before: the next caller got another's answer (late and unnamed; late with the same id; crossed with the same id). After: its own or an error. A unit test that counts connections had answers without ids and now echoes them.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -51,8 +52,14 @@
 
 // outgoing builds the request to an endpoint. The path is the caller's, byte
 // by byte.
+//
+// Its id is of this attempt alone. Failure: two callers choose the same id, or
+// one repeats its own, and the endpoint crosses or repeats answers. Symptom: the
+// answer to the one passes for the answer to the other.
 func (c *call) outgoing(e Endpoint, now time.Time) *http.Request {
 	path, query, _ := strings.Cut(c.target, "?")
+	c.attempt = c.id + "-" + strconv.FormatUint(rand.Uint64(), 36)
+	c.header.Set(HeaderRequestID, c.attempt)
 	left := max(c.deadline.Sub(now).Milliseconds(), 1)
 	c.header.Set(HeaderDeadline, strconv.FormatInt(left, 10))
 	req := &http.Request{
@@ -121,8 +128,8 @@
 // own, and recognises an endpoint's statement that it did not run the request.
 func check(c *call, instance string, resp *http.Response) error {
 	got := resp.Header.Get(HeaderRequestID)
-	if got != "" && got != c.id {
-		return &CrossedAnswerError{Instance: instance, Want: c.id, Got: got}
+	if got != "" && got != c.attempt {
+		return &CrossedAnswerError{Instance: instance, Want: c.attempt, Got: got}
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "true" {
 		return refusedBy(instance, got != "")
@@ -178,8 +185,13 @@
 	return io.ReadAll(io.LimitReader(resp.Body, limit+1))
 }
 
+// recycle keeps a connection, unless its answer named no request.
+//
+// Failure: the endpoint repeats such an answer, later than quiet can see.
+// Symptom: the next caller on the connection gets it as its own. An answer that
+// names its request is recognised; the others get a connection each.
 func (h *Handler) recycle(s *slot, cn *conn, resp *http.Response) {
-	if resp.Close {
+	if resp.Close || resp.Header.Get(HeaderRequestID) == "" {
 		cn.close()
 		return
 	}
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -230,6 +230,9 @@
 	if err := h.match(pool, e); err != nil {
 		return err
 	}
+	if !c.quiet() { // a second answer would pass for that to the request
+		return &UnaskedAnswerError{Instance: e.Instance}
+	}
 	c.confirmed = asked
 	return nil
 }
--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -69,6 +69,13 @@
 	return fmt.Sprintf("endpoint %s: refusal names no request", e.Instance)
 }
 
+// UnaskedAnswerError says that more came on a connection than was asked for.
+type UnaskedAnswerError struct{ Instance string }
+
+func (e *UnaskedAnswerError) Error() string {
+	return fmt.Sprintf("endpoint %s: unasked answer on the connection", e.Instance)
+}
+
 // BrokenAnswerError says that a request was sent at least in part and no whole
 // answer came back.
 type BrokenAnswerError struct {
--- a/internal/dispatch/handler.go
+++ b/internal/dispatch/handler.go
@@ -49,7 +49,8 @@
 	header http.Header
 	body   []byte
 
-	chunks  bool // the caller's HTTP version has chunked answers
+	chunks  bool   // the caller's HTTP version has chunked answers
+	attempt string // the request id of the attempt under way
 	claim   *idempotency.Claim
 	maybe   bool // an earlier attempt may have run
 	outcome string
@@ -120,7 +121,7 @@
 	h := r.Header.Clone()
 	stripHop(h)
 	h.Del("Content-Length")
-	h.Set(HeaderRequestID, id)
+	h.Set(HeaderCallerRequestID, id)
 	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
 		h.Add("X-Forwarded-For", host)
 	}
--- a/internal/dispatch/handler_test.go
+++ b/internal/dispatch/handler_test.go
@@ -56,13 +56,15 @@
 
 	It("passes on HEAD, empty and chunked answers whole", func() {
 		w := newWorker("w1", func(_ int64, req *http.Request, _ []byte, c net.Conn) bool {
+			named := "X-Request-Id: " + req.Header.Get(HeaderRequestID) + "\r\n"
 			switch req.Method {
 			case "HEAD":
-				_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n"))
+				_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n" + named + "Content-Length: 7\r\n\r\n"))
 			case "DELETE":
-				_, _ = c.Write([]byte("HTTP/1.1 204 No Content\r\n\r\n"))
+				_, _ = c.Write([]byte("HTTP/1.1 204 No Content\r\n" + named + "\r\n"))
 			default:
-				_, _ = c.Write([]byte("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"))
+				_, _ = c.Write([]byte("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\n" + named +
+					"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"))
 			}
 			return true
 		})
@@ -244,6 +246,54 @@
 		Expect(w.conns.Load()).To(Equal(int64(2)))
 	})
 
+	// Two callers choose the same id, and the endpoint gives the second one the
+	// answer to the first. Their ids cannot tell the two apart; those of the
+	// attempts do.
+	It("drops an answer to another request with the same id", func() {
+		var first string
+		w := newWorker("w1", func(n int64, req *http.Request, b []byte, c net.Conn) bool {
+			Expect(req.Header.Get(HeaderCallerRequestID)).To(Equal("same"))
+			if n == 1 {
+				first = req.Header.Get(HeaderRequestID)
+				return echo(n, req, b, c)
+			}
+			reply(c, 200, "X-Request-Id: "+first+"\r\n", "secret")
+			return true
+		})
+		e := newEntry(Options{}, w.Endpoint)
+		out := e.do("POST", "/tabs/charge", "1", HeaderRequestID, "same")
+		Expect(out.status).To(Equal(200))
+		Expect(out.header.Get(HeaderRequestID)).To(Equal("same"))
+		out = e.do("POST", "/tabs/charge", "2", HeaderRequestID, "same")
+		Expect(out.status).To(Equal(502))
+		Expect(out.body).NotTo(ContainSubstring("secret"))
+	})
+
+	// The endpoint does not name requests in its answers. Should it repeat one
+	// late, the next caller on the connection could not be protected.
+	It("does not reuse a connection whose answer named no request", func() {
+		w := newWorker("w1", func(_ int64, _ *http.Request, _ []byte, c net.Conn) bool {
+			reply(c, 200, "", "answer")
+			return true
+		})
+		e := newEntry(Options{}, w.Endpoint)
+		for range 2 {
+			Expect(e.do("GET", "/tabs/x", "").body).To(Equal("answer"))
+		}
+		Expect(w.conns.Load()).To(Equal(int64(2)))
+	})
+
+	// A proxy before the endpoint answers everything twice, the health check
+	// too. Its second answer lies there before the request is sent.
+	It("does not use a connection with a second answer to its health check", func() {
+		w := newWorker("w1", echo)
+		w.healthAnswers.Store(2)
+		out := newEntry(Options{}, w.Endpoint).do("POST", "/tabs/charge", "5")
+		Expect(out.status).To(Equal(503))
+		Expect(out.problem.Ran).To(Equal(RanNo))
+		Expect(out.body).NotTo(ContainSubstring("boot-1"))
+	})
+
 	// The first answer is followed by a second one that nobody asked for. The
 	// next caller on that connection would get it as its own.
 	It("does not reuse a connection with an unasked answer on it", func() {
--- a/internal/dispatch/problem.go
+++ b/internal/dispatch/problem.go
@@ -60,8 +60,12 @@
 
 // Headers of this package.
 const (
-	HeaderRequestID      = "X-Request-Id"
-	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderRequestID is the caller's id of its request. Towards endpoints it is
+	// unique to the attempt, and they are to echo it.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderCallerRequestID carries the caller's id to endpoints.
+	HeaderCallerRequestID = "X-Caller-Request-Id"
+	HeaderIdempotencyKey  = "Idempotency-Key"
 	// HeaderDeadline is the caller's own deadline in milliseconds. Towards
 	// endpoints it carries what is left.
 	HeaderDeadline = "X-Deadline-Ms"
@@ -86,11 +90,11 @@
 	TypeNoEndpoint:      "No endpoint could be reached",
 	TypeEndpointFailed:  "The endpoint gave no whole answer",
 	TypeEndpointTimeout: "No answer before the deadline",
+	TypeNeedsHTTP11:     "It has run; its long answer has no length, which HTTP/1.0 cannot carry safely",
 	TypeKeyConflict:     "The Idempotency-Key belongs to another request",
 	TypeKeyUnknown:      "An earlier attempt may have run",
 	TypeKeyFinished:     "It has run; the answer is no longer kept",
 	TypeKeyUnavailable:  "The Idempotency-Key could not be claimed",
-	TypeNeedsHTTP11:     "It has run; its long answer has no length, which HTTP/1.0 cannot carry safely",
 }
 
 // minAdvice is the Retry-After of a refusal for which nothing else is known.
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -144,7 +144,7 @@
 	return p
 }
 
-// deliver passes an answer on. It returns false if its rest did not come.
+// deliver passes an answer on.
 func (h *Handler) deliver(w http.ResponseWriter, c *call, ans *answer) {
 	if ans.rest != nil && ans.rest.resp.ContentLength < 0 && !c.chunks {
 		h.withhold(w, c, ans.rest)
--- a/internal/dispatch/suite_test.go
+++ b/internal/dispatch/suite_test.go
@@ -35,6 +35,8 @@
 	identity atomic.Pointer[health]
 	run      func(n int64, req *http.Request, body []byte, out net.Conn) bool
 	listener net.Listener
+	// healthAnswers is how often a health check is answered.
+	healthAnswers atomic.Int64
 }
 
 func newWorker(name string, run func(n int64, req *http.Request, body []byte, out net.Conn) bool) *worker {
@@ -44,6 +46,7 @@
 		Endpoint: Endpoint{Instance: name, BootID: "boot-1", Addr: l.Addr().String(), Slots: 8, Connections: 64, Zone: "a"},
 		run:      run, listener: l,
 	}
+	w.healthAnswers.Store(1)
 	w.identity.Store(&health{Instance: name, BootID: "boot-1", Pool: "tabs"})
 	go w.accept()
 	DeferCleanup(l.Close)
@@ -75,7 +78,8 @@
 		}
 		if req.URL.Path == "/healthz" {
 			b, _ := json.Marshal(w.identity.Load())
-			reply(c, 200, "", string(b))
+			one := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(b), b)
+			_, _ = io.WriteString(c, strings.Repeat(one, int(w.healthAnswers.Load())))
 			continue
 		}
 		if !w.run(w.runs.Add(1), req, body, c) {
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -12,11 +12,12 @@
 
 // Run is one request that an endpoint ran.
 type Run struct {
-	Seq            int    `json:"seq"`
-	Instance       string `json:"instance"`
-	BootID         string `json:"boot_id"`
-	Pool           string `json:"pool"`
-	Service        string `json:"service"`
+	Seq      int    `json:"seq"`
+	Instance string `json:"instance"`
+	BootID   string `json:"boot_id"`
+	Pool     string `json:"pool"`
+	Service  string `json:"service"`
+	// RequestID is the caller's.
 	RequestID      string `json:"request_id"`
 	IdempotencyKey string `json:"idempotency_key,omitempty"`
 	Method         string `json:"method"`
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -18,8 +18,11 @@
 
 // Headers that endpoints know.
 const (
-	HeaderRequestID      = "X-Request-Id"
-	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRequestID = "X-Request-Id"
+	// HeaderCallerRequestID is the caller's own id of a request that comes
+	// through an entry; HeaderRequestID is then unique to the attempt.
+	HeaderCallerRequestID = "X-Caller-Request-Id"
+	HeaderIdempotencyKey  = "Idempotency-Key"
 	// HeaderNotRun is "true" on a 503 by which an endpoint vouches that it did
 	// not run the request.
 	HeaderNotRun = "X-Not-Run"
@@ -101,7 +104,7 @@
 	}
 	service, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
 	sum := sha256.Sum256(body)
-	run, verdict := x.s.begin(Run{Service: service, RequestID: req.Header.Get(HeaderRequestID),
+	run, verdict := x.s.begin(Run{Service: service, RequestID: callersID(req),
 		IdempotencyKey: req.Header.Get(HeaderIdempotencyKey), Method: req.Method,
 		Path: req.URL.Path, BodySHA256: hex.EncodeToString(sum[:])})
 	switch verdict {
@@ -166,7 +169,7 @@
 	if fault.FailStatus != 0 {
 		status = fault.FailStatus
 	}
-	header := fault.header(run.RequestID)
+	header := fault.header(req.Header.Get(HeaderRequestID))
 	payload := mustJSON(EndpointAnswer{Instance: run.Instance, BootID: run.BootID, Pool: run.Pool,
 		Service: run.Service, RequestID: run.RequestID, IdempotencyKey: run.IdempotencyKey,
 		Run: run.Seq, BodySHA256: run.BodySHA256})
@@ -220,6 +223,13 @@
 	return render(req, status, http.Header{}, mustJSON(Health{Instance: x.s.ep.id, BootID: x.s.boot, Pool: pool}))
 }
 
+func callersID(req *http.Request) string {
+	if id := req.Header.Get(HeaderCallerRequestID); id != "" {
+		return id
+	}
+	return req.Header.Get(HeaderRequestID)
+}
+
 func workAsked(req *http.Request) time.Duration {
 	ms, err := strconv.ParseInt(req.Header.Get(HeaderWork), 10, 64)
 	if err != nil || ms < 0 {
