--- a/internal/dispatch/handler.go
+++ b/internal/dispatch/handler.go
@@ -49,6 +49,8 @@
 	header http.Header
 	body   []byte
 
+	chunks  bool   // the caller's HTTP version has chunked answers
+	attempt string // the request id of the attempt under way
 	claim   *idempotency.Claim
 	maybe   bool // an earlier attempt may have run
 	outcome string
@@ -103,6 +105,7 @@
 	c.treat = route.classify(r.Method, rest)
 	c.deadline = c.arrived.Add(shorter(c.treat.deadline, r.Header.Get(HeaderDeadline)))
 	c.caller = callerOf(r)
+	c.chunks = r.ProtoAtLeast(1, 1)
 	c.method, c.host, c.target = r.Method, r.Host, r.RequestURI
 	if c.target == "" || c.target[0] != '/' { // absolute form
 		c.target = r.URL.RequestURI()
@@ -119,7 +122,7 @@
 	h := r.Header.Clone()
 	stripHop(h)
 	h.Del("Content-Length")
-	h.Set(HeaderRequestID, id)
+	h.Set(HeaderCallerRequestID, id)
 	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
 		h.Add("X-Forwarded-For", host)
 	}
