--- a/internal/certs/create.go
+++ b/internal/certs/create.go
@@ -140,7 +140,7 @@
 		NotAfter:    now.Add(leafLifetime),
 		KeyUsage:    x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-		URIs:        []*url.URL{id.uri()},
+		URIs:        []*url.URL{id.URI()},
 	}
 	for _, ip := range l.ips {
 		template.IPAddresses = append(template.IPAddresses, net.IP(ip.AsSlice()))
--- a/internal/certs/identity.go
+++ b/internal/certs/identity.go
@@ -37,9 +37,10 @@
 }
 
 // String returns the identity's URI.
-func (i Identity) String() string { return i.uri().String() }
+func (i Identity) String() string { return i.URI().String() }
 
-func (i Identity) uri() *url.URL {
+// URI returns what the certificate carries as its subject alternative name.
+func (i Identity) URI() *url.URL {
 	return &url.URL{Scheme: uriScheme, Host: i.Deployment, Path: "/" + string(i.Role) + "/" + i.ID}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,8 +6,6 @@
 import (
 	"bytes"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +13,6 @@
 
 	"cyclamenwheel/internal/dispatch"
 	"cyclamenwheel/internal/fleetlog"
-	"cyclamenwheel/internal/manifest"
 	"cyclamenwheel/internal/membership"
 	"cyclamenwheel/internal/node"
 	"cyclamenwheel/internal/peer"
@@ -250,134 +247,3 @@
 	}
 	return limit
 }
-
-// round divides the slots and puts a new route table in force, in the order
-// that the sharer asks for: what is in flight is counted after the new limits
-// have reached traffic.
-func (e *Entry) round() {
-	e.lastRound = e.node.Now()
-	if !e.node.Joined() {
-		e.stepOut()
-		return
-	}
-	e.wasMember = true
-	man := e.node.State().Manifest.Current()
-	if man == nil {
-		return
-	}
-	if e.dirty {
-		e.byPool = e.servingByPool()
-		e.shareSlots(e.byPool)
-	}
-	demand := e.noteDemand(man)
-	limits := e.sharer.Publish()
-	changed := e.dirty || !maps.Equal(limits, e.limits)
-	e.settled = !changed && demand == 0
-	if changed {
-		e.limits, e.dirty = limits, false
-		e.publishTable(man, e.byPool)
-		e.traffic.RoutesChanged()
-		e.noteBusy()   // before the record that took them out is acknowledged
-		e.node.Hurry() // loans offered, called back or confirmed
-	}
-	inFlight := e.traffic.InFlightAll()
-	for id := range limits {
-		e.sharer.SetInFlight(id, inFlight[id])
-	}
-}
-
-// noteDemand tells the sharer what each pool's callers want, and returns the
-// sum. More than this entry may use is told to the others soon: callers wait
-// for it.
-func (e *Entry) noteDemand(man *manifest.Manifest) (total int) {
-	for i := range man.Pools {
-		name := man.Pools[i].Name
-		demand := e.traffic.Demand(name)
-		total += demand
-		e.sharer.SetDemand(name, demand)
-		if table := e.table.Load(); table != nil && demand > slotsOf(table.Endpoints(name)) {
-			e.node.Hurry()
-		}
-	}
-	return total
-}
-
-func slotsOf(endpoints []dispatch.Endpoint) int {
-	n := 0
-	for _, ep := range endpoints {
-		n += ep.Slots
-	}
-	return n
-}
-
-// stepOut takes all routes away: handovers do not wait for a process that is
-// no member, so it must not send anything.
-func (e *Entry) stepOut() {
-	if !e.wasMember || !e.dirty {
-		return
-	}
-	e.dirty = false
-	e.log.Warn("no longer a member: taking no work", "offset", e.node.State().Offset)
-	e.table.Store(dispatch.NewClosedTable(e.generation))
-	e.traffic.RoutesChanged()
-}
-
-// servingByPool sorts the instances, and notes those that get no new work.
-func (e *Entry) servingByPool() map[string][]*pools.Instance {
-	st := e.node.State()
-	byPool := make(map[string][]*pools.Instance)
-	e.leaving = e.leaving[:0]
-	for _, id := range slices.Sorted(maps.Keys(st.Pools.Instances)) {
-		in := st.Pools.Instances[id]
-		switch {
-		case in.Phase != pools.PhaseServing:
-			e.leaving = append(e.leaving, id)
-		case in.Pool != "":
-			byPool[in.Pool] = append(byPool[in.Pool], in)
-		}
-	}
-	return byPool
-}
-
-func (e *Entry) publishTable(man *manifest.Manifest, byPool map[string][]*pools.Instance) {
-	endpoints := make(map[string][]dispatch.Endpoint, len(byPool))
-	for pool, instances := range byPool {
-		for _, in := range instances {
-			if e.node.Live(in.ID) {
-				endpoints[pool] = append(endpoints[pool], e.endpoint(in))
-			}
-		}
-	}
-	e.table.Store(dispatch.NewRouteTable(e.generation, man.Services, endpoints))
-}
-
-func (e *Entry) shareSlots(byPool map[string][]*pools.Instance) {
-	sets := make(map[string][]slots.Instance, len(byPool))
-	for pool, instances := range byPool {
-		for _, in := range instances {
-			sets[pool] = append(sets[pool], slots.Instance{ID: in.ID, Slots: in.Slots})
-		}
-	}
-	e.sharer.SetInstances(sets)
-}
-
-func (e *Entry) endpoint(in *pools.Instance) dispatch.Endpoint {
-	ep := dispatch.Endpoint{
-		Instance: in.ID, BootID: in.BootID, Addr: in.Addr, Zone: in.Zone,
-		Slots: e.limits[in.ID], Connections: e.connections(in),
-	}
-	// After a restart that the planner has not recorded yet, the list knows
-	// the new boot. It counts only where the platform has the instance in the
-	// same pool, so that a move in progress is never taken for done.
-	if row := e.node.Listed(in.ID); row != nil && row.Pool == in.Pool && e.node.List().Version > e.node.State().Pools.List {
-		ep.BootID, ep.Addr = row.BootID, row.Addr
-	}
-	return ep
-}
-
-// connections divides an endpoint's connections evenly: a connection is only
-// of use with a slot, and there are eight times as many connections as slots.
-func (e *Entry) connections(in *pools.Instance) int {
-	entries := len(e.node.State().Members.WithRole(membership.RoleEntry))
-	return max(1, in.Connections/max(1, entries))
-}
--- a/internal/peer/identity.go
+++ b/internal/peer/identity.go
@@ -4,7 +4,8 @@
 	"crypto/tls"
 	"crypto/x509"
 	"net/url"
-	"strings"
+
+	"cyclamenwheel/internal/certs"
 )
 
 // Identity is who a process is.
@@ -17,30 +18,23 @@
 	Zone   string `cbor:"4,keyasint" json:"zone"`
 }
 
-// uriScheme is the scheme of the URI in a certificate that names a process.
-const uriScheme = "cyclamen"
-
 // CertificateURI returns the URI that a process's certificate carries as its
 // subject alternative name.
 func CertificateURI(deployment, role, id string) *url.URL {
-	return &url.URL{Scheme: uriScheme, Host: deployment, Path: "/" + role + "/" + id}
+	return certs.Identity{Deployment: deployment, Role: certs.Role(role), ID: id}.URI()
 }
 
 // certifiedIdentity returns the id and role that a certificate vouches for
 // within the deployment.
 func certifiedIdentity(deployment string, cert *x509.Certificate) (Identity, error) {
-	if len(cert.URIs) != 1 {
-		return Identity{}, &CertificateError{Detail: "needs exactly one URI name"}
-	}
-	uri := cert.URIs[0]
-	if uri.Scheme != uriScheme || uri.Host != deployment {
-		return Identity{}, &CertificateError{Detail: "not of this deployment: " + clip(uri.String())}
+	id, err := certs.IdentityOf(cert)
+	if err != nil {
+		return Identity{}, &CertificateError{Detail: "not of this deployment, or names no process", Cause: err}
 	}
-	role, id, found := strings.Cut(strings.TrimPrefix(uri.Path, "/"), "/")
-	if !found || role == "" || id == "" || strings.Contains(id, "/") {
-		return Identity{}, &CertificateError{Detail: "malformed name: " + clip(uri.String())}
+	if id.Deployment != deployment {
+		return Identity{}, &CertificateError{Detail: "not of this deployment: " + clip(id.String())}
 	}
-	return Identity{ID: id, Role: role}, nil
+	return Identity{ID: id.ID, Role: string(id.Role)}, nil
 }
 
 // serverTLS is the configuration for accepting peers. Session tickets are off:
