Tail: the gap of a trimmed log is told with the next record

The word that records are gone was given with the first page after it, also where that page held no records and so could not show the gap; the next page then looked contiguous. A process that woke at such a moment would have waited for ever for records that no longer exist, unless a peer had them. Found by reading while a frozen entry's way back was tested; the replica's own handling of gaps was ruled out (it stops at one, as it should). Unit test seen failing first: 'the first record after the gap does not tell of it'.

--- a/internal/fleetlog/tail.go
+++ b/internal/fleetlog/tail.go
@@ -83,6 +83,7 @@
 			t.Advance(page.Records[n-1].Offset + 1)
 		}
 		deliver(Page{Records: page.Records, Head: page.Head, Trimmed: trimmed})
-		trimmed = false
+		// A page without records does not show the gap yet.
+		trimmed = trimmed && len(page.Records) == 0
 	}
 }
--- a/internal/fleetlog/tail_test.go
+++ b/internal/fleetlog/tail_test.go
@@ -43,3 +43,39 @@
 		}
 	})
 }
+
+// trimmedLog has trimmed everything that it held; the next record comes only
+// after a read has waited in vain.
+type trimmedLog struct {
+	platform.Log
+	reads int
+}
+
+func (l *trimmedLog) Read(_ context.Context, from uint64, _ int, _ time.Duration) (platform.LogPage, error) {
+	const first = 5
+	l.reads++
+	switch {
+	case from < first:
+		return platform.LogPage{}, &platform.TrimmedError{From: from, First: first}
+	case l.reads <= 2:
+		return platform.LogPage{First: first, Head: first - 1}, nil
+	}
+	return platform.LogPage{Records: []platform.LogRecord{{Offset: first}}, First: first, Head: first}, nil
+}
+
+// A process wakes after its records have been trimmed, at a moment when the
+// log holds none at all. It must still learn that there is a gap when the next
+// record comes; otherwise it waits for ever for the records before that one.
+func TestTailTellsOfTrimmedRecordsWithTheNextOne(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	fleetlog.NewTail(&trimmedLog{}).Run(ctx, func(p fleetlog.Page) {
+		if len(p.Records) == 0 {
+			return
+		}
+		if !p.Trimmed {
+			t.Error("the first record after the gap does not tell of it")
+		}
+		cancel()
+	})
+}
