Node: not ready until what a trimmed log holds has been folded

A process that started on an empty log counts as caught up when it has no starting point, since there was nothing to catch up with. It now has to reach the head that it saw when it found the gap.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -249,6 +249,10 @@
 	if p.Trimmed && n.replica.State().Offset > 0 && len(p.Records) > 0 && p.Records[0].Offset > n.replica.Next() {
 		n.log.Warn("log trimmed past own offset", "offset", n.replica.State().Offset)
 		n.replica.Restart()
+		// Not caught up until it has reached what the log holds now: it may be
+		// many generations behind. A process that started on an empty log would
+		// otherwise count as caught up whatever it lacks.
+		n.firstHead = p.Head
 	}
 	if n.replica.Cold() && p.Head == 0 {
 		return
