Proof: a frozen entry that holds a move up is stopped by the platform

The move goes on only once the platform has stopped the entry's instance and lists it as gone. The harness stops the processes of a fenced instance, as a platform does. It can also watch the generation that every process reports.

--- a/test/harness/check.go
+++ b/test/harness/check.go
@@ -71,6 +71,7 @@
 	gomega.Expect(seen.History.Dropped).To(gomega.BeZero(), "the history is incomplete")
 	gomega.Expect(Judge(seen, c.ledger.rules())).To(gomega.BeEmpty())
 	gomega.Expect(c.judgeLog()).To(gomega.BeEmpty())
+	gomega.Expect(c.watch.found()).To(gomega.BeEmpty())
 }
 
 // Judge finds all breaches in what was seen.
--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -55,6 +55,9 @@
 	// PeerProxies puts a UDP proxy in front of each process, which CutPeers
 	// needs.
 	PeerProxies bool
+	// FenceAfter is how long a silent entry may hold a handover up; the
+	// product's default if 0.
+	FenceAfter time.Duration
 	// Settings are added to the processes' settings, by section and key.
 	Settings map[string]map[string]string
 }
@@ -107,6 +110,7 @@
 	peers    *peerNetwork
 	loads    []*Load
 	ledger   ledger
+	watch    *watcher
 	stop     context.CancelFunc
 	watched  chan struct{}
 
@@ -242,6 +246,7 @@
 	for _, l := range c.loads {
 		l.abandon()
 	}
+	c.watch.stop()
 	if c.stop != nil {
 		c.stop()
 		<-c.watched
--- a/test/harness/operate.go
+++ b/test/harness/operate.go
@@ -84,6 +84,7 @@
 	ginkgo.GinkgoHelper()
 	pub, res := c.TryPublish(m, append([]string{"--wait", "--timeout", Patience.String()}, flags...)...)
 	gomega.Expect(res.Code).To(gomega.Equal(ctl.ExitOK), res.Err)
+	c.watch.raise(pub.Generation)
 	return pub
 }
 
--- a/test/harness/settings.go
+++ b/test/harness/settings.go
@@ -37,6 +37,9 @@
 	if p.Role == RoleEntry {
 		values["callers"] = map[string]string{"listen": p.addr(portCallers)}
 	}
+	if after := p.cluster.opts.FenceAfter; p.Role == RoleControl && after > 0 {
+		values["timing"]["fence_after"] = after.String()
+	}
 	for section, keys := range p.cluster.opts.Settings {
 		if values[section] == nil {
 			values[section] = map[string]string{}
--- a/test/onepool/entries_test.go
+++ b/test/onepool/entries_test.go
@@ -1,6 +1,8 @@
 package onepool_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -50,6 +52,25 @@
 		l.Stop()
 		c.Check()
 	})
+
+	// The frozen entry stays listed. After fence_after the planner asks the
+	// platform to stop its instance, and only once that is listed as gone does
+	// the move go on: no time limit passes over an entry that could wake.
+	It("is stopped by the platform when it holds the move up for too long", func() {
+		c := harness.New(harness.Options{FenceAfter: time.Second})
+		c.Form(before())
+		l := callers(c, 13)
+		frozen := c.Entry(2)
+		frozen.Freeze()
+		publish(c, after())
+		expectMoved(c)
+		Eventually(frozen.Exited(), harness.Patience).Should(BeClosed())
+		Expect(truth(c, frozen.Instance).Fenced).To(BeTrue())
+		frozen.Replace()
+		frozen.AwaitReady()
+		l.Stop()
+		c.Check()
+	})
 })
 
 var _ = Describe("An entry that is cut off", func() {
