--- a/internal/dispatch/handler.go
+++ b/internal/dispatch/handler.go
@@ -49,6 +49,8 @@
 	header http.Header
 	body   []byte
 
+	chunks  bool   // the caller's HTTP version has chunked answers
+	attempt string // the request id of the attempt under way
 	claim   *idempotency.Claim
 	maybe   bool // an earlier attempt may have run
 	outcome string
@@ -63,18 +65,18 @@
 		w.Header().Set("Connection", "close")
 	}
 	if !h.calls.enter() {
-		h.refuse(w, c, h.early(r, TypeDraining, http.StatusServiceUnavailable))
+		h.refuseUnread(w, r, c, h.early(r, TypeDraining, http.StatusServiceUnavailable))
 		return
 	}
 	defer h.calls.exit()
 	if p := h.open(c, r); p != nil {
-		h.refuse(w, c, *p)
+		h.refuseUnread(w, r, c, *p)
 		return
 	}
 	free, p := h.readBody(w, c, r)
 	defer free()
 	if p != nil {
-		h.refuse(w, c, *p)
+		h.refuseUnread(w, r, c, *p)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -89,19 +91,21 @@
 // open finds the service and how the request is to be treated.
 func (h *Handler) open(c *call, r *http.Request) *refusal {
 	table := h.opts.Routes()
-	if table == nil {
+	if table == nil || table.closed {
 		p := h.early(r, TypeNotReady, http.StatusServiceUnavailable)
 		return &p
 	}
 	service, rest := splitPath(r.URL.Path)
 	route := table.services[service]
 	if route == nil {
-		return &refusal{kind: TypeUnknownService, status: http.StatusNotFound, ran: RanNo}
+		p := h.early(r, TypeUnknownService, http.StatusNotFound)
+		return &p
 	}
 	c.service = service
 	c.treat = route.classify(r.Method, rest)
 	c.deadline = c.arrived.Add(shorter(c.treat.deadline, r.Header.Get(HeaderDeadline)))
 	c.caller = callerOf(r)
+	c.chunks = r.ProtoAtLeast(1, 1)
 	c.method, c.host, c.target = r.Method, r.Host, r.RequestURI
 	if c.target == "" || c.target[0] != '/' { // absolute form
 		c.target = r.URL.RequestURI()
@@ -118,7 +122,7 @@
 	h := r.Header.Clone()
 	stripHop(h)
 	h.Del("Content-Length")
-	h.Set(HeaderRequestID, id)
+	h.Set(HeaderCallerRequestID, id)
 	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
 		h.Add("X-Forwarded-For", host)
 	}
--- a/internal/dispatch/handler_test.go
+++ b/internal/dispatch/handler_test.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -55,13 +58,15 @@
 
 	It("passes on HEAD, empty and chunked answers whole", func() {
 		w := newWorker("w1", func(_ int64, req *http.Request, _ []byte, c net.Conn) bool {
+			named := "X-Request-Id: " + req.Header.Get(HeaderRequestID) + "\r\n"
 			switch req.Method {
 			case "HEAD":
-				_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n"))
+				_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n" + named + "Content-Length: 7\r\n\r\n"))
 			case "DELETE":
-				_, _ = c.Write([]byte("HTTP/1.1 204 No Content\r\n\r\n"))
+				_, _ = c.Write([]byte("HTTP/1.1 204 No Content\r\n" + named + "\r\n"))
 			default:
-				_, _ = c.Write([]byte("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"))
+				_, _ = c.Write([]byte("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\n" + named +
+					"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"))
 			}
 			return true
 		})
@@ -111,8 +116,8 @@
 	// The endpoint itself says that it did not run the request (it is
 	// leaving). With nowhere else to go the caller gets "no", not "unknown".
 	It("believes an endpoint that says it did not run", func() {
-		w := newWorker("w1", func(_ int64, _ *http.Request, _ []byte, c net.Conn) bool {
-			reply(c, 503, HeaderNotRun+": true\r\n", "")
+		w := newWorker("w1", func(_ int64, req *http.Request, _ []byte, c net.Conn) bool {
+			reply(c, 503, HeaderNotRun+": true\r\n"+HeaderRequestID+": "+req.Header.Get(HeaderRequestID)+"\r\n", "")
 			return true
 		})
 		out := newEntry(Options{}, w.Endpoint).do("POST", "/tabs/charge", "5")
@@ -120,6 +125,20 @@
 		Expect(out.problem.Ran).To(Equal(RanNo))
 	})
 
+	// The same, but the refusal does not say of which request it speaks: it may
+	// be the late answer to another, and this one may run. The caller gets
+	// "unknown", and the charge is not sent again.
+	It("does not believe a refusal that names no request", func() {
+		w := newWorker("w1", func(_ int64, _ *http.Request, _ []byte, c net.Conn) bool {
+			reply(c, 503, HeaderNotRun+": true\r\n", "")
+			return true
+		})
+		out := newEntry(Options{}, w.Endpoint).do("POST", "/tabs/charge", "5")
+		Expect(out.status).To(Equal(502))
+		Expect(out.problem.Ran).To(Equal(RanUnknown))
+		Expect(w.runs.Load()).To(Equal(int64(1)))
+	})
+
 	It("retries an idempotent request whose answer broke", func() {
 		w := newWorker("w1", func(n int64, req *http.Request, b []byte, c net.Conn) bool {
 			return n > 1 && echo(n, req, b, c)
@@ -165,6 +184,42 @@
 		Entry("chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfa0\r\n"),
 	)
 
+	// The same to a caller of HTTP/1.0, which knows no chunks: for it the end of
+	// the connection is the end of the answer, whole or cut. It gets an error in
+	// place of what it could not tell from the whole.
+	It("gives a caller without chunks no large answer without a length", func() {
+		w := newWorker("w1", func(_ int64, _ *http.Request, _ []byte, c net.Conn) bool {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n" + strings.Repeat("x", 100_000)))
+			return false
+		})
+		e := newEntry(Options{Buffer: 1000}, w.Endpoint)
+		conn, err := net.Dial("tcp", e.server.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		Expect(conn.SetDeadline(time.Now().Add(short))).To(Succeed())
+		_, err = io.WriteString(conn, "GET /tabs/x HTTP/1.0\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(502))
+		var p Problem
+		Expect(json.NewDecoder(resp.Body).Decode(&p)).To(Succeed())
+		Expect(p.Ran).To(Equal(RanYes))
+		Expect(e.InFlight("w1")).To(BeZero())
+	})
+
+	// A large answer is passed on, and its caller keeps the connection. The time
+	// that it had for reading must not end the answer to a later request.
+	It("does not cut a later answer on the caller's connection", func() {
+		w := newWorker("w1", echo)
+		e := newEntry(Options{Buffer: 4}, w.Endpoint)
+		Expect(e.do("GET", "/tabs/large", "", HeaderDeadline, "100").status).To(Equal(200))
+		time.Sleep(writeGrace + 200*time.Millisecond)
+		out := e.do("POST", "/tabs/charge", "5")
+		Expect(out.err).NotTo(HaveOccurred())
+		Expect(out.status).To(Equal(200))
+	})
+
 	// An answer that ends with the connection looks the same whole or cut.
 	It("does not pass on an answer without length or chunks", func() {
 		w := newWorker("w1", func(_ int64, _ *http.Request, _ []byte, c net.Conn) bool {
@@ -193,6 +248,54 @@
 		Expect(w.conns.Load()).To(Equal(int64(2)))
 	})
 
+	// Two callers choose the same id, and the endpoint gives the second one the
+	// answer to the first. Their ids cannot tell the two apart; those of the
+	// attempts do.
+	It("drops an answer to another request with the same id", func() {
+		var first string
+		w := newWorker("w1", func(n int64, req *http.Request, b []byte, c net.Conn) bool {
+			Expect(req.Header.Get(HeaderCallerRequestID)).To(Equal("same"))
+			if n == 1 {
+				first = req.Header.Get(HeaderRequestID)
+				return echo(n, req, b, c)
+			}
+			reply(c, 200, "X-Request-Id: "+first+"\r\n", "secret")
+			return true
+		})
+		e := newEntry(Options{}, w.Endpoint)
+		out := e.do("POST", "/tabs/charge", "1", HeaderRequestID, "same")
+		Expect(out.status).To(Equal(200))
+		Expect(out.header.Get(HeaderRequestID)).To(Equal("same"))
+		out = e.do("POST", "/tabs/charge", "2", HeaderRequestID, "same")
+		Expect(out.status).To(Equal(502))
+		Expect(out.body).NotTo(ContainSubstring("secret"))
+	})
+
+	// The endpoint does not name requests in its answers. Should it repeat one
+	// late, the next caller on the connection could not be protected.
+	It("does not reuse a connection whose answer named no request", func() {
+		w := newWorker("w1", func(_ int64, _ *http.Request, _ []byte, c net.Conn) bool {
+			reply(c, 200, "", "answer")
+			return true
+		})
+		e := newEntry(Options{}, w.Endpoint)
+		for range 2 {
+			Expect(e.do("GET", "/tabs/x", "").body).To(Equal("answer"))
+		}
+		Expect(w.conns.Load()).To(Equal(int64(2)))
+	})
+
+	// A proxy before the endpoint answers everything twice, the health check
+	// too. Its second answer lies there before the request is sent.
+	It("does not use a connection with a second answer to its health check", func() {
+		w := newWorker("w1", echo)
+		w.healthAnswers.Store(2)
+		out := newEntry(Options{}, w.Endpoint).do("POST", "/tabs/charge", "5")
+		Expect(out.status).To(Equal(503))
+		Expect(out.problem.Ran).To(Equal(RanNo))
+		Expect(out.body).NotTo(ContainSubstring("boot-1"))
+	})
+
 	// The first answer is followed by a second one that nobody asked for. The
 	// next caller on that connection would get it as its own.
 	It("does not reuse a connection with an unasked answer on it", func() {
@@ -347,6 +450,33 @@
 	})
 })
 
+var _ = Describe("a body that does not come", func() {
+	// The caller announces a body and sends none of it, or stops half-way. The
+	// refusal must not wait for the rest, and the connection must not stay.
+	DescribeTable("does not hold the refusal back", func(path, sent string, header string, want int) {
+		e := newEntry(Options{MaxBody: 500}, newWorker("w1", echo).Endpoint)
+		conn, err := net.Dial("tcp", e.server.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		Expect(conn.SetDeadline(time.Now().Add(short))).To(Succeed())
+		_, err = io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: e\r\n"+header+"\r\n"+sent)
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(want))
+		Expect(resp.Close).To(BeTrue())
+		_, err = io.Copy(io.Discard, conn)
+		Expect(err).NotTo(HaveOccurred())
+	},
+		Entry("unknown service", "/nobody/x", "", "Content-Length: 100\r\n", 404),
+		Entry("key too long", "/tabs/x", "", "Content-Length: 100\r\nIdempotency-Key: "+strings.Repeat("k", 300)+"\r\n", 400),
+		Entry("too large", "/tabs/x", "", "Content-Length: 501\r\n", 413),
+		Entry("too large in chunks", "/tabs/x", "258\r\n"+strings.Repeat("x", 600), "Transfer-Encoding: chunked\r\n", 413),
+		Entry("stopped half-way", "/tabs/x", "half", "Content-Length: 100\r\nX-Deadline-Ms: 200\r\n", 400),
+		Entry("stopped half-way in chunks", "/tabs/x", "64\r\nhalf", "Transfer-Encoding: chunked\r\nX-Deadline-Ms: 200\r\n", 400),
+	)
+})
+
 var _ = Describe("graceful shutdown", func() {
 	It("finishes what is in flight and refuses the rest as not run", func() {
 		started, hold := make(chan struct{}), make(chan struct{})
--- a/internal/dispatch/problem.go
+++ b/internal/dispatch/problem.go
@@ -37,6 +37,7 @@
 	TypeNoEndpoint      Type = "urn:cyclamenwheel:problem:no-endpoint"
 	TypeEndpointFailed  Type = "urn:cyclamenwheel:problem:endpoint-failed"
 	TypeEndpointTimeout Type = "urn:cyclamenwheel:problem:endpoint-timeout"
+	TypeNeedsHTTP11     Type = "urn:cyclamenwheel:problem:answer-needs-http-1.1"
 	TypeKeyConflict     Type = "urn:cyclamenwheel:problem:key-of-another-request"
 	TypeKeyUnknown      Type = "urn:cyclamenwheel:problem:earlier-outcome-unknown"
 	TypeKeyFinished     Type = "urn:cyclamenwheel:problem:answer-no-longer-kept"
@@ -59,8 +60,12 @@
 
 // Headers of this package.
 const (
-	HeaderRequestID      = "X-Request-Id"
-	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderRequestID is the caller's id of its request. Towards endpoints it is
+	// unique to the attempt, and they are to echo it.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderCallerRequestID carries the caller's id to endpoints.
+	HeaderCallerRequestID = "X-Caller-Request-Id"
+	HeaderIdempotencyKey  = "Idempotency-Key"
 	// HeaderDeadline is the caller's own deadline in milliseconds. Towards
 	// endpoints it carries what is left.
 	HeaderDeadline = "X-Deadline-Ms"
@@ -85,6 +90,7 @@
 	TypeNoEndpoint:      "No endpoint could be reached",
 	TypeEndpointFailed:  "The endpoint gave no whole answer",
 	TypeEndpointTimeout: "No answer before the deadline",
+	TypeNeedsHTTP11:     "It has run; its long answer has no length, which HTTP/1.0 cannot carry safely",
 	TypeKeyConflict:     "The Idempotency-Key belongs to another request",
 	TypeKeyUnknown:      "An earlier attempt may have run",
 	TypeKeyFinished:     "It has run; the answer is no longer kept",
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -9,7 +9,9 @@
 	"slices"
 
 	"cyclamenwheel/internal/fleetlog"
+	"cyclamenwheel/internal/manifest"
 	"cyclamenwheel/internal/planner"
+	"cyclamenwheel/internal/pools"
 )
 
 // Kind is what can be explained.
@@ -50,10 +52,24 @@
 	return fmt.Sprintf("can't explain a %q: instance, pool, job or manifest", e.Kind)
 }
 
+// current leaves out operations that the fold has seen end since the planner
+// looked: its view is a moment older.
+func current(st *fleetlog.State, view planner.View) planner.View {
+	var still []planner.Progress
+	for _, op := range view.Progress {
+		if in := st.Pools.Instances[op.Instance]; in != nil && in.Operation == op.Operation {
+			still = append(still, op)
+		}
+	}
+	view.Progress = still
+	return view
+}
+
 // Of explains one thing. view is the planner's; its zero value, where no
 // planner answers, leaves out what is only being considered.
 func Of(st *fleetlog.State, view planner.View, kind Kind, name string) (Explanation, error) {
 	e := &Explanation{Kind: kind, Name: name}
+	view = current(st, view)
 	var err error
 	switch kind {
 	case KindInstance:
@@ -111,9 +127,19 @@
 	for _, op := range view.Progress {
 		e.operation(op)
 	}
+	e.spare(m.Buffer.Survive, view.Spare)
 	e.decisions(view, "")
 }
 
+// spare tells whether the shared spare is enough for the loss it is meant for.
+func (e *Explanation) spare(domain manifest.FailureDomain, s pools.SpareNeed) {
+	e.is("%d spares; %d cover the loss of the worst %s", s.Held, s.Needed, domain)
+	if missing := s.Missing(); missing > 0 {
+		e.waits(fmt.Sprintf("%d more spares: the loss of the worst %s would leave a service below its budget", missing, domain),
+			"more instances, smaller pools, lower budgets, or a smaller failure domain in buffer.survive")
+	}
+}
+
 func orSpare(pool string) string {
 	if pool == "" {
 		return "the spares"
