An entry that wakes from a pause sends nothing by its old routes

Ruled out: health checks (a leaving endpoint refuses them) and answers read from before the pause (dated by when they were asked for).

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -53,6 +53,9 @@
 	written   int64
 	idleSince time.Time
 	confirmed time.Duration // on the clock that counts suspension
+	// vouched is when it was last known, by the list or by the endpoint itself,
+	// that the endpoint takes work; 0 for a health check, which needs no such.
+	vouched time.Duration
 }
 
 // limitedReader bounds what the head of an answer may take.
@@ -83,6 +86,9 @@
 
 // Write passes bytes on and counts them.
 func (c *conn) Write(p []byte) (int, error) {
+	if c.written == 0 && c.vouched != 0 && planlease.Boottime()-c.vouched > vouchedFor {
+		return 0, &PausedError{}
+	}
 	n, err := c.raw.Write(p)
 	c.written += int64(n)
 	return n, err
@@ -210,6 +216,7 @@
 // confirm makes a health check on the connection.
 func (c *conn) confirm(pool string, e Endpoint, deadline time.Time) error {
 	asked := planlease.Boottime()
+	c.vouched = 0
 	req, err := http.NewRequest(http.MethodGet, "http://"+e.Addr+"/healthz", nil)
 	if err != nil {
 		return errors.Wrap(err, "health check")
@@ -235,7 +242,7 @@
 	if !c.quiet() { // a second answer would pass for that to the request
 		return &UnaskedAnswerError{Instance: e.Instance}
 	}
-	c.confirmed = asked
+	c.confirmed, c.vouched = asked, asked
 	return nil
 }
 
--- a/internal/dispatch/connset.go
+++ b/internal/dispatch/connset.go
@@ -19,6 +19,16 @@
 // and a connection costs one health check a second at most.
 const confirmedFor = time.Second
 
+// vouchedFor is how long after an endpoint was known to take work the first
+// byte of a request may still be written to it.
+//
+// Failure: the process is paused between the check and the write. Symptom: the
+// request goes out when it wakes, to an endpoint that has left meanwhile. Asked
+// at the write itself, what remains is a pause within that one call. It is
+// longer than confirmedFor, so that an answer that is as old as that may be
+// used, and above any delay of a scheduler on a busy machine.
+const vouchedFor = 2 * confirmedFor
+
 // DialFunc opens a connection to host:port.
 type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
 
@@ -69,7 +79,13 @@
 // getting work over connections that stand, and is stopped in the middle of it.
 // New connections are always confirmed; here the ones that are kept are too.
 func (s *connSet) reconfirm(c *conn, pool string, e Endpoint, deadline time.Time) error {
-	if s.current() || planlease.Boottime()-c.confirmed < confirmedFor {
+	now := planlease.Boottime()
+	if s.current() {
+		c.vouched = now
+		return nil
+	}
+	if now-c.confirmed < confirmedFor {
+		c.vouched = c.confirmed
 		return nil
 	}
 	if err := c.confirm(pool, e, connectBy(deadline)); err != nil {
--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -138,3 +138,9 @@
 func (e *DrainTimeoutError) Error() string {
 	return fmt.Sprintf("shutdown: %d requests still in flight", e.InFlight)
 }
+
+// PausedError says that the process was paused before it wrote a request, for
+// so long that its endpoint may have left. Nothing was sent.
+type PausedError struct{}
+
+func (*PausedError) Error() string { return "paused before the request was written" }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -144,7 +144,10 @@
 
 // ListChanged implements node.Hooks: an instance listed as leaving gets no new
 // work, whether or not the planner has recorded it yet.
-func (e *Entry) ListChanged() { e.dirty = true }
+func (e *Entry) ListChanged() {
+	e.dirty = true
+	e.round()
+}
 
 // Tick implements node.Hooks.
 func (e *Entry) Tick() {
--- a/internal/node/list.go
+++ b/internal/node/list.go
@@ -19,20 +19,23 @@
 	listCurrentFor = 2 * time.Second
 )
 
+// listAnswer is one answer to a read of the list.
+type listAnswer struct {
+	list platform.InstanceList
+	// asked is the time of asking, not of the answer: a process that was paused
+	// in between finds the answer of a time long past.
+	asked time.Duration
+}
+
 func (n *Node) pollList() {
 	var since uint64
 	for n.ctx.Err() == nil {
 		asked := n.Now()
 		list, err := n.opts.Platform.Instances(n.ctx, since, listWait)
 		if err == nil {
-			// The time of asking, not of the answer: a process that was paused
-			// in between finds the answer of a time long past.
-			n.listAsked.Store(int64(asked))
-		}
-		if err == nil && list.Version > since {
-			since = list.Version
+			since = max(since, list.Version)
 			select {
-			case n.lists <- list:
+			case n.lists <- listAnswer{list: list, asked: asked}:
 			case <-n.ctx.Done():
 			}
 		}
@@ -40,7 +43,7 @@
 	}
 }
 
-// ListCurrent reports whether the platform's list was read lately. Any
+// ListCurrent reports whether the platform's list was read lately, and acted on. Any
 // goroutine may call it.
 func (n *Node) ListCurrent() bool {
 	asked := time.Duration(n.listAsked.Load())
@@ -56,10 +59,20 @@
 	}
 }
 
-func (n *Node) onList(l platform.InstanceList) {
-	if l.Version <= n.list.Version {
-		return
+// onList takes an answer. The list counts as current only when the hooks have
+// acted on it.
+//
+// Failure prevented: an entry wakes from a pause and reads the list; the list
+// counts as current at once, and requests go by the route table of before the
+// pause until the new one is in force.
+func (n *Node) onList(a listAnswer) {
+	if a.list.Version > n.list.Version {
+		n.takeList(a.list)
 	}
+	n.listAsked.Store(int64(a.asked))
+}
+
+func (n *Node) takeList(l platform.InstanceList) {
 	n.list = l
 	n.listIndex = make(map[string]*platform.Instance, len(l.Instances))
 	for i := range l.Instances {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,7 +41,8 @@
 	// Applied is told of folded records, in order. When it returns, the
 	// process has acted on them: they count as acknowledged.
 	Applied(batch []fleetlog.Applied)
-	// ListChanged is told that a newer instance list is known.
+	// ListChanged is told that a newer instance list is known. When it returns,
+	// the process has acted on it.
 	ListChanged()
 	// Tick is called every tickEvery.
 	Tick()
@@ -94,7 +95,7 @@
 
 	commands chan func()
 	pages    chan fleetlog.Page
-	lists    chan platform.InstanceList
+	lists    chan listAnswer
 	ctx      context.Context
 	cancel   context.CancelFunc
 	done     chan struct{}
@@ -139,7 +140,7 @@
 		tail:     fleetlog.NewTail(opts.Platform),
 		commands: make(chan func(), 64),
 		pages:    make(chan fleetlog.Page),
-		lists:    make(chan platform.InstanceList),
+		lists:    make(chan listAnswer),
 		ctx:      ctx, cancel: cancel, done: make(chan struct{}),
 		heard:     make(map[string]*Heard),
 		wanted:    make(map[string]string),
