--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -70,6 +71,7 @@
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(d.Log.Handler(), slog.LevelWarn),
 	}
 	go func() { _ = server.Serve(listener) }()
 	d.Log.Info("started", "callers", listener.Addr().String(), "operator", d.Operator.Addr().String())
