Daemon: the operators' server stops before the node

While a process ended, its operators' port went on answering from a control goroutine that had stopped, and reported generation 0 after the one in force. The fold was ruled out: no state of it ever went back, and the answer named no offset either.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -174,14 +174,15 @@
 	return st
 }
 
-// Close stops everything that Start started.
+// Close stops everything that Start started. The operators' server goes first:
+// answering from a node that has stopped, it would report generation 0.
 func (d *Daemon) Close() {
+	if err := d.Operator.Close(); err != nil {
+		d.Log.Warn("operators' server not closed", "error", err.Error())
+	}
 	d.Node.Close()
 	if err := d.Peers.Close(); err != nil {
 		d.Log.Warn("peers not closed", "error", err.Error())
 	}
-	if err := d.Operator.Close(); err != nil {
-		d.Log.Warn("operators' server not closed", "error", err.Error())
-	}
 	d.http.CloseIdleConnections()
 }
