A caller that reads nothing has a limit

Cause: writing a short answer or a refusal had no time limit; only long answers had, since they hold an endpoint's slot. A caller that hung, or went without a word, kept its goroutine and connection for ever once the sockets were full, and a planned stop waited for it until its own limit and then failed.

Ruled out: callers that send nothing (the limit for headers ends those) and the idle timeout (such a connection is not idle).

Now each answer has fifteen seconds to be read.

--- a/internal/dispatch/handler_test.go
+++ b/internal/dispatch/handler_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -209,13 +210,20 @@
 	// A large answer is passed on, and its caller keeps the connection. The time
 	// that it had for reading must not end the answer to a later request.
 	It("does not cut a later answer on the caller's connection", func() {
-		w := newWorker("w1", echo)
-		e := newEntry(Options{Buffer: 4}, w.Endpoint)
-		Expect(e.do("GET", "/tabs/large", "", HeaderDeadline, "100").status).To(Equal(200))
+		w := newWorker("w1", func(n int64, req *http.Request, _ []byte, c net.Conn) bool {
+			body := "long answer"
+			if n > 1 {
+				body = "ok"
+			}
+			reply(c, 200, "X-Request-Id: "+req.Header.Get(HeaderRequestID)+"\r\n", body)
+			return true
+		})
+		e := newEntry(Options{Buffer: int64(len("ok"))}, w.Endpoint)
+		Expect(e.do("GET", "/tabs/large", "", HeaderDeadline, "100").body).To(Equal("long answer"))
 		time.Sleep(writeGrace + 200*time.Millisecond)
 		out := e.do("POST", "/tabs/charge", "5")
 		Expect(out.err).NotTo(HaveOccurred())
-		Expect(out.status).To(Equal(200))
+		Expect(out.body).To(Equal("ok"))
 	})
 
 	// An answer that ends with the connection looks the same whole or cut.
@@ -419,6 +427,32 @@
 	})
 })
 
+// slowReader is a caller's connection that notes until when it may read.
+type slowReader struct {
+	*httptest.ResponseRecorder
+	until time.Time
+}
+
+func (r *slowReader) SetWriteDeadline(t time.Time) error {
+	r.until = t
+	return nil
+}
+
+var _ = Describe("a caller that reads nothing", func() {
+	// The sockets fill up and writing blocks. Without a limit it would block for
+	// ever, with the caller's goroutine and connection.
+	DescribeTable("has a limit for reading", func(path string, buffer int64) {
+		e := newEntry(Options{Buffer: buffer}, newWorker("w1", echo).Endpoint)
+		w := &slowReader{ResponseRecorder: httptest.NewRecorder()}
+		e.ServeHTTP(w, httptest.NewRequest("GET", path, nil))
+		Expect(w.until).To(BeTemporally(">", time.Now()))
+	},
+		Entry("answer", "/tabs/x", int64(0)),
+		Entry("long answer", "/tabs/x", int64(4)),
+		Entry("refusal", "/nobody/x", int64(0)),
+	)
+})
+
 var _ = Describe("a body that does not come", func() {
 	// The caller announces a body and sends none of it, or stops half-way. The
 	// refusal must not wait for the rest, and the connection must not stay.
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -25,6 +25,7 @@
 
 func (h *Handler) refuse(w http.ResponseWriter, c *call, r refusal) {
 	c.outcome = string(r.kind)
+	boundReading(w)
 	detail := r.detail
 	if detail == "" && r.cause != nil {
 		detail = r.cause.Error()
@@ -160,6 +161,7 @@
 	if ans.rest == nil && c.method != http.MethodHead && len(ans.body) > 0 {
 		out.Set("Content-Length", strconv.Itoa(len(ans.body)))
 	}
+	boundReading(w)
 	w.WriteHeader(ans.status)
 	_, writeErr := w.Write(ans.body)
 	if ans.rest != nil {
@@ -180,6 +182,19 @@
 	h.refuse(w, c, refusal{kind: TypeNeedsHTTP11, status: http.StatusBadGateway, ran: RanYes})
 }
 
+// readingLimit is how long a caller may take to read an answer that holds no
+// endpoint's slot: a quarter of a megabyte at the most, of which the sockets
+// take much at once. Slow lines get through in that time.
+const readingLimit = 15 * time.Second
+
+// boundReading ends the connection of a caller that does not read its answer.
+//
+// Failure: the caller hangs, or has gone without a word. Symptom: its goroutine
+// and connection stay for ever, and a planned stop waits for them.
+func boundReading(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(readingLimit)) // not supported by test recorders
+}
+
 // writeGrace is how long past the deadline a caller may take to read.
 const writeGrace = time.Second
 
