Entry: export request metrics and open files, log the HTTP server's words

Cause: the traffic path counted into a set of its own that nobody exported, so /metrics had no cyclamen_requests_total; the metrics library leaves the number of open files out of its process metrics; and what net/http had to say of callers' connections would have gone to standard error as plain text between JSON lines.

Before: the counters read 0 after an answer. After: they count.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,6 +53,8 @@
 	if err := checkIdentity(creds.Identity(), s.Process, self.Role); err != nil {
 		return nil, err
 	}
+	// Not among the library's process metrics: a leak of connections shows here.
+	metrics.RegisterMetricsWriter(metrics.WriteFDMetrics)
 	metrics.GetOrCreateGauge("cyclamen_certificate_expiry_seconds", func() float64 {
 		return time.Until(creds.NotAfter()).Seconds()
 	})
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -9,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cyclamenwheel/internal/dispatch"
 	"cyclamenwheel/internal/entry"
 	"cyclamenwheel/internal/membership"
@@ -51,7 +54,7 @@
 	claims := newClaims(d, s)
 	handler := dispatch.NewHandler(dispatch.Options{
 		Routes: e.Routes, Current: d.Node.ListCurrent, Claims: claims, Zone: s.Process.Zone, Log: d.Log,
-		MaxBody: s.Callers.MaxBody,
+		MaxBody: s.Callers.MaxBody, Metrics: metrics.GetDefaultSet(),
 	})
 	e.Attach(handler, claims, d.Node.NotReady)
 	d.Operator.RegisterDump("entry", e.Dump(d.Node.Do))
@@ -67,6 +70,7 @@
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(d.Log.Handler(), slog.LevelWarn),
 	}
 	go func() { _ = server.Serve(listener) }()
 	d.Log.Info("started", "callers", listener.Addr().String(), "operator", d.Operator.Addr().String())
