Proof: malformed and oversized input on every port of an entry

The process stays the same, ready and answering, its log stays JSON, and goroutines and open files come back to the level before.

--- /dev/null
+++ b/test/harness/levels.go
@@ -0,0 +1,128 @@
+package harness
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/tls"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/certs"
+	"cyclamenwheel/internal/operator"
+)
+
+// Levels are what a process holds at a moment.
+type Levels struct{ Goroutines, Files int }
+
+// Names of the metrics that Levels come from.
+const (
+	metricGoroutines = "go_goroutines"
+	metricFiles      = "process_open_fds"
+)
+
+// restSamples is how many looks tell what a process holds at rest: its long
+// polls and heartbeats come and go.
+const restSamples = 30
+
+// Levels asks the process what it holds.
+func (p *Process) Levels() (Levels, error) {
+	all, err := p.Metrics()
+	return Levels{Goroutines: int(all[metricGoroutines]), Files: int(all[metricFiles])}, err
+}
+
+// Metrics returns the process's metrics by name, with labels.
+func (p *Process) Metrics() (map[string]float64, error) {
+	resp, err := asker.Get("http://" + p.OperatorAddr() + operator.PathMetrics)
+	if err != nil {
+		return nil, &UnansweredError{ID: p.ID, Detail: err.Error()}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, &UnansweredError{ID: p.ID, Detail: resp.Status}
+	}
+	all := map[string]float64{}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), " ")
+		number, err := strconv.ParseFloat(value, 64)
+		if err == nil {
+			all[name] = number
+		}
+	}
+	return all, lines.Err()
+}
+
+// LevelsAtRest returns the most that the process holds while nothing is asked
+// of it.
+func (p *Process) LevelsAtRest() Levels {
+	ginkgo.GinkgoHelper()
+	var most Levels
+	for range restSamples {
+		l, err := p.Levels()
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(l.Goroutines).NotTo(gomega.BeZero())
+		gomega.Expect(l.Files).NotTo(gomega.BeZero())
+		most.Goroutines, most.Files = max(most.Goroutines, l.Goroutines), max(most.Files, l.Files)
+		time.Sleep(Poll)
+	}
+	return most
+}
+
+// AwaitLevels waits until the process holds no more than that again.
+func (p *Process) AwaitLevels(rest Levels) {
+	ginkgo.GinkgoHelper()
+	gomega.Eventually(func(g gomega.Gomega) {
+		l, err := p.Levels()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(l.Goroutines).To(gomega.BeNumerically("<=", rest.Goroutines), "goroutines")
+		g.Expect(l.Files).To(gomega.BeNumerically("<=", rest.Files), "open files")
+	}, Patience, Poll).Should(gomega.Succeed(), p.ID)
+}
+
+// PlainLogLines returns the lines of the process's log that are no JSON.
+func (p *Process) PlainLogLines() []string {
+	ginkgo.GinkgoHelper()
+	data, err := os.ReadFile(p.logFile)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	var plain []string
+	for line := range bytes.Lines(data) {
+		if !json.Valid(line) {
+			plain = append(plain, string(line))
+		}
+	}
+	return plain
+}
+
+// PeerAddr is where the process's peers reach it.
+func (p *Process) PeerAddr() string { return p.addr(portPeer) }
+
+// Certificate issues a certificate of the deployment.
+func (c *Cluster) Certificate(role certs.Role, id string) tls.Certificate {
+	ginkgo.GinkgoHelper()
+	gomega.Expect(certs.Create(c.dir, Deployment, string(role)+"/"+id)).To(gomega.Succeed())
+	return loadPair(c.dir, role, id)
+}
+
+// ForeignCertificate issues a certificate of the same name by another CA.
+func (c *Cluster) ForeignCertificate(role certs.Role, id string) tls.Certificate {
+	ginkgo.GinkgoHelper()
+	dir := filepath.Join(c.dir, "foreign")
+	gomega.Expect(certs.Create(dir, Deployment, string(role)+"/"+id)).To(gomega.Succeed())
+	return loadPair(dir, role, id)
+}
+
+func loadPair(dir string, role certs.Role, id string) tls.Certificate {
+	ginkgo.GinkgoHelper()
+	pair, err := tls.LoadX509KeyPair(
+		filepath.Join(dir, certs.CertFile(role, id)), filepath.Join(dir, certs.KeyFile(role, id)))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return pair
+}
