--- a/test/graceful/pinned_test.go
+++ b/test/graceful/pinned_test.go
@@ -134,7 +134,7 @@
 	// its answers from the moment it is not ready, and closes its port and idle
 	// connections only after the grace.
 	It("is told before its connection is closed", func() {
-		c := formed()
+		c := formed(fewInstances)
 		callers := startPinned(c.Balance())
 		for i := range c.Entries() {
 			Expect(c.Entry(i).Stop()).To(BeZero())
--- a/test/graceful/rolling_test.go
+++ b/test/graceful/rolling_test.go
@@ -20,7 +20,7 @@
 	// and its membership. Were any step out of order, a request would meet a
 	// closed port, a cut connection or an endpoint without a slot.
 	It("fails no request", func() {
-		c := formed()
+		c := formed(allInstances)
 		callers := c.Steady(c.Balance(), poolTabs, poolCharges)
 		for i := range c.Entries() {
 			entry, control := c.Entry(i), c.Control(i)
@@ -50,7 +50,7 @@
 	// an unknown outcome. Whether a caller may be refused for lack of slots
 	// meanwhile is the question of the suite in drain/.
 	It("cuts nothing in flight", func() {
-		c := formed()
+		c := formed(fewInstances)
 		Expect(c.Standin.Apply(GinkgoT().Context(), standin.Settings{DrainLimitMillis: new(int64(impatient))})).To(Succeed())
 		callers := c.Steady(c.Balance(), poolTabs, poolCharges)
 		c.Publish(fleetManifest(1))
--- a/test/graceful/suite_test.go
+++ b/test/graceful/suite_test.go
@@ -49,11 +49,18 @@
 	return harness.Manifest(parallel, pool(poolTabs), pool(poolCharges))
 }
 
-// formed is a fleet of three entries and three control processes that serves.
-func formed() *harness.Cluster {
+// fewInstances are enough where what is replaced is not the point; a user of
+// today has allInstances.
+const (
+	fewInstances = 3
+	allInstances = 7
+)
+
+// formed is a fleet that serves, with as many entries as control processes.
+func formed(instances int) *harness.Cluster {
 	GinkgoHelper()
 	c := harness.New(harness.Options{
-		Entries: 3, Controls: 3,
+		Entries: instances, Controls: instances,
 		Settings: map[string]map[string]string{"timing": {"ready_grace": readyGrace}},
 	})
 	c.Form(fleetManifest(0))
