--- a/test/budget/suite_test.go
+++ b/test/budget/suite_test.go
@@ -31,6 +31,12 @@
 var bg = context.Background()
 
 // slowReboot keeps a wave going for long enough to be met in the middle.
+// appendDelay is how long the planner's record is on its way. What is to
+// overtake it (a loss seen by way of the list, and its record) takes some 300 ms,
+// and on a busy machine took more than 2.5 s once. It stays under the platform
+// client's limit for an append, 5 s.
+const appendDelay = 4500 * time.Millisecond
+
 const slowReboot = 300 * time.Millisecond
 
 // stillFor is how long nothing must happen where nothing may: several times
@@ -64,7 +70,7 @@
 func decideUnderSlowAppends(c *harness.Cluster, m *manifest.Manifest) *harness.Process {
 	GinkgoHelper()
 	holder := c.Planner()
-	Expect(c.Standin.SetFault(bg, standin.ClassAppend, standin.PlatformFault{DelayMillis: 2500})).To(Succeed())
+	Expect(c.Standin.SetFault(bg, standin.ClassAppend, standin.PlatformFault{DelayMillis: appendDelay.Milliseconds()})).To(Succeed())
 	_, res := c.TryPublish(m)
 	Expect(res.Code).To(BeZero(), res.Err)
 	awaitDecided(holder)
