Jobs of a manifest are looked up in one place

placement, planner and explain each walked all pools for their jobs; all three now call manifest.JobsByName. fleetlog.HashHex, which nothing called, is gone. Behaviour and tests are as they were.

--- a/internal/explain/subjects.go
+++ b/internal/explain/subjects.go
@@ -5,7 +5,6 @@
 
 	"cyclamenwheel/internal/fleetlog"
 	"cyclamenwheel/internal/maintenance"
-	"cyclamenwheel/internal/manifest"
 	"cyclamenwheel/internal/membership"
 	"cyclamenwheel/internal/placement"
 	"cyclamenwheel/internal/planner"
@@ -167,7 +166,7 @@
 }
 
 func (e *Explanation) job(st *fleetlog.State, view planner.View) error {
-	job, pool, ok := findJob(st.Manifest.Current(), e.Name)
+	job, ok := st.Manifest.Current().JobsByName()[e.Name]
 	if !ok {
 		return &UnknownError{Kind: KindJob, Name: e.Name}
 	}
@@ -180,7 +179,7 @@
 	}
 	h := st.Tasks.History.Jobs[e.Name]
 	e.is("%d of %d tasks placed in pool %s, %d done, %d failures since the last success",
-		placed, job.Tasks, pool, len(h.Done), h.Failures)
+		placed, job.Tasks, job.Pool, len(h.Done), h.Failures)
 	for _, s := range view.Tasks.SetAside {
 		if s.Job == e.Name {
 			e.waits("set aside: "+string(s.Reason), unblockJob(s.Reason))
@@ -194,20 +193,6 @@
 	return nil
 }
 
-func findJob(m *manifest.Manifest, name string) (job manifest.Job, pool string, ok bool) {
-	if m == nil {
-		return job, "", false
-	}
-	for _, p := range m.Pools {
-		for _, j := range p.Jobs {
-			if j.Name == name {
-				return j, p.Name, true
-			}
-		}
-	}
-	return job, "", false
-}
-
 func unblockJob(r placement.Reason) string {
 	switch r {
 	case placement.ReasonFitsNoWorker:
--- a/internal/fleetlog/snapshot.go
+++ b/internal/fleetlog/snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"encoding/hex"
 
 	"cyclamenwheel/internal/fold"
 	"cyclamenwheel/internal/idempotency"
@@ -156,9 +155,6 @@
 	return st
 }
 
-// HashHex returns a state hash for logs.
-func HashHex(h [32]byte) string { return hex.EncodeToString(h[:8]) }
-
 // decodePart returns the part that a log record carries, if it is one.
 func decodePart(entry platform.LogRecord) (Part, bool) {
 	rec, err := DecodeRecord(entry.Data)
--- a/internal/manifest/query.go
+++ b/internal/manifest/query.go
@@ -121,3 +121,24 @@
 	}
 	return list
 }
+
+// PooledJob is a job with the pool that runs it.
+type PooledJob struct {
+	Job
+	Pool string
+}
+
+// JobsByName returns all jobs; their names are unique over all pools. A nil
+// manifest, before the first is in force, has none.
+func (m *Manifest) JobsByName() map[string]PooledJob {
+	jobs := make(map[string]PooledJob)
+	if m == nil {
+		return jobs
+	}
+	for _, p := range m.Pools {
+		for _, j := range p.Jobs {
+			jobs[j.Name] = PooledJob{Job: j, Pool: p.Name}
+		}
+	}
+	return jobs
+}
--- a/internal/placement/fold.go
+++ b/internal/placement/fold.go
@@ -92,7 +92,7 @@
 func (s *State) Apply(m fold.Meta, rec Tasks, man *manifest.Manifest, instances map[string]*pools.Instance) fold.Verdict {
 	s.derive()
 	accepted, first := 0, fold.Reject(ReasonNothingToDo, "")
-	jobs := jobsOf(man)
+	jobs := man.JobsByName()
 	for _, e := range rec.End {
 		accepted += s.end(m, e, jobs, instances)
 	}
@@ -114,31 +114,13 @@
 	return fold.Accept()
 }
 
-type pooledJob struct {
-	manifest.Job
-	pool string
-}
-
-func jobsOf(man *manifest.Manifest) map[string]pooledJob {
-	jobs := make(map[string]pooledJob)
-	if man == nil {
-		return jobs
-	}
-	for _, p := range man.Pools {
-		for _, j := range p.Jobs {
-			jobs[j.Name] = pooledJob{Job: j, pool: p.Name}
-		}
-	}
-	return jobs
-}
-
-func (s *State) place(m fold.Meta, p Placed, jobs map[string]pooledJob, instances map[string]*pools.Instance) fold.Verdict {
+func (s *State) place(m fold.Meta, p Placed, jobs map[string]manifest.PooledJob, instances map[string]*pools.Instance) fold.Verdict {
 	job, ok := jobs[p.Job]
 	if !ok {
 		return fold.Reject(ReasonUnknownJob, p.Job)
 	}
 	in := instances[p.Instance]
-	if in == nil || in.Phase != pools.PhaseServing || in.Pool != job.pool {
+	if in == nil || in.Phase != pools.PhaseServing || in.Pool != job.Pool {
 		return fold.Reject(ReasonNotServing, p.Instance)
 	}
 	key := slot{p.Job, p.Index}
@@ -163,7 +145,7 @@
 	return 1
 }
 
-func (s *State) end(m fold.Meta, e End, jobs map[string]pooledJob, instances map[string]*pools.Instance) int {
+func (s *State) end(m fold.Meta, e End, jobs map[string]manifest.PooledJob, instances map[string]*pools.Instance) int {
 	t, ok := s.Tasks[e.ID]
 	if !ok {
 		return 0
@@ -185,7 +167,7 @@
 // Forget drops the history of jobs and workers that are no more. It is folded
 // with every manifest, so that history is bounded by what is published.
 func (s *State) Forget(man *manifest.Manifest, instances map[string]*pools.Instance) {
-	jobs := jobsOf(man)
+	jobs := man.JobsByName()
 	s.History.Forget(
 		func(job string) bool { _, ok := jobs[job]; return ok },
 		func(id string) bool { return instances[id] != nil },
--- a/internal/planner/tasks.go
+++ b/internal/planner/tasks.go
@@ -78,7 +78,7 @@
 
 func (t *taskRunner) observe(reports []platform.TaskReport) {
 	st := t.p.node.State()
-	jobs := jobsByName(st.Manifest.Current())
+	jobs := st.Manifest.Current().JobsByName()
 	before := t.reported
 	t.reported = make(map[string]platform.TaskState, len(before))
 	t.ended = t.ended[:0]
@@ -94,7 +94,7 @@
 			continue
 		}
 		if job, known := jobs[held.Job]; known {
-			t.estimator.Observe(job, r, held.PlacedMillis, st.TimeMillis)
+			t.estimator.Observe(job.Job, r, held.PlacedMillis, st.TimeMillis)
 		}
 	}
 	if len(t.ended) > 0 || !maps.Equal(before, t.reported) {
@@ -160,7 +160,7 @@
 
 func (t *taskRunner) due(now time.Duration) (start []platform.Task, stop, renew []string) {
 	st := t.p.node.State()
-	jobs := jobsByName(st.Manifest.Current())
+	jobs := st.Manifest.Current().JobsByName()
 	for id, held := range st.Tasks.Tasks {
 		state, reported := t.reported[id]
 		switch {
@@ -171,7 +171,7 @@
 			}
 		case !reported && now-t.asked[id] >= startAgainAfter:
 			t.asked[id] = now
-			start = append(start, taskOf(id, held, jobs[held.Job]))
+			start = append(start, taskOf(id, held, jobs[held.Job].Job))
 		case reported && !placement.Ended(state):
 			renew = append(renew, id)
 		}
@@ -207,16 +207,3 @@
 		Accelerators: held.Accelerators, LeaseMillis: taskLease.Milliseconds(), DurationMillis: job.DurationMillis,
 	}
 }
-
-func jobsByName(m *manifest.Manifest) map[string]manifest.Job {
-	jobs := make(map[string]manifest.Job)
-	if m == nil {
-		return jobs
-	}
-	for _, p := range m.Pools {
-		for _, j := range p.Jobs {
-			jobs[j.Name] = j
-		}
-	}
-	return jobs
-}
