--- a/internal/certs/create.go
+++ b/internal/certs/create.go
@@ -103,6 +103,14 @@
 }
 
 func newAuthority(dir, deployment string) (*authority, error) {
+	ca, der, err := makeAuthority(deployment)
+	if err != nil {
+		return nil, err
+	}
+	return ca, writePair(filepath.Join(dir, CAFile), filepath.Join(dir, CAKeyFile), der, ca.key)
+}
+
+func makeAuthority(deployment string) (*authority, []byte, error) {
 	now := time.Now()
 	template := &x509.Certificate{
 		Subject:               pkix.Name{Organization: []string{deployment}, CommonName: deployment + " CA"},
@@ -115,20 +123,29 @@
 	}
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
-		return nil, &GenerateError{Cause: err}
+		return nil, nil, &GenerateError{Cause: err}
 	}
 	ca := &authority{cert: template, key: key}
 	der, err := ca.sign(template, key)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if ca.cert, err = x509.ParseCertificate(der); err != nil {
-		return nil, &GenerateError{Cause: err}
+		return nil, nil, &GenerateError{Cause: err}
 	}
-	return ca, writePair(filepath.Join(dir, CAFile), filepath.Join(dir, CAKeyFile), der, key)
+	return ca, der, nil
 }
 
 func (ca *authority) issue(dir string, l leaf) error {
+	der, key, err := ca.makeLeaf(l)
+	if err != nil {
+		return err
+	}
+	id := l.identity
+	return writePair(filepath.Join(dir, CertFile(id.Role, id.ID)), filepath.Join(dir, KeyFile(id.Role, id.ID)), der, key)
+}
+
+func (ca *authority) makeLeaf(l leaf) ([]byte, *ecdsa.PrivateKey, error) {
 	now := time.Now()
 	id := l.identity
 	template := &x509.Certificate{
@@ -147,13 +164,10 @@
 	}
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
-		return &GenerateError{Cause: err}
+		return nil, nil, &GenerateError{Cause: err}
 	}
 	der, err := ca.sign(template, key)
-	if err != nil {
-		return err
-	}
-	return writePair(filepath.Join(dir, CertFile(id.Role, id.ID)), filepath.Join(dir, KeyFile(id.Role, id.ID)), der, key)
+	return der, key, err
 }
 
 func (ca *authority) sign(template *x509.Certificate, key *ecdsa.PrivateKey) ([]byte, error) {
--- a/internal/certs/load.go
+++ b/internal/certs/load.go
@@ -124,6 +124,9 @@
 // and the next handshake tries again.
 func (c *Credentials) fresh() *material {
 	have := c.current.Load()
+	if c.cert == "" {
+		return have // never in files
+	}
 	if stamps, err := c.stat(); err == nil && unchanged(have.stamps, stamps) {
 		return have
 	}
--- /dev/null
+++ b/internal/executor/core.go
@@ -0,0 +1,402 @@
+// Package executor runs one pool's jobs. Core is a pure state machine: the
+// caller passes in the time and what endpoints and callers said, makes the
+// records durable that Ready returns, and only then sends the orders and
+// answers that wait for them.
+//
+// Contract with the caller:
+//   - Records of one Ready are appended in order, all or none, under the epoch
+//     that the Core was built with, before the next Ready is asked for.
+//   - Orders and replies of a Ready leave only after that append. Urgent orders
+//     (TakeUrgent) need no record and may leave at once.
+//   - Nothing is sent any more once Fenced reports true or the caller's own
+//     proof of the epoch has grown older than Limits.ProofAge.
+//
+// Times are a clock that counts suspension; wall-clock times are ms since 1970.
+package executor
+
+import (
+	"time"
+
+	"cyclamenwheel/internal/jobs"
+	"cyclamenwheel/internal/routing"
+)
+
+// Limits are the bounds that the deployment's settings give.
+type Limits struct {
+	// Lease is how far ahead leases are renewed. All owners of a deployment
+	// must use the same, as a successor waits out its predecessor's.
+	Lease time.Duration
+	// ProofAge is how long an owner may go on renewing without having heard
+	// from the store that its epoch is still the newest.
+	ProofAge time.Duration
+	// KeepEnded is how long the state of an ended job can be asked for.
+	KeepEnded time.Duration
+	// StopTimeout is the longest that a stop takes on an endpoint.
+	StopTimeout time.Duration
+}
+
+const (
+	// clockDrift is how slow an endpoint's clock may be.
+	clockDrift = 0.02
+	// expiryMargin covers rounding to ms and timers that fire late.
+	expiryMargin = 100 * time.Millisecond
+)
+
+// JobState is what callers are shown.
+type JobState uint8
+
+// States of jobs.
+const (
+	JobQueued JobState = iota
+	JobRunning
+	JobCompleted
+	JobFailed
+	JobCancelled
+)
+
+var jobStateNames = [...]string{"queued", "running", "completed", "failed", "cancelled"}
+
+func (s JobState) String() string { return jobStateNames[s] }
+
+// Ended reports whether the state is final.
+func (s JobState) Ended() bool { return s >= JobCompleted }
+
+// Core is the state of one pool. It is not safe for concurrent use.
+type Core struct {
+	pool   string
+	epoch  int64
+	limits Limits
+	guard  bool
+
+	jobs      map[string]*job
+	endpoints map[string]*endpoint
+	// gone are incarnations that are known to have ended.
+	gone map[string]bool
+	// open are jobs with tasks that may still be started, by objective.
+	open []*job
+	// ended are jobs that wait for the end of KeepEnded, oldest first.
+	ended []*job
+
+	learned map[string]*workload
+	images  map[string]*workload
+
+	dirty   map[*job]bool
+	order   []*job
+	removed []string
+	starts  []Order
+	replies []Reply
+	acks    map[string]int64
+	urgent  []Order
+	events  []Event
+
+	claimedAt time.Duration
+	wallMs    int64
+	fenced    bool
+}
+
+// New returns the empty state of a pool under an epoch claimed at now.
+func New(pool string, epoch int64, limits Limits, now time.Duration) *Core {
+	return &Core{
+		pool: pool, epoch: epoch, limits: limits, claimedAt: now,
+		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, gone: map[string]bool{},
+		learned: map[string]*workload{}, images: map[string]*workload{},
+		dirty: map[*job]bool{}, acks: map[string]int64{},
+	}
+}
+
+// Epoch is the fence number of this state's orders.
+func (c *Core) Epoch() int64 { return c.epoch }
+
+// Fenced reports whether an endpoint has seen a newer epoch.
+func (c *Core) Fenced() bool { return c.fenced }
+
+// SetGuarded says whether the pool's endpoints turn away what does not fit.
+func (c *Core) SetGuarded(guarded bool) { c.guard = guarded }
+
+// SetWall passes the time of day, for due times and the age of ended jobs.
+func (c *Core) SetWall(ms int64) { c.wallMs = ms }
+
+// job is a caller's job and what has become of it.
+type job struct {
+	rec jobRecord
+	// durable is the state whose record has been written; only it is shown.
+	durable  JobState
+	accepted bool
+	started  bool
+	// since is when this owner first saw the job.
+	since time.Duration
+	// objective is when the job is late, on the clock of since.
+	objective time.Duration
+	// firstOpen is the lowest occurrence that has not ended.
+	firstOpen int
+	// next is the lowest occurrence that has not begun.
+	next    int
+	current []*occurrence
+	// placed counts tasks that may be running anywhere.
+	placed int
+	queued bool
+}
+
+// occurrence is one run of all steps.
+type occurrence struct {
+	number int
+	steps  []*stepRun
+	left   int
+}
+
+// stepRun is one step of an occurrence.
+type stepRun struct {
+	job   *job
+	occ   *occurrence
+	index int
+	spec  *jobs.Step
+	tasks []*task
+	left  int
+	// waitsFor counts the steps that must end before this one begins.
+	waitsFor int
+	waiting  int
+	// failures counts for a gang as a whole.
+	failures int
+	// gangDone: one member has ended done, which stands for all of them.
+	gangDone bool
+	perHost  map[*endpoint]int
+}
+
+type phase uint8
+
+const (
+	taskWaiting phase = iota
+	// taskPlaced: a start is intended, ordered or confirmed.
+	taskPlaced
+	taskDone
+)
+
+// task is one unit of work.
+type task struct {
+	step  *stepRun
+	index int
+	phase phase
+	// run is the number of the newest run that may have been ordered.
+	run        int
+	failures   int
+	host       *endpoint
+	checkpoint string
+	ticket     string
+
+	// ordered is when the newest start order left; zero before.
+	ordered time.Duration
+	// confirmed is when the endpoint was first known to have the run.
+	confirmed time.Duration
+	// answered reports whether the newest start order was answered.
+	answered bool
+	// restored: the start was intended by an earlier owner. Its order carries
+	// an older fence, so that it can't begin once this owner has been heard.
+	restored bool
+	percent  int
+	load     int
+	// movedAt is when percent last changed.
+	movedAt time.Duration
+	// stopping is set once the run shall end; stopSent is its newest order.
+	stopping bool
+	stopSent time.Duration
+	// avoid is the endpoint of the last run that failed there.
+	avoid     string
+	notBefore time.Duration
+	pace      int
+	overSince time.Duration
+	paceSent  time.Duration
+}
+
+func (t *task) name() string {
+	return jobs.TaskName{Job: t.step.job.rec.Job.ID, Occurrence: t.step.occ.number, Step: t.step.index, Index: t.index}.String()
+}
+
+// endpoint is one incarnation of an endpoint of the pool.
+type endpoint struct {
+	id, addr, zone, kind, rack string
+	capacity                   Room
+	used                       Room
+	// listed reports whether service discovery has it.
+	listed   bool
+	draining bool
+	vacating bool
+	// vacateUntil ends a request to vacate that is not repeated.
+	vacateUntil time.Duration
+	tasks       map[*task]bool
+	strangers   int
+
+	// looked is when a renewal under this epoch was last answered.
+	looked     time.Duration
+	lookedEver bool
+	lookOut    bool
+	lookSent   time.Duration
+	nextLook   time.Duration
+	failedLook int
+
+	// clockAt and clock are the endpoint's newest clock and when it came.
+	clock   time.Duration
+	clockAt time.Duration
+	// granted is the latest end of a lease that this owner asked for.
+	granted time.Duration
+	// seen is the number of the newest end taken in; acknowledged the newest
+	// whose effect is durable.
+	seen         int64
+	acknowledged int64
+
+	badRuns    int
+	quarantine time.Duration
+	speed      float64
+}
+
+// Room is an amount of an endpoint's resources.
+type Room struct {
+	CPUMilli int `json:"cpu_milli"`
+	MemoryMB int `json:"memory_mb"`
+	GPUs     int `json:"gpus"`
+}
+
+func (r Room) plus(o Room) Room {
+	return Room{r.CPUMilli + o.CPUMilli, r.MemoryMB + o.MemoryMB, r.GPUs + o.GPUs}
+}
+
+func (r Room) minus(o Room) Room {
+	return Room{r.CPUMilli - o.CPUMilli, r.MemoryMB - o.MemoryMB, r.GPUs - o.GPUs}
+}
+
+func (r Room) holds(o Room) bool {
+	return r.CPUMilli >= o.CPUMilli && r.MemoryMB >= o.MemoryMB && r.GPUs >= o.GPUs
+}
+
+// needs is what a task of the step takes of its endpoint. A filling task takes
+// only the processor time that others leave, but its memory is allocated.
+func needs(s *jobs.Step) Room {
+	r := Room{s.CPUMilli, s.MemoryMB, s.GPUs}
+	if s.Fills {
+		r.CPUMilli = 0
+	}
+	return r
+}
+
+// EndpointInfo is what service discovery says of an endpoint.
+type EndpointInfo struct {
+	ID, Addr, Zone, Kind, Rack string
+	Capacity                   Room
+	Draining                   bool
+}
+
+// workload is what was learnt of the runs of a queue or an image.
+type workload struct {
+	// meanMs is the mean time of runs that ended done.
+	meanMs float64
+	runs   int
+}
+
+// learnWeight forgets a run's influence after about 20 runs, a second or two
+// of a busy queue.
+const learnWeight = 0.05
+
+func (w *workload) add(ms float64) {
+	w.runs++
+	weight := max(learnWeight, 1/float64(w.runs))
+	w.meanMs += weight * (ms - w.meanMs)
+}
+
+// OrderKind tells orders apart.
+type OrderKind uint8
+
+// Kinds of orders.
+const (
+	OrderStart OrderKind = iota
+	OrderStop
+	OrderPace
+)
+
+// Order is an order to an endpoint. The caller adds fence and lease.
+type Order struct {
+	Kind       OrderKind
+	Endpoint   string
+	Addr       string
+	Task       string
+	Run        int
+	Spec       string
+	Checkpoint string
+	Ticket     string
+	Percent    int
+	task       *task
+}
+
+// Reply answers a call of Submit or Cancel by its token.
+type Reply struct{ Token uint64 }
+
+// EventKind names what a Core decided or came to believe.
+type EventKind string
+
+// Event is a line for the log.
+type Event struct {
+	Kind     EventKind
+	Job      string
+	Task     string
+	Run      int
+	Endpoint string
+	Reason   string
+	// AgeMs is the age of what the decision rests on.
+	AgeMs int64
+}
+
+// Kinds of events.
+const (
+	EventAccepted EventKind = "job accepted"
+	EventRefused  EventKind = "job refused"
+	EventEnded    EventKind = "job ended"
+	EventPlaced   EventKind = "task placed"
+	EventTaskEnd  EventKind = "task ended"
+	EventLost     EventKind = "task lost"
+	EventGone     EventKind = "endpoint gone"
+	EventStop     EventKind = "task stop ordered"
+	EventQuiet    EventKind = "endpoint quarantined"
+	EventStranger EventKind = "unknown run stopped"
+	EventFenced   EventKind = "fenced by a newer epoch"
+	EventRestored EventKind = "jobs restored"
+	EventVacating EventKind = "endpoint vacating"
+	EventPaced    EventKind = "task paced"
+)
+
+func (c *Core) event(e Event) { c.events = append(c.events, e) }
+
+// TakeEvents returns what happened since the last call.
+func (c *Core) TakeEvents() []Event {
+	out := c.events
+	c.events = nil
+	return out
+}
+
+// Summary is a pool's state in figures, for the fleet's decisions and dumps.
+type Summary struct {
+	Pool string `json:"pool" cbor:"1,keyasint"`
+	// BacklogCoreMs is work accepted and not yet running.
+	BacklogCoreMs float64 `json:"backlog_core_ms" cbor:"2,keyasint"`
+	// RunningCPUMilli is what runs now.
+	RunningCPUMilli int `json:"running_cpu_milli" cbor:"3,keyasint"`
+	CapacityMilli   int `json:"capacity_milli" cbor:"4,keyasint"`
+	Endpoints       int `json:"endpoints" cbor:"5,keyasint"`
+	WaitingTasks    int `json:"waiting_tasks" cbor:"6,keyasint"`
+	Jobs            int `json:"jobs" cbor:"7,keyasint"`
+	// LastingCPUMilli is the part of RunningCPUMilli that does not end by
+	// itself.
+	LastingCPUMilli int `json:"lasting_cpu_milli" cbor:"8,keyasint"`
+	// OfferedCoreMs counts all work offered since the epoch began.
+	OfferedCoreMs float64 `json:"offered_core_ms" cbor:"9,keyasint"`
+	// Idle are endpoints on which nothing runs.
+	Idle []string `json:"idle" cbor:"10,keyasint"`
+	// Lasting are endpoints with tasks that don't end by themselves.
+	Lasting []string `json:"lasting" cbor:"11,keyasint"`
+}
+
+// Accepting is what a caller's job is accepted under.
+type Accepting struct {
+	Queue string
+	Terms routing.Terms
+}
+
+// Busy reports whether anything runs, waits or is to be written.
+func (c *Core) Busy() bool { return len(c.open) > 0 || len(c.dirty) > 0 || len(c.urgent) > 0 }
--- /dev/null
+++ b/internal/executor/journal.go
@@ -0,0 +1,335 @@
+package executor
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cyclamenwheel/internal/jobs"
+	"cyclamenwheel/internal/routing"
+)
+
+// Keys of the records of a pool. A job has one record that is written when it
+// is accepted, cancelled and ended, and one of its tasks' progress that is
+// written with each change and removed when the job has ended.
+const (
+	keyJob      = "j"
+	keyProgress = "p"
+	// KeyEpoch names the record of the newest claim.
+	KeyEpoch = "e"
+)
+
+// Record is a record of the pool's journal; an empty value removes the key.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// jobRecord is what is kept of a job. Once it has ended, Job holds its ID only.
+type jobRecord struct {
+	Job        jobs.Job      `cbor:"1,keyasint"`
+	Queue      string        `cbor:"2,keyasint"`
+	Terms      routing.Terms `cbor:"3,keyasint"`
+	AcceptedMs int64         `cbor:"4,keyasint"`
+	State      JobState      `cbor:"5,keyasint,omitempty"`
+	EndedMs    int64         `cbor:"6,keyasint,omitempty"`
+}
+
+// progressRecord is what is kept of a job's tasks that have begun.
+type progressRecord struct {
+	// FirstOpen is the lowest occurrence that has not ended.
+	FirstOpen int            `cbor:"1,keyasint,omitempty"`
+	Tasks     []taskRecord   `cbor:"2,keyasint,omitempty"`
+	Gangs     map[string]int `cbor:"3,keyasint,omitempty"`
+	// Ended are occurrences above FirstOpen that have ended.
+	Ended []int `cbor:"4,keyasint,omitempty"`
+}
+
+// taskRecord is an array on the wire, as there are many.
+type taskRecord struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Index      int
+	Phase      phase
+	Run        int
+	Failures   int
+	Endpoint   string
+	Checkpoint string
+}
+
+// EpochRecord is the record of a claim of the pool.
+type EpochRecord struct {
+	Epoch int64  `cbor:"1,keyasint"`
+	Owner string `cbor:"2,keyasint"`
+}
+
+// MalformedRecordError says that a record of the journal can't be read. Going
+// on without it could run a task twice, so the pool is not taken over.
+type MalformedRecordError struct {
+	Key   string
+	Cause error
+}
+
+func (e *MalformedRecordError) Error() string { return "record " + e.Key + ": " + e.Cause.Error() }
+
+// Unwrap returns the decoder's failure.
+func (e *MalformedRecordError) Unwrap() error { return e.Cause }
+
+// encode panics only on types that can't be encoded, which tests find.
+func encode(v any) []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// EncodeEpoch returns the record of a claim.
+func EncodeEpoch(r EpochRecord) Record { return Record{Key: KeyEpoch, Value: encode(r)} }
+
+// DecodeEpoch reads the record of a claim.
+func DecodeEpoch(value []byte) (EpochRecord, error) {
+	var r EpochRecord
+	if err := cbor.Unmarshal(value, &r); err != nil {
+		return r, &MalformedRecordError{Key: KeyEpoch, Cause: err}
+	}
+	return r, nil
+}
+
+func (j *job) progress() progressRecord {
+	p := progressRecord{FirstOpen: j.firstOpen}
+	for _, o := range j.current {
+		if o.left == 0 {
+			p.Ended = append(p.Ended, o.number)
+			continue
+		}
+		for _, s := range o.steps {
+			if s.failures > 0 {
+				if p.Gangs == nil {
+					p.Gangs = map[string]int{}
+				}
+				p.Gangs[gangKey(o.number, s.index)] = s.failures
+			}
+			for _, t := range s.tasks {
+				if t.run == 0 && t.phase == taskWaiting {
+					continue
+				}
+				r := taskRecord{Occurrence: o.number, Step: s.index, Index: t.index, Phase: t.phase,
+					Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint}
+				if t.host != nil {
+					r.Endpoint = t.host.id
+				}
+				p.Tasks = append(p.Tasks, r)
+			}
+		}
+	}
+	return p
+}
+
+func gangKey(occurrence, step int) string {
+	return jobs.TaskName{Occurrence: occurrence, Step: step}.String()
+}
+
+func (c *Core) touch(j *job) {
+	if !c.dirty[j] {
+		c.dirty[j] = true
+		c.order = append(c.order, j)
+	}
+}
+
+// Ready is a batch of records, and what may happen once they are durable.
+type Ready struct {
+	Records []Record
+	Orders  []Order
+	Replies []Reply
+	acks    map[string]int64
+	shown   []shownState
+}
+
+type shownState struct {
+	job   *job
+	state JobState
+}
+
+// Empty reports whether there is nothing to do.
+func (r *Ready) Empty() bool {
+	return len(r.Records) == 0 && len(r.Orders) == 0 && len(r.Replies) == 0 && len(r.acks) == 0
+}
+
+// maxBatchJobs bounds a batch to a fraction of the largest append.
+const maxBatchJobs = 200
+
+// Ready returns the changes since the last call.
+func (c *Core) Ready() Ready {
+	r := Ready{Orders: c.starts, Replies: c.replies, acks: c.acks}
+	c.starts, c.replies, c.acks = nil, nil, map[string]int64{}
+	for _, j := range c.order {
+		r.Records = append(r.Records, j.records()...)
+		r.shown = append(r.shown, shownState{j, j.rec.State})
+		delete(c.dirty, j)
+	}
+	c.order = c.order[:0]
+	for _, key := range c.removed {
+		r.Records = append(r.Records, Record{Key: key})
+	}
+	c.removed = nil
+	return r
+}
+
+// records returns what has to be written of a changed job. The job itself is
+// written only when it is new or has ended.
+func (j *job) records() []Record {
+	var out []Record
+	id := j.rec.Job.ID
+	if !j.accepted || j.rec.State != j.durable && j.rec.State.Ended() {
+		rec := j.rec
+		if rec.State.Ended() && j.placed == 0 {
+			rec.Job = jobs.Job{ID: id}
+		}
+		out = append(out, Record{Key: keyJob + id, Value: encode(rec)})
+	}
+	if j.rec.State.Ended() && j.placed == 0 {
+		return append(out, Record{Key: keyProgress + id})
+	}
+	if j.started || j.placed > 0 {
+		out = append(out, Record{Key: keyProgress + id, Value: encode(j.progress())})
+	}
+	return out
+}
+
+// Advance takes in that the records of r are durable.
+func (c *Core) Advance(r Ready) {
+	for _, s := range r.shown {
+		s.job.accepted = true
+		s.job.durable = max(s.job.durable, s.state)
+	}
+	for id, n := range r.acks {
+		if e := c.endpoints[id]; e != nil {
+			e.acknowledged = max(e.acknowledged, n)
+		}
+	}
+}
+
+// Restore rebuilds the state from the newest records of the journal.
+func (c *Core) Restore(records []Record, now time.Duration) error {
+	progress := map[string]progressRecord{}
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			continue
+		}
+		switch r.Key[:1] {
+		case keyJob:
+			j := &job{since: now, accepted: true}
+			if err := cbor.Unmarshal(r.Value, &j.rec); err != nil {
+				return &MalformedRecordError{Key: r.Key, Cause: err}
+			}
+			j.durable = j.rec.State
+			c.jobs[j.rec.Job.ID] = j
+		case keyProgress:
+			var p progressRecord
+			if err := cbor.Unmarshal(r.Value, &p); err != nil {
+				return &MalformedRecordError{Key: r.Key, Cause: err}
+			}
+			progress[r.Key[1:]] = p
+		}
+	}
+	for id, j := range c.jobs {
+		c.restoreJob(j, progress[id], now)
+	}
+	c.sortOpen()
+	c.event(Event{Kind: EventRestored, Reason: "takeover", Run: len(c.jobs)})
+	return nil
+}
+
+func (c *Core) restoreJob(j *job, p progressRecord, now time.Duration) {
+	if j.rec.State.Ended() && len(p.Tasks) == 0 {
+		c.ended = append(c.ended, j)
+		return
+	}
+	j.objective = now + c.objectiveOf(j)
+	j.firstOpen, j.next = p.FirstOpen, p.FirstOpen
+	highest := p.FirstOpen - 1
+	for _, n := range p.Ended {
+		highest = max(highest, n)
+	}
+	for _, t := range p.Tasks {
+		highest = max(highest, t.Occurrence)
+	}
+	for j.next <= highest {
+		c.begin(j)
+	}
+	for _, n := range p.Ended {
+		c.closeOccurrence(j, n)
+	}
+	for _, r := range p.Tasks {
+		c.restoreTask(j, r, now)
+	}
+	for _, o := range j.current {
+		for _, s := range o.steps {
+			s.failures = p.Gangs[gangKey(o.number, s.index)]
+			c.recount(s)
+		}
+	}
+	c.open = append(c.open, j)
+	j.queued = true
+}
+
+func (c *Core) restoreTask(j *job, r taskRecord, now time.Duration) {
+	t := j.task(r.Occurrence, r.Step, r.Index)
+	if t == nil {
+		return
+	}
+	j.started = true
+	t.run, t.failures, t.checkpoint = r.Run, r.Failures, r.Checkpoint
+	switch r.Phase {
+	case taskDone:
+		t.phase = taskDone
+	case taskPlaced:
+		e := c.endpoint(r.Endpoint)
+		c.occupy(t, e, now)
+		t.restored = true
+		t.stopping = j.rec.State.Ended()
+	}
+}
+
+// recount derives a step's counters from its tasks.
+func (c *Core) recount(s *stepRun) {
+	s.left, s.waiting = 0, 0
+	for _, t := range s.tasks {
+		if t.phase != taskDone {
+			s.left++
+		}
+		if t.phase == taskWaiting {
+			s.waiting++
+		}
+		s.gangDone = s.gangDone || s.spec.Gang && t.phase == taskDone
+	}
+	o := s.occ
+	o.left = 0
+	for _, other := range o.steps {
+		if other.left > 0 {
+			o.left++
+		}
+	}
+	for _, other := range o.steps {
+		other.waitsFor = 0
+		for _, a := range other.spec.After {
+			if o.steps[a].left > 0 {
+				other.waitsFor++
+			}
+		}
+	}
+}
+
+func (j *job) task(occurrence, step, index int) *task {
+	for _, o := range j.current {
+		if o.number != occurrence {
+			continue
+		}
+		if step < len(o.steps) && index < len(o.steps[step].tasks) {
+			return o.steps[step].tasks[index]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/executor/looks.go
@@ -0,0 +1,528 @@
+package executor
+
+import (
+	"time"
+
+	"cyclamenwheel/internal/jobs"
+)
+
+// Pace of renewals. Load: an endpoint of 16 to 64 cores ends some ten tasks a
+// second. A renewal that waits for an end comes back at once with each; the
+// gap lets ends gather, at a cost of half the gap to each step.
+const (
+	lookGap = 60 * time.Millisecond
+	// lookWait is how long a renewal waits for an end. It bounds how late a
+	// lease is renewed, and so how short a lease may be.
+	lookWait = 1000 * time.Millisecond
+	// lookRetry follows a renewal without an answer.
+	lookRetry = 120 * time.Millisecond
+	// unsureWait is the gap before asking after a start without an answer.
+	unsureWait = 80 * time.Millisecond
+	// stopRepeat is how long an endpoint has to list a stopped run's end
+	// before it is told again.
+	stopRepeat = 400 * time.Millisecond
+	// resendAfter is how long a start may go unlisted before it is repeated
+	// under the same number.
+	resendAfter = 300 * time.Millisecond
+)
+
+// endpoint returns the incarnation with this id, known or not.
+func (c *Core) endpoint(id string) *endpoint {
+	e := c.endpoints[id]
+	if e == nil {
+		e = &endpoint{id: id, tasks: map[*task]bool{}, speed: 1}
+		c.endpoints[id] = e
+	}
+	return e
+}
+
+// ObserveEndpoints takes in service discovery: the pool's whole list.
+func (c *Core) ObserveEndpoints(now time.Duration, list []EndpointInfo) {
+	for _, e := range c.endpoints {
+		e.listed = false
+	}
+	for _, info := range list {
+		if c.gone[info.ID] {
+			continue
+		}
+		e := c.endpoint(info.ID)
+		e.listed, e.draining = true, info.Draining
+		e.addr, e.zone, e.kind, e.rack = info.Addr, info.Zone, info.Kind, info.Rack
+		e.capacity = info.Capacity
+		if e.draining {
+			c.vacate(now, e)
+		}
+	}
+	for id, e := range c.endpoints {
+		if !e.listed && len(e.tasks) == 0 {
+			delete(c.endpoints, id)
+		}
+	}
+}
+
+// Gone takes in that an incarnation has ended, and everything on it with it.
+func (c *Core) Gone(now time.Duration, id string) {
+	e := c.endpoints[id]
+	c.gone[id] = true
+	if e == nil {
+		return
+	}
+	c.event(Event{Kind: EventGone, Endpoint: id, Run: len(e.tasks)})
+	c.loseAll(now, e, "incarnation ended")
+	delete(c.endpoints, id)
+}
+
+func (c *Core) loseAll(now time.Duration, e *endpoint, reason string) {
+	lost := make([]*task, 0, len(e.tasks))
+	for t := range e.tasks {
+		lost = append(lost, t)
+	}
+	for _, t := range lost {
+		c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: reason})
+		c.again(now, t)
+	}
+}
+
+// again puts a task whose run is known to have ended, or never to begin, back
+// among those that wait.
+func (c *Core) again(_ time.Duration, t *task) {
+	s := t.step
+	c.release(t)
+	c.touch(s.job)
+	if s.gangDone {
+		t.phase = taskDone
+		s.left--
+		if s.left == 0 {
+			c.stepDone(s)
+		}
+	} else {
+		t.phase = taskWaiting
+		s.waiting++
+		c.breakGang(s)
+	}
+	c.settle(s.job)
+}
+
+// breakGang stops the other members of a gang of which one is not there: they
+// would wait for it until their endpoints give them up.
+func (c *Core) breakGang(s *stepRun) {
+	if !s.spec.Gang {
+		return
+	}
+	for _, t := range s.tasks {
+		if t.phase == taskPlaced {
+			c.stopFor(t, "gang incomplete")
+		}
+	}
+}
+
+// Look is a renewal to send.
+type Look struct {
+	Endpoint     string
+	Addr         string
+	Acknowledged int64
+	LeaseUntil   time.Duration
+	Wait         time.Duration
+}
+
+// DueLooks returns the renewals to send now; each is answered by LookDone.
+func (c *Core) DueLooks(now time.Duration) []Look {
+	var due []Look
+	for _, e := range c.endpoints {
+		if e.lookOut || now < e.nextLook || e.addr == "" || !c.needsLook(e) {
+			continue
+		}
+		e.lookOut, e.lookSent = true, now
+		due = append(due, Look{Endpoint: e.id, Addr: e.addr, Acknowledged: e.acknowledged,
+			LeaseUntil: c.grant(e, now), Wait: c.lookWait(e)})
+	}
+	return due
+}
+
+func (c *Core) needsLook(e *endpoint) bool {
+	if !e.lookedEver {
+		return true
+	}
+	return len(e.tasks) > 0 || e.strangers > 0 || e.seen > e.acknowledged || e.failedLook > 0
+}
+
+func (c *Core) lookWait(e *endpoint) time.Duration {
+	if !e.lookedEver || e.failedLook > 0 {
+		return 0
+	}
+	for t := range e.tasks {
+		if t.confirmed == 0 || t.stopping {
+			return unsureWait
+		}
+	}
+	return lookWait
+}
+
+// grant returns the end of a lease to ask for now, on the endpoint's clock, or
+// zero before its clock is known.
+func (c *Core) grant(e *endpoint, now time.Duration) time.Duration {
+	if e.clockAt == 0 {
+		return 0
+	}
+	// An endpoint that does not answer may still hear: renewing its leases
+	// would put off the moment at which its tasks can begin elsewhere for ever.
+	if e.failedLook > 0 && e.granted > 0 {
+		return e.granted
+	}
+	until := e.clock + (now - e.clockAt) + c.limits.Lease
+	e.granted = max(e.granted, until)
+	return until
+}
+
+// GrantFor returns the lease for an order that is about to leave. ok is false
+// where the endpoint or the task's run is no longer there.
+func (c *Core) GrantFor(now time.Duration, o Order) (until time.Duration, ok bool) {
+	e := c.endpoints[o.Endpoint]
+	if e == nil || o.task == nil || o.task.host != e || o.task.run != o.Run {
+		return 0, false
+	}
+	if o.Kind == OrderStart {
+		if o.task.stopping {
+			return 0, false
+		}
+		o.task.ordered, o.task.answered = now, false
+	}
+	return c.grant(e, now), true
+}
+
+// expiryOf is when all leases on an endpoint have surely run out. Its clock
+// may be slow, so that a second of its time lasts a little longer here. For an
+// endpoint that has not answered this owner, a predecessor may have renewed
+// for as long as it was allowed to believe in itself.
+func (c *Core) expiryOf(e *endpoint) time.Duration {
+	stretch := func(d time.Duration) time.Duration {
+		return time.Duration(float64(max(0, d))/(1-clockDrift)) + expiryMargin
+	}
+	if !e.lookedEver {
+		return c.claimedAt + c.limits.ProofAge + stretch(c.limits.Lease)
+	}
+	return e.clockAt + stretch(e.granted-e.clock)
+}
+
+// expire takes back the tasks of endpoints whose leases have all run out.
+func (c *Core) expire(now time.Duration) {
+	for id, e := range c.endpoints {
+		if len(e.tasks) == 0 || now < c.expiryOf(e) {
+			continue
+		}
+		c.loseAll(now, e, "lease ran out")
+		if !e.listed {
+			delete(c.endpoints, id)
+		}
+	}
+}
+
+// noteClock takes in an endpoint's clock. The answer was made at some moment
+// before now, so the estimate is never ahead of the endpoint.
+func (e *endpoint) noteClock(now, clock time.Duration) {
+	if clock <= 0 {
+		return
+	}
+	if e.clockAt == 0 || clock >= e.clock {
+		e.clock, e.clockAt = clock, now
+	}
+}
+
+// Listed is what an endpoint listed in answer to a renewal.
+type Listed struct {
+	Clock   time.Duration
+	Running []ListedRun
+	Ended   []ListedEnd
+}
+
+// ListedRun is a run that an endpoint lists as running.
+type ListedRun struct {
+	Task          string
+	Run           int
+	Checkpoint    string
+	Percent, Load int
+}
+
+// HowEnded says how a run ended.
+type HowEnded uint8
+
+// How runs end.
+const (
+	EndedDone HowEnded = iota
+	EndedFailed
+	EndedStopped
+	EndedLapsed
+	EndedBroken
+	EndedAlone
+)
+
+var howNames = [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone"}
+
+func (h HowEnded) String() string { return howNames[h] }
+
+// ListedEnd is an end that an endpoint lists.
+type ListedEnd struct {
+	Number     int64
+	Task       string
+	Run        int
+	How        HowEnded
+	Checkpoint string
+}
+
+// LookResult says how a renewal went.
+type LookResult uint8
+
+// Results of renewals.
+const (
+	LookAnswered LookResult = iota
+	LookUnanswered
+	LookFenced
+	LookGone
+)
+
+// LookDone takes in the result of a renewal that was sent at sent.
+func (c *Core) LookDone(now time.Duration, id string, result LookResult, in Listed) {
+	e := c.endpoints[id]
+	if e == nil {
+		return
+	}
+	sent := e.lookSent
+	e.lookOut = false
+	switch result {
+	case LookGone:
+		c.Gone(now, id)
+	case LookFenced:
+		c.fenced = true
+		c.event(Event{Kind: EventFenced, Endpoint: id})
+	case LookUnanswered:
+		e.failedLook++
+		e.nextLook = now + lookRetry
+	case LookAnswered:
+		c.takeIn(now, sent, e, in)
+	}
+}
+
+func (c *Core) takeIn(now, sent time.Duration, e *endpoint, in Listed) {
+	e.noteClock(now, in.Clock)
+	e.nextLook = now + lookGap
+	if !e.lookedEver || e.failedLook > 0 {
+		e.nextLook = now // nothing was renewed
+	}
+	e.lookedEver, e.looked, e.failedLook = true, now, 0
+	running := make(map[*task]bool, len(in.Running))
+	strangers := 0
+	for _, r := range in.Running {
+		t := c.find(e, r.Task, r.Run)
+		if t == nil {
+			strangers++
+			c.stopStranger(e, r)
+			continue
+		}
+		running[t] = true
+		c.seeRunning(now, t, r)
+	}
+	e.strangers = strangers
+	for _, end := range in.Ended {
+		c.takeEnd(now, e, end)
+	}
+	if e.seen > e.acknowledged {
+		c.acks[e.id] = e.seen
+	}
+	if len(in.Ended) < fullListing {
+		c.settleUnlisted(now, sent, e, running)
+	}
+}
+
+// fullListing is how many ends one answer lists at most; with as many, more
+// may follow and nothing can be concluded from what is missing.
+const fullListing = 500
+
+// find returns the task that is placed on e under this run.
+func (c *Core) find(e *endpoint, name string, run int) *task {
+	n, ok := jobs.ParseTaskName(name)
+	if !ok {
+		return nil
+	}
+	j := c.jobs[n.Job]
+	if j == nil {
+		return nil
+	}
+	t := j.task(n.Occurrence, n.Step, n.Index)
+	if t == nil || t.host != e || t.run != run {
+		return nil
+	}
+	return t
+}
+
+// stopStranger ends a run that this owner does not know. Every start was
+// recorded before it was ordered, so this is a run that was given up as lost
+// while its endpoint lived on; it must not go on beside its successor.
+func (c *Core) stopStranger(e *endpoint, r ListedRun) {
+	c.event(Event{Kind: EventStranger, Task: r.Task, Run: r.Run, Endpoint: e.id})
+	c.urgent = append(c.urgent, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Task: r.Task, Run: r.Run})
+}
+
+func (c *Core) seeRunning(now time.Duration, t *task, r ListedRun) {
+	if t.confirmed == 0 {
+		t.confirmed = now
+	}
+	if r.Percent != t.percent {
+		t.percent, t.movedAt = r.Percent, now
+	}
+	t.load = r.Load
+	if r.Checkpoint != "" {
+		t.checkpoint = r.Checkpoint
+	}
+}
+
+// settleUnlisted deals with runs that the endpoint neither runs nor has ended.
+// Only a renewal sent after the start was answered, or after it went without
+// an answer for long enough, says anything about it.
+func (c *Core) settleUnlisted(now, sent time.Duration, e *endpoint, running map[*task]bool) {
+	for t := range e.tasks {
+		if running[t] || t.confirmed >= sent && t.confirmed > 0 {
+			continue
+		}
+		if t.confirmed > 0 {
+			// An end is listed until it is acknowledged, and it is
+			// acknowledged only once recorded: the endpoint has forgotten it.
+			c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: "no longer listed"})
+			c.again(now, t)
+			continue
+		}
+		c.settleUnsure(now, sent, t)
+	}
+}
+
+// settleUnsure repeats a start that the endpoint does not list. It may have
+// been lost, or be carried out later: under the same number either way only one
+// run can come of it. A task to be stopped gets a stop, after which that number
+// can no longer start.
+func (c *Core) settleUnsure(now, sent time.Duration, t *task) {
+	if t.restored {
+		c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: t.host.id, Reason: "never began"})
+		c.again(now, t)
+		return
+	}
+	// Before the first order has left there is nothing to repeat, and the
+	// intent may not be durable yet.
+	if t.stopping || t.ordered == 0 || sent < t.ordered {
+		return
+	}
+	if !t.answered && now-t.ordered < resendAfter {
+		return
+	}
+	c.urgent = append(c.urgent, c.startOrder(t))
+}
+
+// takeEnd takes in an end that an endpoint lists.
+func (c *Core) takeEnd(now time.Duration, e *endpoint, end ListedEnd) {
+	if end.Number <= e.seen {
+		return
+	}
+	e.seen = end.Number
+	t := c.find(e, end.Task, end.Run)
+	if t == nil {
+		return
+	}
+	j := t.step.job
+	c.event(Event{Kind: EventTaskEnd, Job: j.rec.Job.ID, Task: end.Task, Run: end.Run, Endpoint: e.id, Reason: end.How.String()})
+	if end.Checkpoint != "" {
+		t.checkpoint = end.Checkpoint
+	}
+	c.judge(now, e, t, end.How)
+	switch {
+	case end.How == EndedDone && !t.step.spec.LongRunning:
+		c.done(now, t)
+	case end.How == EndedFailed:
+		c.failed(now, t, e)
+	default:
+		c.again(now, t)
+	}
+}
+
+// done takes in that a task has ended well. One such end of a gang's member
+// stands for all of them.
+func (c *Core) done(now time.Duration, t *task) {
+	s, j := t.step, t.step.job
+	if t.confirmed > 0 {
+		c.learn(j.rec.Queue, now-t.confirmed)
+	}
+	c.release(t)
+	t.phase = taskDone
+	s.left--
+	c.touch(j)
+	if s.spec.Gang {
+		c.doneGang(s)
+	}
+	if s.left == 0 {
+		c.stepDone(s)
+	}
+	c.settle(j)
+}
+
+// doneGang marks the members whose ends are still to be listed. Each of them
+// ends done as well; their runs stay counted on their endpoints until then.
+func (c *Core) doneGang(s *stepRun) {
+	s.gangDone = true
+	for _, t := range s.tasks {
+		if t.phase == taskWaiting {
+			t.phase = taskDone
+			s.waiting--
+			s.left--
+		}
+	}
+}
+
+func (c *Core) learn(queue string, took time.Duration) {
+	w := c.learned[queue]
+	if w == nil {
+		w = &workload{}
+		c.learned[queue] = w
+	}
+	w.add(float64(took.Milliseconds()))
+}
+
+func (c *Core) stepDone(s *stepRun) {
+	o, j := s.occ, s.job
+	o.left--
+	for _, other := range o.steps {
+		for _, a := range uniqueInts(other.spec.After) {
+			if a == s.index {
+				other.waitsFor--
+			}
+		}
+	}
+	if o.left > 0 {
+		return
+	}
+	c.closeOccurrence(j, o.number)
+	if j.firstOpen >= j.occurrences() && !j.rec.State.Ended() {
+		c.end(j, JobCompleted, "all tasks done")
+	}
+}
+
+// Backoff of tasks whose runs fail. A task that fails at once would otherwise
+// be started some ten times a second.
+const (
+	failBackoff    = 150 * time.Millisecond
+	failBackoffMax = 1200 * time.Millisecond
+)
+
+// failed takes in that a run has failed, and fails the job after as many as
+// its queue allows. Tasks that last have no such limit.
+func (c *Core) failed(now time.Duration, t *task, e *endpoint) {
+	s, j := t.step, t.step.job
+	t.avoid = e.id
+	count := &t.failures
+	if s.spec.Gang {
+		count = &s.failures
+	}
+	*count++
+	failures := *count
+	t.notBefore = now + min(failBackoff<<min(failures-1, 8), failBackoffMax)
+	c.again(now, t)
+	if !s.spec.LongRunning && failures >= j.rec.Terms.Attempts && !j.rec.State.Ended() {
+		c.end(j, JobFailed, "a task has failed as often as allowed")
+	}
+}
--- /dev/null
+++ b/internal/executor/orders.go
@@ -0,0 +1,192 @@
+package executor
+
+import "time"
+
+// OrderResult says how an order went.
+type OrderResult uint8
+
+// Results of orders.
+const (
+	OrderDone OrderResult = iota
+	// OrderUnanswered: it may have been carried out, or be carried out later.
+	OrderUnanswered
+	// OrderFenced: a newer epoch commands the endpoint.
+	OrderFenced
+	// OrderOld: that run has ended or was stopped there.
+	OrderOld
+	// OrderLate: its lease had run out on arrival.
+	OrderLate
+	// OrderNoRoom: a guarded endpoint is full.
+	OrderNoRoom
+	// OrderNoTicket: the endpoint asks for a fresh ticket.
+	OrderNoTicket
+	// OrderGone: another incarnation lives at the address.
+	OrderGone
+	// OrderUnhealthy: the endpoint takes no orders now.
+	OrderUnhealthy
+	// OrderInvalid: the endpoint can't read the order.
+	OrderInvalid
+)
+
+var orderResultNames = [...]string{"done", "unanswered", "fenced", "old", "late", "no room", "no ticket", "gone", "unhealthy", "invalid"}
+
+func (r OrderResult) String() string { return orderResultNames[r] }
+
+// Quarantine of endpoints that fail what they start. Load: an endpoint fails
+// everything at once while its health is good, and being always free it draws
+// most of the starts. The first probes after it cost one task each.
+const (
+	// badRunsAllowed ends of failed runs in a row may be the tasks' own fault.
+	badRunsAllowed = 2
+	quarantineBase = time.Second
+	quarantineMax  = 4 * time.Second
+	// refusedPause follows a refusal that says the endpoint is full or unwell.
+	refusedPause = 300 * time.Millisecond
+)
+
+// TakeUrgent returns orders that need no record: stops, paces, and repeated
+// starts of a run whose record is durable.
+func (c *Core) TakeUrgent() []Order {
+	out := c.urgent
+	c.urgent = nil
+	return out
+}
+
+// OrderDone takes in the result of an order.
+func (c *Core) OrderDone(now time.Duration, o Order, result OrderResult, clock time.Duration) {
+	e := c.endpoints[o.Endpoint]
+	if e == nil {
+		return
+	}
+	e.noteClock(now, clock)
+	switch result {
+	case OrderFenced:
+		c.fenced = true
+		c.event(Event{Kind: EventFenced, Endpoint: o.Endpoint})
+		return
+	case OrderGone:
+		c.Gone(now, o.Endpoint)
+		return
+	}
+	t := o.task
+	if t == nil || t.host != e || t.run != o.Run {
+		return
+	}
+	switch o.Kind {
+	case OrderStart:
+		c.startDone(now, t, e, result)
+	case OrderStop:
+		c.stopDone(now, t, e, result)
+	}
+}
+
+func (c *Core) startDone(now time.Duration, t *task, e *endpoint, result OrderResult) {
+	switch result {
+	case OrderDone:
+		t.answered = true
+		if t.confirmed == 0 {
+			t.confirmed = now
+		}
+		e.nextLook = min(e.nextLook, now+lookGap)
+	case OrderUnanswered:
+		e.nextLook = min(e.nextLook, now+unsureWait)
+	case OrderOld:
+		// Its end, or that of a stop, is listed or has been.
+		t.answered = true
+		t.confirmed = max(t.confirmed, now)
+		e.nextLook = now
+	case OrderLate:
+		t.answered = true
+	case OrderNoRoom, OrderUnhealthy, OrderNoTicket, OrderInvalid:
+		c.notStarted(now, t, e, result)
+	}
+}
+
+// notStarted takes back a start that the endpoint turned away. An earlier copy
+// of the order may still arrive if one went unanswered, so the run keeps its
+// place until a stop has closed its number.
+func (c *Core) notStarted(now time.Duration, t *task, e *endpoint, result OrderResult) {
+	c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: "start refused: " + result.String()})
+	e.quarantine = max(e.quarantine, now+refusedPause)
+	t.stopping = true
+	c.breakGang(t.step)
+}
+
+func (c *Core) stopDone(now time.Duration, t *task, e *endpoint, result OrderResult) {
+	if result != OrderDone {
+		return
+	}
+	e.nextLook = min(e.nextLook, now+lookGap)
+	if t.confirmed == 0 {
+		// Closed before it came, or running unseen: the next listing that was
+		// asked for after this answer tells which.
+		t.confirmed = now
+	}
+}
+
+// judge learns from an end how well an endpoint works.
+func (c *Core) judge(now time.Duration, e *endpoint, t *task, how HowEnded) {
+	switch how {
+	case EndedDone:
+		e.badRuns = 0
+	case EndedFailed:
+		if t.failures > 0 && t.avoid != e.id {
+			return // it fails everywhere: the task's own fault
+		}
+		e.badRuns++
+		if e.badRuns >= badRunsAllowed {
+			pause := min(quarantineBase<<min(e.badRuns-badRunsAllowed, 4), quarantineMax)
+			e.quarantine = now + pause
+			c.event(Event{Kind: EventQuiet, Endpoint: e.id, Reason: "runs fail", Run: e.badRuns, AgeMs: pause.Milliseconds()})
+		}
+	}
+}
+
+// Tick orders stops that are due, again where the run is still listed, and
+// deals with runs that stand still.
+func (c *Core) Tick(now time.Duration) {
+	for _, e := range c.endpoints {
+		if e.vacating && now > e.vacateUntil && !e.draining {
+			e.vacating = false
+		}
+		if e.draining {
+			c.leaveDraining(e)
+		}
+		for t := range e.tasks {
+			c.tickTask(now, e, t)
+		}
+	}
+}
+
+func (c *Core) tickTask(now time.Duration, e *endpoint, t *task) {
+	if t.confirmed > 0 && !t.stopping && c.hangs(t) {
+		t.stopping = true
+		e.badRuns++
+		e.quarantine = now + quarantineBase
+		t.avoid = e.id
+		c.event(Event{Kind: EventStop, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: "stands still"})
+	}
+	if !t.stopping || e.addr == "" || t.stopSent > 0 && now-t.stopSent < stopRepeat {
+		return
+	}
+	t.stopSent = now
+	c.urgent = append(c.urgent, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Task: t.name(), Run: t.run, task: t})
+}
+
+// Standstill. Load: tasks on some endpoints stand still while their leases are
+// renewed. A run whose progress has not moved for several times what its kind
+// takes is stopped and begins again elsewhere; its checkpoint is kept.
+const (
+	standstillFactor = 4
+	standstillFloor  = 2500 * time.Millisecond
+)
+
+func (c *Core) hangs(t *task) bool {
+	if t.step.spec.LongRunning && t.percent >= fullPace {
+		return false
+	}
+	expected := time.Duration(c.taskMs(t.step.job, t.step.spec)) * time.Millisecond
+	limit := max(standstillFloor, standstillFactor*expected/10)
+	// Without an answer from the endpoint nothing is known of its progress.
+	return t.host.failedLook == 0 && t.host.looked-max(t.movedAt, t.confirmed) > limit
+}
--- /dev/null
+++ b/internal/executor/place.go
@@ -0,0 +1,289 @@
+package executor
+
+import (
+	"slices"
+	"time"
+
+	"cyclamenwheel/internal/jobs"
+)
+
+const fullPace = 100
+
+// usable reports whether tasks may be placed on the endpoint at all: it is in
+// service discovery, not leaving, and its state under this epoch is known.
+func (e *endpoint) usable() bool {
+	return e.listed && !e.draining && !e.vacating && e.lookedEver
+}
+
+// open reports whether a new task may be placed there now. An endpoint whose
+// last renewal went unanswered is left alone: a start sent there would hold
+// its task until the lease has run out.
+func (e *endpoint) open(now time.Duration) bool {
+	return e.usable() && e.failedLook == 0 && e.strangers == 0 && now >= e.quarantine
+}
+
+func (e *endpoint) free() Room { return e.capacity.minus(e.used) }
+
+func (c *Core) occupy(t *task, e *endpoint, _ time.Duration) {
+	t.phase = taskPlaced
+	t.host = e
+	e.tasks[t] = true
+	e.used = e.used.plus(needs(t.step.spec))
+	t.step.perHost[e]++
+	t.step.job.placed++
+}
+
+// release takes a task off its endpoint. The caller sets its next phase.
+func (c *Core) release(t *task) {
+	e := t.host
+	delete(e.tasks, t)
+	e.used = e.used.minus(needs(t.step.spec))
+	t.step.perHost[e]--
+	if t.step.perHost[e] == 0 {
+		delete(t.step.perHost, e)
+	}
+	t.step.job.placed--
+	t.host = nil
+	t.ordered, t.confirmed, t.stopSent, t.overSince, t.paceSent = 0, 0, 0, 0, 0
+	t.answered, t.stopping, t.restored = false, false, false
+	t.percent, t.load, t.pace, t.ticket = 0, 0, fullPace, ""
+}
+
+// Decide places what can be placed. Jobs come in the order of sortOpen, those
+// past their objective after the others: they earn little and would make more
+// jobs late.
+func (c *Core) Decide(now time.Duration) {
+	c.expire(now)
+	c.beginDue()
+	c.forgetEnded()
+	hosts := c.openHosts(now)
+	if len(hosts) == 0 {
+		return
+	}
+	for _, late := range []bool{false, true} {
+		for _, j := range c.open {
+			if (now > j.objective && !lasting(&j.rec.Job)) != late || j.rec.State.Ended() {
+				continue
+			}
+			if !roomLeft(hosts) {
+				return
+			}
+			c.placeJob(now, j, hosts)
+		}
+	}
+}
+
+func (c *Core) openHosts(now time.Duration) []*endpoint {
+	var hosts []*endpoint
+	for _, e := range c.endpoints {
+		if e.open(now) {
+			hosts = append(hosts, e)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b *endpoint) int {
+		if a.id < b.id {
+			return -1
+		}
+		return 1
+	})
+	return hosts
+}
+
+// leastCPU is below the smallest task of any use; a pool with less room left
+// on each endpoint is full.
+const leastCPU = 50
+
+func roomLeft(hosts []*endpoint) bool {
+	for _, e := range hosts {
+		if e.free().CPUMilli >= leastCPU {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) placeJob(now time.Duration, j *job, hosts []*endpoint) {
+	for _, o := range j.current {
+		for _, s := range o.steps {
+			if s.waiting == 0 || s.waitsFor > 0 || o.left == 0 {
+				continue
+			}
+			if s.spec.Gang {
+				c.placeGang(now, s, hosts)
+				continue
+			}
+			c.placeStep(now, s, hosts)
+		}
+	}
+}
+
+func (c *Core) placeStep(now time.Duration, s *stepRun, hosts []*endpoint) {
+	for _, t := range s.tasks {
+		if t.phase != taskWaiting || now < t.notBefore {
+			continue
+		}
+		e := c.choose(t, hosts)
+		if e == nil {
+			return
+		}
+		c.place(now, t, e, t.run+1)
+	}
+}
+
+// placeGang places all tasks of a gang or none: a part of it would hold room
+// and work on nothing. All members run under one number.
+func (c *Core) placeGang(now time.Duration, s *stepRun, hosts []*endpoint) {
+	run := 0
+	for _, t := range s.tasks {
+		if t.phase != taskWaiting || now < t.notBefore {
+			return
+		}
+		run = max(run, t.run)
+	}
+	for _, candidates := range c.gangRacks(s, hosts) {
+		if c.placeAll(now, s, candidates, run+1) {
+			return
+		}
+	}
+}
+
+// gangRacks returns the sets of endpoints to try, the best first.
+func (c *Core) gangRacks(s *stepRun, hosts []*endpoint) [][]*endpoint {
+	if !s.spec.SameRack {
+		return [][]*endpoint{hosts}
+	}
+	byRack := map[string][]*endpoint{}
+	var racks []string
+	for _, e := range hosts {
+		if byRack[e.rack] == nil {
+			racks = append(racks, e.rack)
+		}
+		byRack[e.rack] = append(byRack[e.rack], e)
+	}
+	slices.Sort(racks)
+	var sets [][]*endpoint
+	for _, r := range racks {
+		sets = append(sets, byRack[r])
+	}
+	return append(sets, hosts)
+}
+
+func (c *Core) placeAll(now time.Duration, s *stepRun, hosts []*endpoint, run int) bool {
+	var chosen []*endpoint
+	undo := func() {
+		for i, t := range s.tasks[:len(chosen)] {
+			t.host = chosen[i]
+			c.release(t)
+			t.phase = taskWaiting
+		}
+	}
+	for _, t := range s.tasks {
+		e := c.choose(t, hosts)
+		if e == nil {
+			undo()
+			return false
+		}
+		c.occupy(t, e, now)
+		chosen = append(chosen, e)
+	}
+	undo()
+	for i, t := range s.tasks {
+		c.place(now, t, chosen[i], run)
+	}
+	return true
+}
+
+// place intends a start. The order leaves once the intent is durable.
+func (c *Core) place(now time.Duration, t *task, e *endpoint, run int) {
+	c.occupy(t, e, now)
+	t.run = run
+	t.step.waiting--
+	t.step.job.started = true
+	t.movedAt = now
+	c.touch(t.step.job)
+	c.starts = append(c.starts, c.startOrder(t))
+	c.event(Event{Kind: EventPlaced, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: run, Endpoint: e.id})
+}
+
+func (c *Core) startOrder(t *task) Order {
+	return Order{Kind: OrderStart, Endpoint: t.host.id, Addr: t.host.addr, Task: t.name(), Run: t.run,
+		Spec: t.step.job.rec.Job.Spec, Checkpoint: t.checkpoint, Ticket: t.ticket, task: t}
+}
+
+// choose returns the best endpoint for a task, or nil.
+func (c *Core) choose(t *task, hosts []*endpoint) *endpoint {
+	var best *endpoint
+	bestScore := 0.0
+	for _, e := range hosts {
+		if !c.fits(t, e) {
+			continue
+		}
+		score := c.score(t, e)
+		if best == nil || score > bestScore {
+			best, bestScore = e, score
+		}
+	}
+	return best
+}
+
+func (c *Core) fits(t *task, e *endpoint) bool {
+	s := t.step.spec
+	if !e.free().holds(needs(s)) {
+		return false
+	}
+	if s.Requires != "" && s.Requires != e.kind && s.Requires != e.rack {
+		return false
+	}
+	if s.MaxPerEndpoint > 0 && t.step.perHost[e] >= s.MaxPerEndpoint {
+		return false
+	}
+	return !sharesBadly(s, e)
+}
+
+// sharesBadly keeps tasks that fill away from tasks that serve. Load: what
+// fills disturbs the response times of what serves by amounts that change
+// within seconds and can't be foreseen. Kept apart there is nothing to
+// disturb, at the price of an endpoint that fills alone.
+func sharesBadly(s *jobs.Step, e *endpoint) bool {
+	if !s.Fills && !s.Serves() {
+		return false
+	}
+	for t := range e.tasks {
+		other := t.step.spec
+		if s.Fills && other.Serves() || s.Serves() && other.Fills {
+			return true
+		}
+	}
+	return false
+}
+
+// Weights of score, in shares of an endpoint's whole processor room.
+const (
+	// awayFromData is lost where the data is on another rack: the task then
+	// takes remoteFactor times as long.
+	awayFromData = 2.0
+	// avoidFailed keeps a task from an endpoint where it has just failed.
+	avoidFailed = 3.0
+	// perBadRun makes an endpoint whose runs fail the last choice.
+	perBadRun = 0.5
+)
+
+// score prefers endpoints near the data, then those that work well. Tasks that
+// end by themselves go where most is free, so that one slow endpoint gets few
+// of them. Lasting tasks go where least is free: the endpoints without any can
+// then be moved or maintained without stopping them.
+func (c *Core) score(t *task, e *endpoint) float64 {
+	s := t.step.spec
+	free := float64(e.free().CPUMilli) / float64(max(1, e.capacity.CPUMilli))
+	score := free
+	if s.LongRunning {
+		score = -free
+	}
+	if s.DataRack != "" && s.DataRack != e.rack {
+		score -= awayFromData
+	}
+	if t.avoid == e.id {
+		score -= avoidFailed
+	}
+	return score - perBadRun*float64(e.badRuns)
+}
--- /dev/null
+++ b/internal/executor/submit.go
@@ -0,0 +1,344 @@
+package executor
+
+import (
+	"slices"
+	"time"
+
+	"cyclamenwheel/internal/jobs"
+)
+
+// Verdict is the answer to a submission.
+type Verdict uint8
+
+// Verdicts on submissions. VerdictAccepted is given once the job is durable.
+const (
+	VerdictAccepted Verdict = iota
+	VerdictKnown
+	VerdictRefused
+)
+
+// Refusal says why a job was not accepted and when to come back.
+type Refusal struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// RefusedBacklog says that the job could not end in time behind the others.
+const RefusedBacklog = "backlog"
+
+// Submit takes a job. For VerdictAccepted the reply with the token follows
+// once the job is durable; the other verdicts hold at once. A job that is
+// accepted but not yet durable answers its repetition with the same reply.
+func (c *Core) Submit(now time.Duration, in jobs.Job, under Accepting, token uint64) (Verdict, Refusal) {
+	if j := c.jobs[in.ID]; j != nil {
+		if j.accepted {
+			return VerdictKnown, Refusal{}
+		}
+		c.touch(j)
+		c.replies = append(c.replies, Reply{token})
+		return VerdictAccepted, Refusal{}
+	}
+	j := &job{since: now, rec: jobRecord{Job: in, Queue: under.Queue, Terms: under.Terms, AcceptedMs: c.wallMs}}
+	if refusal, refused := c.refuse(now, j); refused {
+		c.event(Event{Kind: EventRefused, Job: in.ID, Reason: refusal.Reason})
+		return VerdictRefused, refusal
+	}
+	j.objective = now + c.objectiveOf(j)
+	c.jobs[in.ID] = j
+	c.open = append(c.open, j)
+	j.queued = true
+	c.touch(j)
+	c.replies = append(c.replies, Reply{token})
+	c.event(Event{Kind: EventAccepted, Job: in.ID, Reason: under.Queue})
+	if in.Occurrences == 0 {
+		c.begin(j)
+	}
+	c.sortOpen()
+	return VerdictAccepted, Refusal{}
+}
+
+// Cancel ends a job. known is false where there is no such job; durable is
+// true where the job had ended before, and otherwise the reply with the token
+// follows once the cancellation is durable.
+func (c *Core) Cancel(now time.Duration, id string, token uint64) (known, durable bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return false, false
+	}
+	if j.durable.Ended() {
+		return true, true
+	}
+	if !j.rec.State.Ended() {
+		c.end(j, JobCancelled, "cancelled")
+	}
+	c.touch(j)
+	c.replies = append(c.replies, Reply{token})
+	return true, false
+}
+
+// State returns the durable state of a job.
+func (c *Core) State(id string) (JobState, bool) {
+	j := c.jobs[id]
+	if j == nil || !j.accepted {
+		return JobQueued, false
+	}
+	if j.durable.Ended() {
+		return j.durable, true
+	}
+	if j.started {
+		return JobRunning, true
+	}
+	return JobQueued, true
+}
+
+// Pending is the number of accepted jobs of a queue of which no task has
+// begun.
+func (c *Core) Pending(queue string) int {
+	n := 0
+	for _, j := range c.open {
+		if j.rec.Queue == queue && j.accepted && !j.started && !j.rec.State.Ended() {
+			n++
+		}
+	}
+	return n
+}
+
+// end makes a job's final state: what waits is dropped, what runs is stopped.
+func (c *Core) end(j *job, state JobState, reason string) {
+	j.rec.State = state
+	j.rec.EndedMs = c.wallMs
+	c.touch(j)
+	c.event(Event{Kind: EventEnded, Job: j.rec.Job.ID, Reason: state.String() + ": " + reason})
+	for _, o := range j.current {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.phase == taskPlaced {
+					t.stopping = true
+				}
+			}
+		}
+	}
+	c.settle(j)
+}
+
+// settle moves an ended job with nothing left running to those that are only
+// remembered.
+func (c *Core) settle(j *job) {
+	if !j.rec.State.Ended() || j.placed > 0 || !j.queued {
+		return
+	}
+	j.queued = false
+	j.current = nil
+	c.open = slices.DeleteFunc(c.open, func(o *job) bool { return o == j })
+	c.ended = append(c.ended, j)
+	c.touch(j)
+}
+
+// forgetEnded drops jobs whose state need not be known any longer.
+func (c *Core) forgetEnded() {
+	for len(c.ended) > 0 {
+		j := c.ended[0]
+		if c.wallMs-j.rec.EndedMs < c.limits.KeepEnded.Milliseconds() {
+			return
+		}
+		c.ended = c.ended[1:]
+		delete(c.jobs, j.rec.Job.ID)
+		c.removed = append(c.removed, keyJob+j.rec.Job.ID)
+	}
+}
+
+// begin expands the job's next occurrence.
+func (c *Core) begin(j *job) {
+	o := &occurrence{number: j.next, left: len(j.rec.Job.Steps)}
+	j.next++
+	for i := range j.rec.Job.Steps {
+		spec := &j.rec.Job.Steps[i]
+		s := &stepRun{job: j, occ: o, index: i, spec: spec, left: spec.Count, waiting: spec.Count,
+			waitsFor: len(uniqueInts(spec.After)), perHost: map[*endpoint]int{}}
+		block := make([]task, spec.Count)
+		s.tasks = make([]*task, spec.Count)
+		for k := range block {
+			block[k] = task{step: s, index: k, pace: fullPace}
+			s.tasks[k] = &block[k]
+		}
+		o.steps = append(o.steps, s)
+	}
+	j.current = append(j.current, o)
+}
+
+func uniqueInts(in []int) []int {
+	out := slices.Clone(in)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// beginDue expands the occurrences whose time has come.
+func (c *Core) beginDue() {
+	for _, j := range c.open {
+		if j.rec.State.Ended() {
+			continue
+		}
+		for j.next < j.rec.Job.Occurrences && c.wallMs >= j.rec.Job.StartAtMs+int64(j.next)*j.rec.Job.IntervalMs {
+			c.begin(j)
+		}
+	}
+}
+
+func (j *job) occurrences() int { return max(1, j.rec.Job.Occurrences) }
+
+// closeOccurrence marks an occurrence as ended and forgets the lowest ones.
+func (c *Core) closeOccurrence(j *job, number int) {
+	for _, o := range j.current {
+		if o.number == number {
+			o.left = 0
+		}
+	}
+	for len(j.current) > 0 && j.current[0].left == 0 {
+		j.firstOpen = j.current[0].number + 1
+		j.current = j.current[1:]
+	}
+}
+
+// chainMs is the longest chain of a job's work by what its queue's runs have
+// taken, or by the caller's estimate before the first run.
+func (c *Core) chainMs(j *job) float64 {
+	steps := j.rec.Job.Steps
+	ends := make([]float64, len(steps))
+	longest := 0.0
+	for i := range steps {
+		begins := 0.0
+		for _, a := range steps[i].After {
+			begins = max(begins, ends[a])
+		}
+		ends[i] = begins + c.taskMs(j, &steps[i])
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// defaultTaskMs stands in where neither the caller nor experience says how
+// long a task takes.
+const defaultTaskMs = 1000
+
+// fewRuns is how many runs it takes to trust experience over estimates.
+const fewRuns = 8
+
+// taskMs predicts a task's run. Callers' estimates are off by a factor of two
+// and more, while the runs of one queue are alike: experience goes first.
+func (c *Core) taskMs(j *job, s *jobs.Step) float64 {
+	if w := c.learned[j.rec.Queue]; w != nil && w.runs >= fewRuns {
+		return w.meanMs
+	}
+	if s.EstimateMs > 0 {
+		return float64(s.EstimateMs)
+	}
+	return defaultTaskMs
+}
+
+// objectiveOf is how long a job may take from its submission on.
+func (c *Core) objectiveOf(j *job) time.Duration {
+	chain := c.chainMs(j) * j.rec.Terms.Stretch
+	return time.Duration(chain*float64(time.Millisecond)) + j.rec.Terms.Slack
+}
+
+// Admission. Load: a queue asks five times its mean for seconds on end, more
+// than its pool holds. Accepting all of it makes every job late, and a late
+// job earns a fifteenth of one in time; so what could not end within its
+// objective behind the work already accepted is refused at once, with the time
+// after which the backlog has drained.
+const (
+	// retryFloor is the shortest advice to come back: HTTP counts in seconds.
+	retryFloor = time.Second
+	// retryCeiling is below the deadline of an ordinary caller, so that the
+	// advice can still be followed.
+	retryCeiling = 3 * time.Second
+	// overbook is how much more than the measured slack is promised: tasks of
+	// different steps overlap, so a backlog drains faster than its sum says.
+	overbook = 1.3
+)
+
+func (c *Core) refuse(_ time.Duration, j *job) (Refusal, bool) {
+	if lasting(&j.rec.Job) || j.rec.Job.Occurrences > 0 {
+		return Refusal{}, false
+	}
+	pool := float64(c.serving())
+	if pool == 0 {
+		return Refusal{}, false
+	}
+	wait := c.backlogMs(j.rec.Terms.Priority) / pool
+	chain := c.chainMs(j)
+	slack := (j.rec.Terms.Stretch-1)*chain + float64(j.rec.Terms.Slack.Milliseconds())
+	if wait <= overbook*slack {
+		return Refusal{}, false
+	}
+	retry := time.Duration(wait-slack) * time.Millisecond
+	return Refusal{Reason: RefusedBacklog, RetryAfter: min(max(retry, retryFloor), retryCeiling)}, true
+}
+
+func lasting(j *jobs.Job) bool {
+	for i := range j.Steps {
+		if j.Steps[i].LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// serving is the pool's processor room in milli-cores, less what lasting tasks
+// hold.
+func (c *Core) serving() int {
+	total := 0
+	for _, e := range c.endpoints {
+		if e.usable() {
+			total += e.capacity.CPUMilli - e.lastingCPU()
+		}
+	}
+	return total
+}
+
+func (e *endpoint) lastingCPU() int {
+	cpu := 0
+	for t := range e.tasks {
+		if t.step.spec.LongRunning && !t.step.spec.Fills {
+			cpu += t.step.spec.CPUMilli
+		}
+	}
+	return cpu
+}
+
+// backlogMs is the accepted work that has not begun, of this priority or
+// before it, in core-milliseconds times a thousand.
+func (c *Core) backlogMs(priority int) float64 {
+	sum := 0.0
+	for _, j := range c.open {
+		if j.rec.State.Ended() || j.rec.Terms.Priority > priority || lasting(&j.rec.Job) {
+			continue
+		}
+		sum += c.remainingWork(j)
+	}
+	return sum
+}
+
+// remainingWork is what a job still has to run, in milli-core-milliseconds.
+// What runs now counts half.
+func (c *Core) remainingWork(j *job) float64 {
+	sum := 0.0
+	for _, o := range j.current {
+		for _, s := range o.steps {
+			running := s.left - s.waiting
+			sum += (float64(s.waiting) + 0.5*float64(running)) * float64(s.spec.CPUMilli) * c.taskMs(j, s.spec)
+		}
+	}
+	return sum
+}
+
+// sortOpen orders jobs by priority, then those that can still be in time, then
+// by objective.
+func (c *Core) sortOpen() {
+	slices.SortStableFunc(c.open, func(a, b *job) int {
+		if a.rec.Terms.Priority != b.rec.Terms.Priority {
+			return a.rec.Terms.Priority - b.rec.Terms.Priority
+		}
+		return int((a.objective - b.objective) / time.Millisecond)
+	})
+}
--- /dev/null
+++ b/internal/executor/vacate.go
@@ -0,0 +1,128 @@
+package executor
+
+import (
+	"slices"
+	"time"
+)
+
+// vacateFor is how long a request to vacate holds unless it is repeated.
+const vacateFor = 3 * time.Second
+
+// vacate stops placing on an endpoint and moves what lasts on it elsewhere.
+func (c *Core) vacate(now time.Duration, e *endpoint) {
+	if !e.vacating {
+		c.event(Event{Kind: EventVacating, Endpoint: e.id, Run: len(e.tasks)})
+	}
+	e.vacating = true
+	e.vacateUntil = now + vacateFor
+}
+
+// Vacate asks to clear an endpoint of tasks, so that its instance can move or
+// be maintained. It returns how many are left; with none left nothing is
+// placed there for vacateFor, unless the request is withdrawn. Tasks that end
+// by themselves are left to it unless hurry is set.
+func (c *Core) Vacate(now time.Duration, id string, hurry bool) (left int, known bool) {
+	e := c.endpoints[id]
+	if e == nil {
+		return 0, false
+	}
+	c.vacate(now, e)
+	c.stopLasting(now, e)
+	if hurry {
+		for t := range e.tasks {
+			if !t.step.spec.LongRunning {
+				c.stopFor(t, "instance leaves")
+			}
+		}
+	}
+	return len(e.tasks) + e.strangers, e.lookedEver
+}
+
+// Keep withdraws a request to vacate.
+func (c *Core) Keep(id string) {
+	if e := c.endpoints[id]; e != nil && !e.draining {
+		e.vacating = false
+	}
+}
+
+// stopLasting stops tasks that last, as many at a time as their steps may
+// miss. A step without a budget is stopped at once.
+func (c *Core) stopLasting(now time.Duration, e *endpoint) {
+	for t := range e.tasks {
+		s := t.step
+		if !s.spec.LongRunning || t.stopping {
+			continue
+		}
+		if s.spec.MayMiss > 0 && c.away(now, s, t) >= s.spec.MayMiss {
+			continue
+		}
+		c.stopFor(t, "instance leaves")
+	}
+}
+
+// leaveDraining moves what lasts off an endpoint that is about to leave: it
+// would end there without a checkpoint. An endpoint that leaves by itself takes
+// nothing from the steps' budgets.
+func (c *Core) leaveDraining(e *endpoint) {
+	for t := range e.tasks {
+		if t.step.spec.LongRunning {
+			c.stopFor(t, "endpoint drains")
+		}
+	}
+}
+
+func (c *Core) stopFor(t *task, reason string) {
+	if t.stopping {
+		return
+	}
+	t.stopping = true
+	c.event(Event{Kind: EventStop, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: t.host.id, Reason: reason})
+}
+
+// away counts the tasks of a step, besides one, that are not surely at work.
+func (c *Core) away(_ time.Duration, s *stepRun, besides *task) int {
+	n := 0
+	for _, t := range s.tasks {
+		if t != besides && (t.phase != taskPlaced || t.stopping || t.percent < fullPace || t.host.failedLook > 0) {
+			n++
+		}
+	}
+	return n
+}
+
+// Summary returns the pool's state in figures.
+func (c *Core) Summary() Summary {
+	s := Summary{Pool: c.pool, Jobs: len(c.open)}
+	for _, e := range c.endpoints {
+		if !e.usable() {
+			continue
+		}
+		s.Endpoints++
+		s.CapacityMilli += e.capacity.CPUMilli
+		s.RunningCPUMilli += e.used.CPUMilli
+		if len(e.tasks) == 0 {
+			s.Idle = append(s.Idle, e.id)
+		}
+		for t := range e.tasks {
+			if t.step.spec.LongRunning {
+				s.Lasting = append(s.Lasting, e.id)
+				break
+			}
+		}
+		s.LastingCPUMilli += e.lastingCPU()
+	}
+	slices.Sort(s.Idle)
+	slices.Sort(s.Lasting)
+	for _, j := range c.open {
+		if j.rec.State.Ended() || lasting(&j.rec.Job) {
+			continue
+		}
+		s.BacklogCoreMs += c.remainingWork(j) / 1000
+		for _, o := range j.current {
+			for _, st := range o.steps {
+				s.WaitingTasks += st.waiting
+			}
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,113 @@
+// Package feed follows a keyed topic of the platform's store: the newest record
+// of each key, as it changes.
+package feed
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cyclamenwheel/platform"
+)
+
+const (
+	// pollWait is how long a read waits for a record. A connection that has
+	// gone silent without a reset is noticed after this and the client's
+	// slack; together they stay below the time in which a configuration must
+	// be in force.
+	pollWait = 900 * time.Millisecond
+	// retryMin and retryMax space attempts while the store does not answer.
+	retryMin = 100 * time.Millisecond
+	retryMax = 500 * time.Millisecond
+)
+
+// Handler takes in records. Reset is true where records are the whole state,
+// and false where they follow what came before. It is called by one goroutine.
+type Handler func(reset bool, records []platform.Record)
+
+// Store is the part of the platform's client that a feed uses.
+type Store interface {
+	Newest(ctx context.Context, topic string) (platform.Page, error)
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (platform.Page, error)
+}
+
+// Follow reads a topic until ctx ends. History that is gone is made up for by
+// reading the newest records again, so that a feed is never behind for good.
+func Follow(ctx context.Context, store Store, topic string, log *slog.Logger, handle Handler) {
+	f := follower{store: store, topic: topic, log: log, handle: handle, next: -1}
+	retry := retryMin
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if err == nil {
+			f.regained()
+			retry = retryMin
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.lost(err)
+		sleep(ctx, retry)
+		retry = min(2*retry, retryMax)
+	}
+}
+
+type follower struct {
+	store  Store
+	topic  string
+	log    *slog.Logger
+	handle Handler
+	next   int64
+	down   bool
+}
+
+func (f *follower) step(ctx context.Context) error {
+	if f.next < 0 {
+		page, err := f.store.Newest(ctx, f.topic)
+		if err != nil {
+			return err
+		}
+		f.next = page.Next
+		f.handle(true, page.Records)
+		return nil
+	}
+	page, err := f.store.Read(ctx, f.topic, f.next, pollWait)
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		f.next = -1
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.next = page.Next
+	if len(page.Records) > 0 {
+		f.handle(false, page.Records)
+	}
+	return nil
+}
+
+func (f *follower) lost(err error) {
+	if !f.down {
+		f.log.Warn("dependency lost", "dependency", "store", "topic", f.topic, "error", err.Error())
+	}
+	f.down = true
+}
+
+func (f *follower) regained() {
+	if f.down {
+		f.log.Info("dependency regained", "dependency", "store", "topic", f.topic)
+	}
+	f.down = false
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,274 @@
+// Package host puts together what one node runs: callers' requests, the pools
+// that it owns, and the feeds and links they live on.
+package host
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+
+	"cyclamenwheel/internal/eventlog"
+	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/feed"
+	"cyclamenwheel/internal/ingress"
+	"cyclamenwheel/internal/operator"
+	"cyclamenwheel/internal/peer"
+	"cyclamenwheel/internal/routing"
+	"cyclamenwheel/internal/settings"
+	"cyclamenwheel/internal/shards"
+	"cyclamenwheel/internal/shutdown"
+	"cyclamenwheel/internal/version"
+	"cyclamenwheel/platform"
+)
+
+const (
+	// lease is how far ahead leases are renewed: it outlasts the change of a
+	// pool's owner (membership lapses in 1.2 s, a claim and the first renewals
+	// take some 200 ms) with room for an answer that is lost.
+	lease = 3500 * time.Millisecond
+	// proofAge lets running tasks go on through an outage of the store as long
+	// as a successor is willing to wait for them.
+	proofAge = 5 * time.Second
+	// memoryShare is the part of the memory limit at which the collector works
+	// harder; the rest is for the network's buffers.
+	memoryShare = 0.7
+	// balancerNotice is how long the balancer takes to see that a node is not
+	// ready: it asks each second and believes the second miss.
+	balancerNotice = 2500 * time.Millisecond
+	// closeLimit bounds the wait for requests in flight after that.
+	closeLimit = 2500 * time.Millisecond
+	// logLimit bounds writing the rest of the log.
+	logLimit = 300 * time.Millisecond
+	// headerTimeout and idleTimeout hold until a configuration names others.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+	maxHeader     = 16 << 10
+)
+
+// UnsupportedError says that the settings ask for something that this version
+// does not do.
+type UnsupportedError struct{ What string }
+
+func (e *UnsupportedError) Error() string { return "not supported: " + e.What }
+
+// Node is one process of the system.
+type Node struct {
+	set      settings.NodeSettings
+	log      *slog.Logger
+	client   *platform.Client
+	peers    *peer.Node
+	manager  *shards.Manager
+	ingress  *ingress.Ingress
+	stopping atomic.Bool
+
+	mu        sync.Mutex
+	endpoints map[string]platform.EndpointEntry
+}
+
+// Run runs a node until it is told to stop.
+func Run(set settings.NodeSettings, path string) error {
+	writer := eventlog.NewWriter(os.Stdout)
+	defer writer.Close(logLimit)
+	base := slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: slog.LevelInfo})
+	log := slog.New(eventlog.NewHandler(base)).With("node", set.Node, "zone", set.Zone)
+	if set.Orders != "rpc" {
+		return &UnsupportedError{What: "orders = " + set.Orders}
+	}
+	debug.SetMemoryLimit(int64(float64(set.Memory) * memoryShare))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n := &Node{set: set, log: log, client: platform.NewClient(set.Store, set.Instances, set.Advice),
+		endpoints: map[string]platform.EndpointEntry{}}
+	log.Info("starting", "version", version.Version, "settings", path)
+	return n.run(ctx, cancel)
+}
+
+func (n *Node) run(ctx context.Context, cancel context.CancelFunc) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	boot := uuid.NewString()
+	calls := &shards.Calls{}
+	n.ingress = ingress.New(calls, n.log)
+	front, err := n.serve(n.set.Front.String(), &platform.Front{Service: n.ingress})
+	if err != nil {
+		return err
+	}
+	ready, err := n.serve(n.set.Ready.String(), http.HandlerFunc(n.answerReady))
+	if err != nil {
+		return err
+	}
+	if err := n.link(ctx, boot, calls); err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	membership, leave := context.WithCancel(ctx)
+	wg.Go(func() { n.manager.Run(membership) })
+	wg.Go(func() { feed.Follow(ctx, n.client, platform.TopicOperator, n.log, n.takeOperator) })
+	wg.Go(func() { feed.Follow(ctx, n.client, platform.TopicEndpoints, n.log, n.takeEndpoints) })
+	n.log.Info("started", "boot", boot)
+	n.await(signals)
+	err = n.stop(front, ready, leave)
+	cancel()
+	wg.Wait()
+	return err
+}
+
+// await returns when the process is told to stop.
+func (n *Node) await(signals <-chan os.Signal) {
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			n.log.Info("stopping", "signal", s.String())
+			return
+		}
+		n.log.Info("reload asked for", "outcome", "settings that may change are read from the store")
+	}
+}
+
+// link opens the links to peers and prepares the ownership of pools.
+func (n *Node) link(ctx context.Context, boot string, calls *shards.Calls) error {
+	tlsConfig, err := linkTLS(ctx, n.client, n.log, n.set.Deployment, n.set.Node)
+	if err != nil {
+		return err
+	}
+	n.peers, err = peer.NewNode(peer.Options{
+		Self:       peer.Identity{ID: n.set.Node, Role: "entry", BootID: boot, Zone: n.set.Zone},
+		Deployment: n.set.Deployment, TLS: tlsConfig, Listen: n.set.PeerListen.String(), Logger: n.log,
+	})
+	if err != nil {
+		return err
+	}
+	addr := n.set.PeerListen.String()
+	n.manager = shards.NewManager(shards.Options{
+		Node: n.set.Node, Addr: addr, Member: shards.MemberName(n.set.Node, addr, boot),
+		Membership: n.client, Journal: n.client, Endpoints: n.client, Logger: n.log,
+		Limits: executor.Limits{Lease: lease, ProofAge: proofAge, KeepEnded: n.set.Bounds.KeepEnded, StopTimeout: n.set.Bounds.StopTimeout},
+		OnPeers: func(peers map[string]string) {
+			if err := n.peers.SetPeers(peers); err != nil {
+				n.log.Warn("peer left out", operator.Err(err))
+			}
+		},
+	})
+	calls.Manager, calls.Peers = n.manager, n.peers
+	n.manager.Register(n.peers)
+	return n.peers.Start()
+}
+
+func (n *Node) serve(addr string, h http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, &operator.ListenError{Listen: addr, Cause: err}
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}
+	go func() {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			n.log.Error("server ended", "listen", addr, operator.Err(err))
+		}
+	}()
+	return server, nil
+}
+
+// answerReady tells the balancer whether to send connections: not before a
+// configuration is known, and not while stopping.
+func (n *Node) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if n.stopping.Load() || n.ingress.Config() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// stop ends the node in order: pools go to others at once, while requests are
+// still taken until the balancer sends no more.
+func (n *Node) stop(front, ready *http.Server, leave context.CancelFunc) error {
+	n.stopping.Store(true)
+	leave()
+	return shutdown.Run(context.Background(), n.log, []shutdown.Step{
+		shutdown.Wait("balancer notices", balancerNotice),
+		{Name: "requests end", Limit: closeLimit, Run: front.Shutdown},
+		{Name: "links close", Limit: time.Second, Run: func(context.Context) error { return n.peers.Close() }},
+		{Name: "readiness ends", Limit: logLimit, Run: ready.Shutdown},
+	})
+}
+
+func (n *Node) takeOperator(_ bool, records []platform.Record) {
+	for _, r := range records {
+		if r.Key == platform.KeyConfig && len(r.Value) > 0 {
+			n.takeConfig(r.Value)
+		}
+	}
+}
+
+func (n *Node) takeConfig(value []byte) {
+	c, err := platform.DecodeConfig(value)
+	if err != nil {
+		n.log.Error("configuration unreadable", operator.Err(err))
+		return
+	}
+	if !n.ingress.SetConfig(c) {
+		return
+	}
+	n.log.Info("configuration in force", "config_version", c.Version, "queues", len(c.Queues))
+	n.manager.SetPools(poolsOf(c))
+	n.passEndpoints()
+}
+
+func poolsOf(c *routing.Config) map[string]bool {
+	pools := map[string]bool{}
+	for _, s := range c.Services {
+		if !s.Spare {
+			pools[s.Name] = s.Guarded
+		}
+	}
+	return pools
+}
+
+func (n *Node) takeEndpoints(reset bool, records []platform.Record) {
+	n.mu.Lock()
+	if reset {
+		clear(n.endpoints)
+	}
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			delete(n.endpoints, r.Key)
+			continue
+		}
+		entry, err := platform.DecodeEndpoint(r)
+		if err != nil {
+			n.log.Error("endpoint unreadable", "instance", r.Key, operator.Err(err))
+			continue
+		}
+		n.endpoints[r.Key] = entry
+	}
+	n.mu.Unlock()
+	n.passEndpoints()
+}
+
+// passEndpoints gives each pool's owner here its list.
+func (n *Node) passEndpoints() {
+	byPool := map[string][]executor.EndpointInfo{}
+	n.mu.Lock()
+	for _, e := range n.endpoints {
+		info := executor.EndpointInfo{ID: e.ID, Addr: e.Addr, Zone: e.Zone, Draining: e.Draining,
+			Capacity: executor.Room{CPUMilli: e.Capacity.CPUMilli, MemoryMB: e.Capacity.MemoryMB, GPUs: e.Capacity.GPUs}}
+		if len(e.Labels) > 0 {
+			info.Kind = e.Labels[0]
+		}
+		if len(e.Labels) > 1 {
+			info.Rack = e.Labels[1]
+		}
+		byPool[e.Service] = append(byPool[e.Service], info)
+	}
+	n.mu.Unlock()
+	n.manager.SetEndpoints(byPool)
+}
--- /dev/null
+++ b/internal/jobs/jobs.go
@@ -0,0 +1,164 @@
+// Package jobs holds what callers hand in: jobs of steps of tasks, their
+// names and their checks. It knows nothing of how they arrive or run.
+package jobs
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Limits of a job. A job beyond them is malformed, whatever the fleet's size.
+const (
+	// MaxSpecBytes is the longest Spec that callers may send.
+	MaxSpecBytes = 4000
+	// MaxSteps and MaxTasks bound what one job may cost the process that
+	// owns it: a task takes about 200 bytes of memory.
+	MaxSteps = 256
+	MaxTasks = 20000
+	// MaxOccurrences bounds a recurring job; occurrences are expanded one at
+	// a time, so it is no bound on memory.
+	MaxOccurrences = 100000
+	idDigits       = 16
+)
+
+// Job is what a caller submits. It never changes once accepted.
+type Job struct {
+	ID string `cbor:"1,keyasint"`
+	// Spec is passed to each task as it came.
+	Spec  string `cbor:"2,keyasint,omitempty"`
+	Steps []Step `cbor:"3,keyasint"`
+	// Occurrences is how often the steps run; 0 stands for once, at once.
+	Occurrences int `cbor:"4,keyasint,omitempty"`
+	// StartAtMs is when the first occurrence is due, in ms since 1970.
+	StartAtMs int64 `cbor:"5,keyasint,omitempty"`
+	// IntervalMs lies between two occurrences.
+	IntervalMs int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// Step is a number of alike tasks.
+type Step struct {
+	Count      int   `cbor:"1,keyasint"`
+	CPUMilli   int   `cbor:"2,keyasint,omitempty"`
+	MemoryMB   int   `cbor:"3,keyasint,omitempty"`
+	GPUs       int   `cbor:"4,keyasint,omitempty"`
+	EstimateMs int   `cbor:"5,keyasint,omitempty"`
+	After      []int `cbor:"6,keyasint,omitempty"`
+	// Checkpoints says that its tasks save their progress.
+	Checkpoints bool `cbor:"7,keyasint,omitempty"`
+	// Gang says that its tasks work only while all of them are present.
+	Gang     bool `cbor:"8,keyasint,omitempty"`
+	SameRack bool `cbor:"9,keyasint,omitempty"`
+	// Requires is a label that the endpoint must carry.
+	Requires string `cbor:"10,keyasint,omitempty"`
+	// DataRack is where its data is; elsewhere its tasks take longer.
+	DataRack string `cbor:"11,keyasint,omitempty"`
+	// MaxPerEndpoint bounds its tasks on one endpoint; 0 is no bound.
+	MaxPerEndpoint int  `cbor:"12,keyasint,omitempty"`
+	Speculative    bool `cbor:"13,keyasint,omitempty"`
+	// LongRunning tasks run until the job is cancelled, however they end.
+	LongRunning bool   `cbor:"14,keyasint,omitempty"`
+	Image       string `cbor:"15,keyasint,omitempty"`
+	// TargetMs is the tail latency that its tasks promise their own users.
+	TargetMs int `cbor:"16,keyasint,omitempty"`
+	// Fills says that CPUMilli is taken from what other tasks leave unused.
+	Fills bool `cbor:"17,keyasint,omitempty"`
+	// MayMiss is how many of its tasks may be away by the system's own doing.
+	MayMiss int `cbor:"18,keyasint,omitempty"`
+}
+
+// Serves reports whether the step's tasks have users of their own whose
+// response times other tasks can spoil.
+func (s *Step) Serves() bool { return s.TargetMs > 0 }
+
+// TaskName identifies a task in all messages.
+type TaskName struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+func (n TaskName) String() string {
+	return n.Job + "." + strconv.Itoa(n.Occurrence) + "." + strconv.Itoa(n.Step) + "." + strconv.Itoa(n.Index)
+}
+
+// ParseTaskName is the inverse of String.
+func ParseTaskName(text string) (TaskName, bool) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 || !ValidID(parts[0]) {
+		return TaskName{}, false
+	}
+	var numbers [3]int
+	for i, p := range parts[1:] {
+		n, err := strconv.Atoi(p)
+		if err != nil || n < 0 {
+			return TaskName{}, false
+		}
+		numbers[i] = n
+	}
+	return TaskName{Job: parts[0], Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, true
+}
+
+// ValidID reports whether id has the form of a job's ID.
+func ValidID(id string) bool {
+	if len(id) != idDigits {
+		return false
+	}
+	for _, c := range id {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+// MalformedError says what is wrong with a job.
+type MalformedError struct {
+	Field  string
+	Detail string
+}
+
+func (e *MalformedError) Error() string { return e.Field + ": " + e.Detail }
+
+// Check returns the first fault of a job as a *MalformedError, or nil.
+func (j *Job) Check() error {
+	switch {
+	case !ValidID(j.ID):
+		return &MalformedError{"id", "must be 16 hexadecimal digits"}
+	case len(j.Spec) > MaxSpecBytes:
+		return &MalformedError{"spec", "is longer than 4000 bytes"}
+	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
+		return &MalformedError{"steps", "must be 1 to 256"}
+	case j.Occurrences < 0 || j.Occurrences > MaxOccurrences:
+		return &MalformedError{"times", "must be 0 to 100000"}
+	case j.Occurrences > 0 && (j.StartAtMs < 0 || j.IntervalMs < 0):
+		return &MalformedError{"startAtMs", "times must not be negative"}
+	}
+	tasks := 0
+	for i := range j.Steps {
+		if err := j.Steps[i].check(i); err != nil {
+			return err
+		}
+		tasks += j.Steps[i].Count
+	}
+	if tasks > MaxTasks {
+		return &MalformedError{"steps", "have more than 20000 tasks"}
+	}
+	return nil
+}
+
+func (s *Step) check(number int) error {
+	field := "steps[" + strconv.Itoa(number) + "]"
+	if s.Count < 1 || s.Count > MaxTasks {
+		return &MalformedError{field + ".count", "must be 1 to 20000"}
+	}
+	if s.CPUMilli < 0 || s.MemoryMB < 0 || s.GPUs < 0 || s.MaxPerEndpoint < 0 || s.MayMiss < 0 {
+		return &MalformedError{field, "sizes must not be negative"}
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= number {
+			return &MalformedError{field + ".after", "must name earlier steps"}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settings/node.go
@@ -0,0 +1,98 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	sectionStore  = "store"
+	sectionBounds = "bounds"
+)
+
+// NodeSettings are the settings of cyclamen-node.
+type NodeSettings struct {
+	Node, Zone, Deployment string
+	// Front takes callers' requests, Ready the balancer's questions.
+	Front, Ready netip.AddrPort
+	PeerListen   netip.AddrPort
+	// Operator serves metrics and dumps.
+	Operator netip.AddrPort
+	// Store, Instances and Advice are the platform's services.
+	Store, Instances, Advice string
+	// Orders is how endpoints get their orders.
+	Orders string
+	Bounds NodeBounds
+	// Memory is the soft limit in bytes.
+	Memory int64
+	// Processor is this instance's share of a core.
+	Processor string
+}
+
+// NodeBounds are times that the deployment promises.
+type NodeBounds struct {
+	Grace       time.Duration
+	StopTimeout time.Duration
+	KeepEnded   time.Duration
+	Notice      time.Duration
+	LeaseTTL    time.Duration
+	Pace        time.Duration
+	Harm        time.Duration
+}
+
+// NodeTable lists the settings of cyclamen-node.
+func NodeTable() Table {
+	second := int64(time.Second)
+	return Table{Daemon: "cyclamen-node", Keys: []Key{
+		{Section: sectionProcess, Name: "node", Kind: KindName, Required: true, Doc: "Name of this node, unique in the deployment."},
+		{Section: sectionProcess, Name: "zone", Kind: KindName, Required: true, Doc: "Availability zone the node runs in."},
+		{Section: sectionProcess, Name: "deployment", Kind: KindName, Default: "cyclamenwheel", Doc: "Name that peers' certificates must carry."},
+		{Section: sectionCallers, Name: "listen", Kind: KindHostPort, Required: true, Doc: "TCP address for callers' HTTP requests."},
+		{Section: sectionCallers, Name: "ready", Kind: KindHostPort, Required: true, Doc: "TCP address at which the balancer asks for readiness."},
+		{Section: sectionPeer, Name: "listen", Kind: KindHostPort, Required: true, Doc: "UDP address for QUIC links between nodes."},
+		{Section: sectionOperator, Name: "listen", Kind: KindHostPort, Default: "127.0.0.1:0", Doc: "TCP address for operators, on loopback."},
+		{Section: sectionStore, Name: "address", Kind: KindHostPort, Required: true, Doc: "Address of the platform's store."},
+		{Section: sectionStore, Name: "instances", Kind: KindHostPort, Optional: true, Doc: "Address of the platform's instance list."},
+		{Section: sectionStore, Name: "advice", Kind: KindHostPort, Optional: true, Doc: "Address of the advice service, where queues have one."},
+		{Section: sectionStore, Name: "orders", Kind: KindName, Default: "rpc", Doc: "How endpoints get their orders; only rpc is supported."},
+		{Section: sectionBounds, Name: "grace", Kind: KindDuration, Default: "6s", Unit: "s", Min: second, Max: 600 * second, Doc: "Time between the signal to stop and the kill."},
+		{Section: sectionBounds, Name: "stop_timeout", Kind: KindDuration, Default: "900ms", Unit: "ms", Min: 1, Max: 600 * second, Doc: "Longest time that an endpoint takes to stop a task."},
+		{Section: sectionBounds, Name: "keep_ended", Kind: KindDuration, Default: "120s", Unit: "s", Min: second, Max: 86400 * second, Doc: "How long the state of an ended job can be asked for."},
+		{Section: sectionBounds, Name: "notice", Kind: KindDuration, Default: "4500ms", Unit: "ms", Min: 0, Max: 600 * second, Doc: "How long a lasting task counts as missing after it was away."},
+		{Section: sectionBounds, Name: "lease_ttl", Kind: KindDuration, Default: "3s", Unit: "ms", Min: 0, Max: 600 * second, Doc: "How long the platform remembers who ordered an instance last."},
+		{Section: sectionBounds, Name: "pace", Kind: KindDuration, Default: "100ms", Unit: "ms", Min: 0, Max: 600 * second, Doc: "Time until a changed pace takes effect."},
+		{Section: sectionBounds, Name: "harm", Kind: KindDuration, Default: "4s", Unit: "ms", Min: 0, Max: 600 * second, Doc: "How long a serving task may be over its target because of tasks beside it."},
+		{Section: sectionLimits, Name: "memory", Kind: KindBytes, Default: "256MiB", Unit: "MiB", Min: 16 << 20, Max: maxMemory, Doc: "Memory above which the process is killed."},
+		{Section: sectionLimits, Name: "processor", Kind: KindString, Default: "1", Unit: "cores", Doc: "This instance's share of a core."},
+	}}
+}
+
+// LoadNode reads the settings of cyclamen-node.
+func LoadNode(path string) (NodeSettings, error) {
+	v, err := Load(path, NodeTable())
+	if err != nil {
+		return NodeSettings{}, err
+	}
+	s := NodeSettings{
+		Node: v.String(sectionProcess, "node"), Zone: v.String(sectionProcess, "zone"),
+		Deployment: v.String(sectionProcess, "deployment"),
+		Front:      v.Addr(sectionCallers, "listen"), Ready: v.Addr(sectionCallers, "ready"),
+		PeerListen: v.Addr(sectionPeer, "listen"), Operator: v.Addr(sectionOperator, "listen"),
+		Store:  v.Addr(sectionStore, "address").String(),
+		Orders: v.String(sectionStore, "orders"),
+		Memory: v.Bytes(sectionLimits, "memory"), Processor: v.String(sectionLimits, "processor"),
+		Bounds: NodeBounds{
+			Grace: v.Duration(sectionBounds, "grace"), StopTimeout: v.Duration(sectionBounds, "stop_timeout"),
+			KeepEnded: v.Duration(sectionBounds, "keep_ended"), Notice: v.Duration(sectionBounds, "notice"),
+			LeaseTTL: v.Duration(sectionBounds, "lease_ttl"), Pace: v.Duration(sectionBounds, "pace"),
+			Harm: v.Duration(sectionBounds, "harm"),
+		},
+	}
+	if a := v.Addr(sectionStore, "instances"); a.IsValid() {
+		s.Instances = a.String()
+	}
+	if a := v.Addr(sectionStore, "advice"); a.IsValid() {
+		s.Advice = a.String()
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/shards/calls.go
@@ -0,0 +1,215 @@
+package shards
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/jobs"
+	"cyclamenwheel/internal/peer"
+)
+
+// Kinds of calls between processes.
+const (
+	kindSubmit  = "job.submit"
+	kindCancel  = "job.cancel"
+	kindState   = "job.state"
+	kindPending = "queue.pending"
+	kindVacate  = "pool.vacate"
+)
+
+// callTimeout bounds a call to a pool's owner. An owner answers within some
+// 10 ms; one that is silent for this long is gone or cut off.
+const callTimeout = 1200 * time.Millisecond
+
+// SubmitCall hands a job to its pool's owner.
+type SubmitCall struct {
+	Pool  string             `cbor:"1,keyasint"`
+	Job   jobs.Job           `cbor:"2,keyasint"`
+	Under executor.Accepting `cbor:"3,keyasint"`
+}
+
+// JobCall names a job of a pool.
+type JobCall struct {
+	Pool string `cbor:"1,keyasint"`
+	ID   string `cbor:"2,keyasint"`
+}
+
+// QueueCall names a queue of a pool.
+type QueueCall struct {
+	Pool  string `cbor:"1,keyasint"`
+	Queue string `cbor:"2,keyasint"`
+}
+
+// VacateItem asks for one endpoint to be cleared.
+type VacateItem struct {
+	Endpoint string `cbor:"1,keyasint"`
+	Hurry    bool   `cbor:"2,keyasint,omitempty"`
+	// Keep withdraws an earlier request.
+	Keep bool `cbor:"3,keyasint,omitempty"`
+}
+
+// VacateCall asks a pool's owner to clear endpoints, and how the pool is.
+type VacateCall struct {
+	Pool  string       `cbor:"1,keyasint"`
+	Items []VacateItem `cbor:"2,keyasint,omitempty"`
+}
+
+// VacateResult says how many tasks are left on each endpoint asked about;
+// endpoints that the owner does not know are absent.
+type VacateResult struct {
+	Owned   bool             `cbor:"1,keyasint"`
+	Left    map[string]int   `cbor:"2,keyasint,omitempty"`
+	Summary executor.Summary `cbor:"3,keyasint"`
+}
+
+// Register makes this process answer its peers' calls.
+func (m *Manager) Register(n *peer.Node) {
+	peer.Handle(n, kindSubmit, func(ctx context.Context, _ peer.Identity, in SubmitCall) (Result, error) {
+		return m.localSubmit(ctx, in), nil
+	})
+	peer.Handle(n, kindCancel, func(ctx context.Context, _ peer.Identity, in JobCall) (Result, error) {
+		return m.localCall(in.Pool, func(r *Runner) Result { return r.cancelJob(ctx, in.ID) }), nil
+	})
+	peer.Handle(n, kindState, func(ctx context.Context, _ peer.Identity, in JobCall) (Result, error) {
+		return m.localCall(in.Pool, func(r *Runner) Result { return r.state(ctx, in.ID) }), nil
+	})
+	peer.Handle(n, kindPending, func(ctx context.Context, _ peer.Identity, in QueueCall) (Result, error) {
+		return m.localCall(in.Pool, func(r *Runner) Result { return r.pending(ctx, in.Queue) }), nil
+	})
+	peer.Handle(n, kindVacate, func(ctx context.Context, _ peer.Identity, in VacateCall) (VacateResult, error) {
+		return m.localVacate(ctx, in), nil
+	})
+}
+
+var notOwner = Result{Outcome: OutcomeUnavailable, Reason: "the pool has no owner here", RetryAfterMs: retryOwnerMs}
+
+// retryOwnerMs is when to come back while a pool changes its owner.
+const retryOwnerMs = 1000
+
+func (m *Manager) localCall(pool string, f func(*Runner) Result) Result {
+	r := m.local(pool)
+	if r == nil {
+		return notOwner
+	}
+	return f(r)
+}
+
+func (m *Manager) localSubmit(ctx context.Context, in SubmitCall) Result {
+	return m.localCall(in.Pool, func(r *Runner) Result { return r.submit(ctx, in.Job, in.Under) })
+}
+
+func (m *Manager) localVacate(ctx context.Context, in VacateCall) VacateResult {
+	out := VacateResult{Left: map[string]int{}}
+	r := m.local(in.Pool)
+	if r == nil {
+		return out
+	}
+	out.Owned = r.do(ctx, func(now time.Duration, core *executor.Core) {
+		for _, item := range in.Items {
+			if item.Keep {
+				core.Keep(item.Endpoint)
+				continue
+			}
+			if left, known := core.Vacate(now, item.Endpoint, item.Hurry); known {
+				out.Left[item.Endpoint] = left
+			}
+		}
+		out.Summary = core.Summary()
+	})
+	return out
+}
+
+// Calls makes calls on pools wherever their owners are.
+type Calls struct {
+	Manager *Manager
+	Peers   *peer.Node
+}
+
+// call runs a call here or at the owner. A pool without a reachable owner is
+// looked up once more before the caller is sent away.
+func (c *Calls) call(ctx context.Context, pool, kind string, here func(context.Context) Result, there any) Result {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	result := notOwner
+	for try := range 2 {
+		if try > 0 {
+			c.Manager.refreshOwners(ctx, ownersMin)
+		}
+		if c.Manager.local(pool) != nil {
+			result = here(ctx)
+		} else {
+			result = c.remote(ctx, pool, kind, there)
+		}
+		if result.Outcome != OutcomeUnavailable || ctx.Err() != nil {
+			return result
+		}
+	}
+	return result
+}
+
+func (c *Calls) remote(ctx context.Context, pool, kind string, in any) Result {
+	owner, ok := c.Manager.OwnerOf(pool)
+	if !ok || owner.Node == c.Manager.opts.Node {
+		return notOwner
+	}
+	result, err := peer.Call[any, Result](ctx, c.Peers, owner.Node, kind, in)
+	if err == nil {
+		return result
+	}
+	var unreachable *peer.UnreachableError
+	if errors.As(err, &unreachable) {
+		return Result{Outcome: OutcomeUnavailable, Reason: "the pool's owner is unreachable: " + err.Error(), RetryAfterMs: retryOwnerMs}
+	}
+	return Result{Outcome: OutcomeUnknown, Reason: err.Error()}
+}
+
+// Submit hands in a job.
+func (c *Calls) Submit(ctx context.Context, in SubmitCall) Result {
+	return c.call(ctx, in.Pool, kindSubmit, func(ctx context.Context) Result { return c.Manager.localSubmit(ctx, in) }, in)
+}
+
+// Cancel cancels a job.
+func (c *Calls) Cancel(ctx context.Context, in JobCall) Result {
+	here := func(ctx context.Context) Result {
+		return c.Manager.localCall(in.Pool, func(r *Runner) Result { return r.cancelJob(ctx, in.ID) })
+	}
+	return c.call(ctx, in.Pool, kindCancel, here, in)
+}
+
+// State returns a job's state.
+func (c *Calls) State(ctx context.Context, in JobCall) Result {
+	here := func(ctx context.Context) Result {
+		return c.Manager.localCall(in.Pool, func(r *Runner) Result { return r.state(ctx, in.ID) })
+	}
+	return c.call(ctx, in.Pool, kindState, here, in)
+}
+
+// Pending returns how many jobs of a queue have not begun.
+func (c *Calls) Pending(ctx context.Context, in QueueCall) Result {
+	here := func(ctx context.Context) Result {
+		return c.Manager.localCall(in.Pool, func(r *Runner) Result { return r.pending(ctx, in.Queue) })
+	}
+	return c.call(ctx, in.Pool, kindPending, here, in)
+}
+
+// Vacate asks a pool's owner to clear endpoints. Owned is false where no owner
+// answered.
+func (c *Calls) Vacate(ctx context.Context, in VacateCall) VacateResult {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if c.Manager.local(in.Pool) != nil {
+		return c.Manager.localVacate(ctx, in)
+	}
+	owner, ok := c.Manager.OwnerOf(in.Pool)
+	if !ok || owner.Node == c.Manager.opts.Node {
+		return VacateResult{}
+	}
+	out, err := peer.Call[VacateCall, VacateResult](ctx, c.Peers, owner.Node, kindVacate, in)
+	if err != nil {
+		return VacateResult{}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/shards/orders.go
@@ -0,0 +1,125 @@
+package shards
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/platform"
+)
+
+// send carries out an order in the background and reports how it went.
+func (r *Runner) send(now time.Duration, o executor.Order) {
+	to := platform.EndpointRef{ID: o.Endpoint, Addr: o.Addr}
+	lease, ok := r.core.GrantFor(now, o)
+	if !ok && o.Kind != executor.OrderStop {
+		return
+	}
+	go func() {
+		clock, err := r.carryOut(to, o, lease)
+		result := resultOf(err)
+		if err != nil {
+			r.log.Info("order not done", "epoch", r.epoch, "task", o.Task, "run", o.Run, "instance", o.Endpoint,
+				"order", int(o.Kind), "result", result.String(), "error", err.Error())
+		}
+		r.post(func(now time.Duration) { r.core.OrderDone(now, o, result, clockOf(err, clock)) })
+	}()
+}
+
+func (r *Runner) carryOut(to platform.EndpointRef, o executor.Order, lease time.Duration) (time.Duration, error) {
+	switch o.Kind {
+	case executor.OrderStop:
+		return r.endpoints.Stop(r.ctx, to, o.Task, o.Run, r.epoch)
+	case executor.OrderPace:
+		return r.endpoints.Pace(r.ctx, to, o.Task, o.Run, o.Percent, r.epoch)
+	}
+	return r.endpoints.Start(r.ctx, to, platform.StartOrder{Task: o.Task, Run: o.Run, Spec: o.Spec, Fence: r.epoch,
+		LeaseUntil: lease, Checkpoint: o.Checkpoint, Ticket: o.Ticket})
+}
+
+func clockOf(err error, clock time.Duration) time.Duration {
+	var refused *platform.RefusedError
+	if errors.As(err, &refused) {
+		return refused.Clock
+	}
+	return clock
+}
+
+// resultOf says what an error of the endpoints' client means for an order.
+func resultOf(err error) executor.OrderResult {
+	if err == nil {
+		return executor.OrderDone
+	}
+	var refused *platform.RefusedError
+	if !errors.As(err, &refused) {
+		return executor.OrderUnanswered
+	}
+	switch refused.Reason {
+	case platform.RefusedFence:
+		return executor.OrderFenced
+	case platform.RefusedOld:
+		return executor.OrderOld
+	case platform.RefusedLate:
+		return executor.OrderLate
+	case platform.RefusedRoom:
+		return executor.OrderNoRoom
+	case platform.RefusedTicket:
+		return executor.OrderNoTicket
+	case platform.RefusedGone:
+		return executor.OrderGone
+	case platform.RefusedUnhealthy:
+		return executor.OrderUnhealthy
+	}
+	return executor.OrderInvalid
+}
+
+// look sends a renewal in the background and reports what was listed.
+func (r *Runner) look(l executor.Look) {
+	to := platform.EndpointRef{ID: l.Endpoint, Addr: l.Addr}
+	go func() {
+		look, err := r.endpoints.Renew(r.ctx, to, platform.Renewal{Fence: r.epoch, Acknowledged: l.Acknowledged,
+			LeaseUntil: l.LeaseUntil, Wait: l.Wait})
+		result := lookResultOf(err)
+		if err != nil && r.ctx.Err() == nil {
+			r.log.Info("renewal not done", "epoch", r.epoch, "instance", l.Endpoint, "error", err.Error())
+		}
+		r.post(func(now time.Duration) { r.core.LookDone(now, l.Endpoint, result, listedOf(look)) })
+	}()
+}
+
+func lookResultOf(err error) executor.LookResult {
+	if err == nil {
+		return executor.LookAnswered
+	}
+	switch resultOf(err) {
+	case executor.OrderFenced:
+		return executor.LookFenced
+	case executor.OrderGone:
+		return executor.LookGone
+	}
+	return executor.LookUnanswered
+}
+
+var endedHow = map[platform.EndReason]executor.HowEnded{
+	platform.EndDone: executor.EndedDone, platform.EndFailed: executor.EndedFailed,
+	platform.EndStopped: executor.EndedStopped, platform.EndLapsed: executor.EndedLapsed,
+	platform.EndBroken: executor.EndedBroken, platform.EndAlone: executor.EndedAlone,
+}
+
+func listedOf(in platform.Look) executor.Listed {
+	out := executor.Listed{Clock: in.Clock}
+	for _, run := range in.Running {
+		out.Running = append(out.Running, executor.ListedRun{Task: run.Task, Run: run.Run, Checkpoint: run.Checkpoint,
+			Percent: run.Percent, Load: run.Load})
+	}
+	for _, end := range in.Ended {
+		how, known := endedHow[end.How]
+		if !known {
+			how = executor.EndedStopped
+		}
+		out.Ended = append(out.Ended, executor.ListedEnd{Number: end.Number, Task: end.Task, Run: end.Run,
+			How: how, Checkpoint: end.Checkpoint})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/shards/runner.go
@@ -0,0 +1,460 @@
+// Package shards runs the pools that this process owns: it claims them, makes
+// their records durable, and carries out what their executors decide. Which
+// process owns which pool comes from the store's group membership; that it is
+// still the owner is proved by the epoch of its appends alone.
+package shards
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/jobs"
+	"cyclamenwheel/internal/planlease"
+	"cyclamenwheel/platform"
+)
+
+const (
+	// roundGap lets messages gather before a round of decisions; it is a
+	// fraction of what an append takes.
+	roundGap = 4 * time.Millisecond
+	// tickBusy and tickIdle bound the time between rounds.
+	tickBusy = 50 * time.Millisecond
+	tickIdle = 300 * time.Millisecond
+	// proofEvery is how often an idle owner asks the store whether its epoch
+	// is still the newest.
+	proofEvery = 1500 * time.Millisecond
+	// appendRetry spaces repetitions of an append without a final answer.
+	appendRetry = 60 * time.Millisecond
+	// stuckAfter is how long an append may be unanswered before new jobs are
+	// refused: they could not be accepted in time.
+	stuckAfter = 500 * time.Millisecond
+	// inboxSize bounds messages that wait for the control goroutine.
+	inboxSize = 4096
+	// producer names the owner's appends; there is one writer a pool.
+	producer = "owner"
+)
+
+// Journal is the part of the platform's client that holds a pool's records.
+type Journal interface {
+	Append(ctx context.Context, topic string, at int64, w platform.Writer, records []platform.Record) (int64, error)
+	Newest(ctx context.Context, topic string) (platform.Page, error)
+}
+
+// Endpoints is the part of the platform's client that orders endpoints.
+type Endpoints interface {
+	Start(ctx context.Context, to platform.EndpointRef, o platform.StartOrder) (time.Duration, error)
+	Stop(ctx context.Context, to platform.EndpointRef, task string, run int, fence int64) (time.Duration, error)
+	Pace(ctx context.Context, to platform.EndpointRef, task string, run, percent int, fence int64) (time.Duration, error)
+	Renew(ctx context.Context, to platform.EndpointRef, r platform.Renewal) (platform.Look, error)
+}
+
+// Outcome is what a call on a pool came to.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// OutcomeDone: accepted, cancelled or found.
+	OutcomeDone Outcome = iota
+	// OutcomeRefused: not accepted; it never runs unless handed in again.
+	OutcomeRefused
+	// OutcomeUnavailable: nobody could take it now; nothing has happened.
+	OutcomeUnavailable
+	// OutcomeUnknown: it may have been done.
+	OutcomeUnknown
+	// OutcomeAbsent: there is no such job.
+	OutcomeAbsent
+)
+
+var outcomeNames = [...]string{"done", "refused", "unavailable", "unknown", "absent"}
+
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Result is the answer to a call on a pool.
+type Result struct {
+	Outcome      Outcome           `cbor:"1,keyasint"`
+	State        executor.JobState `cbor:"2,keyasint,omitempty"`
+	Pending      int               `cbor:"3,keyasint,omitempty"`
+	RetryAfterMs int64             `cbor:"4,keyasint,omitempty"`
+	Reason       string            `cbor:"5,keyasint,omitempty"`
+}
+
+// Runner owns one pool under one epoch.
+type Runner struct {
+	pool      string
+	topic     string
+	owner     string
+	journal   Journal
+	endpoints Endpoints
+	log       *slog.Logger
+	limits    executor.Limits
+	now       func() time.Duration
+	wall      func() time.Time
+
+	core  *executor.Core
+	epoch int64
+	seq   int64
+	inbox chan func(now time.Duration)
+	ctx   context.Context
+
+	waiting   map[uint64]chan Result
+	nextToken uint64
+	// appending is the batch on its way, nil where there is none; stuckSince
+	// is when it was first sent.
+	appending  *executor.Ready
+	stuckSince time.Duration
+	// proof is when the newest append that succeeded was sent.
+	proof time.Duration
+	over  bool
+}
+
+func newRunner(m *Manager, pool string) *Runner {
+	return &Runner{
+		pool: pool, topic: TopicOf(pool), owner: m.opts.Member, journal: m.opts.Journal, endpoints: m.opts.Endpoints,
+		log: m.opts.Logger.With("pool", pool), limits: m.opts.Limits, now: planlease.Boottime, wall: time.Now,
+		inbox: make(chan func(time.Duration), inboxSize), waiting: map[uint64]chan Result{},
+	}
+}
+
+// topicPrefix begins the topics of pools; the store keeps the newest record of
+// each key in topics of this form.
+const topicPrefix = "keyed.pool."
+
+// TopicOf is the topic of a pool's records.
+func TopicOf(pool string) string { return topicPrefix + pool }
+
+// claim takes the pool over: it reads the records and appends a higher epoch
+// on the condition that nothing was appended since. Whoever owned the pool
+// before can append nothing more from then on.
+func (r *Runner) claim(ctx context.Context) error {
+	for {
+		page, err := r.journal.Newest(ctx, r.topic)
+		if err != nil {
+			return err
+		}
+		last, records, err := splitEpoch(page.Records)
+		if err != nil {
+			return err
+		}
+		epoch := last + 1
+		sent := r.now()
+		claim := executor.EncodeEpoch(executor.EpochRecord{Epoch: epoch, Owner: r.owner})
+		_, err = r.journal.Append(ctx, r.topic, page.Next, platform.Writer{Name: producer, Epoch: epoch, Seq: 0},
+			[]platform.Record{{Key: claim.Key, Value: claim.Value}})
+		var moved *platform.MovedOnError
+		if errors.As(err, &moved) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		r.epoch, r.seq, r.proof = epoch, 1, sent
+		r.core = executor.New(r.pool, epoch, r.limits, r.now())
+		r.core.SetWall(r.wall().UnixMilli())
+		return r.core.Restore(records, r.now())
+	}
+}
+
+func splitEpoch(page []platform.Record) (epoch int64, records []executor.Record, err error) {
+	for _, p := range page {
+		if p.Key != executor.KeyEpoch {
+			records = append(records, executor.Record{Key: p.Key, Value: p.Value})
+			continue
+		}
+		rec, err := executor.DecodeEpoch(p.Value)
+		if err != nil {
+			return 0, nil, err
+		}
+		epoch = rec.Epoch
+	}
+	return epoch, records, nil
+}
+
+// run owns the pool until ctx ends or a newer epoch shows.
+func (r *Runner) run(ctx context.Context) {
+	r.ctx = ctx
+	tick := time.NewTimer(0)
+	defer tick.Stop()
+	last := r.now() - roundGap
+	for !r.over && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		case msg := <-r.inbox:
+			msg(r.now())
+			if gap := roundGap - (r.now() - last); gap > 0 {
+				time.Sleep(gap)
+			}
+			r.drainInbox()
+		}
+		last = r.now()
+		r.round(last)
+		tick.Reset(r.tick())
+	}
+	r.abandon()
+}
+
+func (r *Runner) drainInbox() {
+	for {
+		select {
+		case msg := <-r.inbox:
+			msg(r.now())
+		default:
+			return
+		}
+	}
+}
+
+func (r *Runner) tick() time.Duration {
+	if r.core.Busy() {
+		return tickBusy
+	}
+	return tickIdle
+}
+
+// round decides and sends. Nothing is sent while the last proof of the epoch
+// is older than allowed: a successor counts on that silence.
+func (r *Runner) round(now time.Duration) {
+	r.core.SetWall(r.wall().UnixMilli())
+	r.core.Tick(now)
+	r.core.Decide(now)
+	r.logEvents()
+	if r.core.Fenced() {
+		r.over = true
+		return
+	}
+	if r.proven(now) {
+		for _, l := range r.core.DueLooks(now) {
+			r.look(l)
+		}
+		for _, o := range r.core.TakeUrgent() {
+			r.send(now, o)
+		}
+	}
+	r.flush(now)
+}
+
+func (r *Runner) proven(now time.Duration) bool { return now-r.proof < r.limits.ProofAge }
+
+// flush appends what has changed, or proves the epoch where nothing has for a
+// while.
+func (r *Runner) flush(now time.Duration) {
+	if r.appending != nil {
+		return
+	}
+	ready := r.core.Ready()
+	if ready.Empty() && now-r.proof < proofEvery {
+		return
+	}
+	if len(ready.Records) == 0 && now-r.proof < proofEvery {
+		r.release(ready)
+		return
+	}
+	r.appending, r.stuckSince = &ready, now
+	seq := r.seq
+	if len(ready.Records) > 0 {
+		r.seq++
+	}
+	go r.append(ready, seq)
+}
+
+// append repeats an append until the store has given a final answer. Its
+// sequence number makes the store recognise what it has carried out already.
+func (r *Runner) append(ready executor.Ready, seq int64) {
+	records := make([]platform.Record, len(ready.Records))
+	for i, rec := range ready.Records {
+		records[i] = platform.Record{Key: rec.Key, Value: rec.Value}
+	}
+	for try := 0; r.ctx.Err() == nil; try++ {
+		sent := r.now()
+		_, err := r.journal.Append(r.ctx, r.topic, platform.AnyEnd, platform.Writer{Name: producer, Epoch: r.epoch, Seq: seq}, records)
+		if err == nil {
+			r.post(func(now time.Duration) { r.appended(now, sent, try) })
+			return
+		}
+		if final(err) {
+			r.post(func(time.Duration) { r.appendFailed(err) })
+			return
+		}
+		if try == 0 {
+			r.log.Warn("append not answered, repeating", "seq", seq, "error", err.Error())
+		}
+		time.Sleep(appendRetry)
+	}
+}
+
+func final(err error) bool {
+	var fenced *platform.FencedError
+	var turnedAway *platform.NotDoneError
+	if errors.As(err, &turnedAway) {
+		return turnedAway.Reason != "" // a number out of sequence
+	}
+	return errors.As(err, &fenced)
+}
+
+func (r *Runner) appended(now, sent time.Duration, tries int) {
+	if tries > 0 {
+		r.log.Info("append done after repeating", "tries", tries+1, "duration_ms", (now - r.stuckSince).Milliseconds())
+	}
+	r.proof = max(r.proof, sent)
+	ready := *r.appending
+	r.appending = nil
+	r.release(ready)
+}
+
+func (r *Runner) appendFailed(err error) {
+	r.log.Warn("pool lost", "epoch", r.epoch, "error", err.Error())
+	r.over = true
+}
+
+// release carries out what a durable batch allows.
+func (r *Runner) release(ready executor.Ready) {
+	r.core.Advance(ready)
+	for _, reply := range ready.Replies {
+		r.reply(reply.Token, Result{Outcome: OutcomeDone})
+	}
+	now := r.now()
+	if !r.proven(now) {
+		return // the orders are sent when their endpoints don't list the runs
+	}
+	for _, o := range ready.Orders {
+		r.send(now, o)
+	}
+}
+
+func (r *Runner) reply(token uint64, result Result) {
+	if ch, ok := r.waiting[token]; ok {
+		ch <- result
+		delete(r.waiting, token)
+	}
+}
+
+// abandon answers everybody who waits. What was on its way to the store may
+// have arrived; the rest has not happened.
+func (r *Runner) abandon() {
+	if r.appending != nil {
+		for _, reply := range r.appending.Replies {
+			r.reply(reply.Token, Result{Outcome: OutcomeUnknown, Reason: "the pool's owner changes"})
+		}
+	}
+	for token := range r.waiting {
+		r.reply(token, Result{Outcome: OutcomeUnavailable, Reason: "the pool's owner changes"})
+	}
+	r.log.Info("pool given up", "epoch", r.epoch, "fenced", r.core.Fenced())
+}
+
+// post hands a message to the control goroutine.
+func (r *Runner) post(msg func(now time.Duration)) bool {
+	select {
+	case r.inbox <- msg:
+		return true
+	case <-r.ctx.Done():
+		return false
+	}
+}
+
+// ask runs f on the control goroutine and returns its answer, now or later.
+func (r *Runner) ask(ctx context.Context, f func(now time.Duration, token uint64) (Result, bool)) Result {
+	ch := make(chan Result, 1)
+	ok := r.post(func(now time.Duration) {
+		r.nextToken++
+		token := r.nextToken
+		r.waiting[token] = ch
+		if result, done := f(now, token); done {
+			r.reply(token, result)
+		}
+	})
+	if !ok {
+		return Result{Outcome: OutcomeUnavailable, Reason: "the pool's owner changes"}
+	}
+	select {
+	case result := <-ch:
+		return result
+	case <-r.ctx.Done():
+		return Result{Outcome: OutcomeUnknown, Reason: "the pool's owner changes"}
+	case <-ctx.Done():
+		return Result{Outcome: OutcomeUnknown, Reason: "no answer in time"}
+	}
+}
+
+// submit hands a job to the pool.
+func (r *Runner) submit(ctx context.Context, job jobs.Job, under executor.Accepting) Result {
+	return r.ask(ctx, func(now time.Duration, token uint64) (Result, bool) {
+		if r.stuck(now) {
+			return Result{Outcome: OutcomeUnavailable, Reason: "the store does not answer", RetryAfterMs: retryStoreMs}, true
+		}
+		if ctx.Err() != nil {
+			return Result{Outcome: OutcomeUnavailable, Reason: "came too late"}, true
+		}
+		verdict, refusal := r.core.Submit(now, job, under, token)
+		switch verdict {
+		case executor.VerdictKnown:
+			return Result{Outcome: OutcomeDone}, true
+		case executor.VerdictRefused:
+			return Result{Outcome: OutcomeRefused, Reason: refusal.Reason, RetryAfterMs: refusal.RetryAfter.Milliseconds()}, true
+		}
+		return Result{}, false
+	})
+}
+
+// retryStoreMs is when to come back while the store does not answer: its
+// outages last some seconds.
+const retryStoreMs = 1000
+
+func (r *Runner) stuck(now time.Duration) bool {
+	return r.appending != nil && now-r.stuckSince > stuckAfter || !r.proven(now)
+}
+
+func (r *Runner) cancelJob(ctx context.Context, id string) Result {
+	return r.ask(ctx, func(now time.Duration, token uint64) (Result, bool) {
+		known, durable := r.core.Cancel(now, id, token)
+		if !known {
+			return Result{Outcome: OutcomeAbsent}, true
+		}
+		return Result{Outcome: OutcomeDone}, durable
+	})
+}
+
+func (r *Runner) state(ctx context.Context, id string) Result {
+	return r.ask(ctx, func(now time.Duration, _ uint64) (Result, bool) {
+		if !r.proven(now) {
+			return Result{Outcome: OutcomeUnavailable, Reason: "the store does not answer", RetryAfterMs: retryStoreMs}, true
+		}
+		state, known := r.core.State(id)
+		if !known {
+			return Result{Outcome: OutcomeAbsent}, true
+		}
+		return Result{Outcome: OutcomeDone, State: state}, true
+	})
+}
+
+func (r *Runner) pending(ctx context.Context, queue string) Result {
+	return r.ask(ctx, func(time.Duration, uint64) (Result, bool) {
+		return Result{Outcome: OutcomeDone, Pending: r.core.Pending(queue)}, true
+	})
+}
+
+// do runs f on the control goroutine and waits for it.
+func (r *Runner) do(ctx context.Context, f func(now time.Duration, core *executor.Core)) bool {
+	done := make(chan struct{})
+	if !r.post(func(now time.Duration) { f(now, r.core); close(done) }) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+	case <-r.ctx.Done():
+	}
+	return false
+}
+
+func (r *Runner) logEvents() {
+	for _, e := range r.core.TakeEvents() {
+		r.log.Info(string(e.Kind), "epoch", r.epoch, "job", e.Job, "task", e.Task, "run", e.Run,
+			"instance", e.Endpoint, "reason", e.Reason, "age_ms", e.AgeMs)
+	}
+}
