Pools are dealt out as partitions of one group topic; a claim is unique before it fences

Cause of the displaced owners: a topic has 24 partitions and each member got some of every topic; and two claims of one epoch under one producer's name looked to the store like one claim repeated, so that both succeeded. Ruled out: membership that lapses (generations stayed). Now a conditional append without a producer decides who has an epoch, the empty append under it fences, and what came in between is read last.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -150,7 +150,7 @@
 	addr := n.set.PeerListen.String()
 	n.manager = shards.NewManager(shards.Options{
 		Node: n.set.Node, Addr: addr, Member: shards.MemberName(n.set.Node, addr, boot),
-		Membership: n.client, Journal: n.client, Endpoints: n.client, Logger: n.log,
+		Membership: n.client, Journal: n.client, Endpoints: n.client, Parts: n.set.Partitions, Logger: n.log,
 		Limits: executor.Limits{Lease: lease, ProofAge: proofAge, KeepEnded: n.set.Bounds.KeepEnded, StopTimeout: n.set.Bounds.StopTimeout},
 		OnPeers: func(peers map[string]string) {
 			if err := n.peers.SetPeers(peers); err != nil {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -22,7 +22,9 @@
 	Store, Instances, Advice string
 	// Orders is how endpoints get their orders.
 	Orders string
-	Bounds NodeBounds
+	// Partitions is how many the store gives a topic.
+	Partitions int
+	Bounds     NodeBounds
 	// Memory is the soft limit in bytes.
 	Memory int64
 	// Processor is this instance's share of a core.
@@ -54,6 +56,7 @@
 		{Section: sectionStore, Name: "address", Kind: KindHostPort, Required: true, Doc: "Address of the platform's store."},
 		{Section: sectionStore, Name: "instances", Kind: KindHostPort, Optional: true, Doc: "Address of the platform's instance list."},
 		{Section: sectionStore, Name: "advice", Kind: KindHostPort, Optional: true, Doc: "Address of the advice service, where queues have one."},
+		{Section: sectionStore, Name: "partitions", Kind: KindInt, Default: "24", Min: 1, Max: 4096, Doc: "Partitions that the store gives a topic."},
 		{Section: sectionStore, Name: "orders", Kind: KindName, Default: "rpc", Doc: "How endpoints get their orders; only rpc is supported."},
 		{Section: sectionBounds, Name: "grace", Kind: KindDuration, Default: "6s", Unit: "s", Min: second, Max: 600 * second, Doc: "Time between the signal to stop and the kill."},
 		{Section: sectionBounds, Name: "stop_timeout", Kind: KindDuration, Default: "900ms", Unit: "ms", Min: 1, Max: 600 * second, Doc: "Longest time that an endpoint takes to stop a task."},
@@ -79,7 +82,7 @@
 		Front:      v.Addr(sectionCallers, "listen"), Ready: v.Addr(sectionCallers, "ready"),
 		PeerListen: v.Addr(sectionPeer, "listen"), Operator: v.Addr(sectionOperator, "listen"),
 		Store:  v.Addr(sectionStore, "address").String(),
-		Orders: v.String(sectionStore, "orders"),
+		Orders: v.String(sectionStore, "orders"), Partitions: v.Int(sectionStore, "partitions"),
 		Memory: v.Bytes(sectionLimits, "memory"), Processor: v.String(sectionLimits, "processor"),
 		Bounds: NodeBounds{
 			Grace: v.Duration(sectionBounds, "grace"), StopTimeout: v.Duration(sectionBounds, "stop_timeout"),
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	// group is the membership group of the processes that own pools.
-	group = "owners"
-	// FleetTopic stands for the duty over instances, owned like a pool.
-	FleetTopic = "keyed.fleet"
+	// group is the membership group of the processes that own pools. It deals
+	// out the partitions of groupTopic, which holds no records: each pool and
+	// the duty over instances has a partition of it.
+	group      = "owners"
+	groupTopic = "owners"
 	// memberTTL is how long a silent member keeps what it holds; it decides
 	// how long a pool stands still after its owner was killed.
 	memberTTL = 1200 * time.Millisecond
@@ -36,9 +37,9 @@
 
 // Membership is the part of the platform's client that deals out pools.
 type Membership interface {
-	Join(ctx context.Context, group, member string, topics []string, ttl time.Duration, generation int64) (platform.Assignment, error)
+	Join(ctx context.Context, group, member, topic string, ttl time.Duration, generation int64) (platform.Assignment, error)
 	Leave(ctx context.Context, group, member string) error
-	Owners(ctx context.Context, group string) (map[string]string, error)
+	Owners(ctx context.Context, group string) (map[int]string, error)
 }
 
 // Options of a Manager.
@@ -50,7 +51,9 @@
 	Journal            Journal
 	Endpoints          Endpoints
 	Limits             executor.Limits
-	Logger             *slog.Logger
+	// Parts is the number of partitions that the store gives a topic.
+	Parts  int
+	Logger *slog.Logger
 	// OnPeers is told the addresses of all owners by node.
 	OnPeers func(map[string]string)
 }
@@ -86,14 +89,13 @@
 	wg        sync.WaitGroup
 }
 
-// held is a topic that this process owns or is about to.
+// held is a duty that this process owns or is about to.
 type held struct {
 	cancel context.CancelFunc
 	runner *Runner
-	// ready is set once the claim has succeeded.
+	// ready is set once the claim has succeeded. The duty over instances has
+	// no runner and is ready at once.
 	ready bool
-	// fleet is set for FleetTopic, which has no runner.
-	fleet bool
 }
 
 // NewManager returns a manager that owns nothing.
@@ -139,21 +141,23 @@
 // Run stays in the group until ctx ends, then gives everything back.
 func (m *Manager) Run(ctx context.Context) {
 	var generation int64
-	failing := false
+	failing, created := false, false
 	for ctx.Err() == nil {
-		m.mu.Lock()
-		topics := m.topicsLocked()
-		m.mu.Unlock()
-		if len(topics) > 1 {
-			got, err := m.opts.Membership.Join(ctx, group, m.opts.Member, topics, memberTTL, generation)
-			if err == nil {
-				generation = got.Generation
-				m.assign(ctx, got.Topics)
-			}
-			if failing != (err != nil) {
-				failing = err != nil
-				m.logMembership(err)
+		err := m.createTopic(ctx, &created)
+		var got platform.Assignment
+		if err == nil {
+			got, err = m.opts.Membership.Join(ctx, group, m.opts.Member, groupTopic, memberTTL, generation)
+		}
+		if err == nil {
+			if got.Generation != generation {
+				m.opts.Logger.Info("group changed", "generation", got.Generation, "parts", len(got.Parts))
 			}
+			generation = got.Generation
+			m.assign(ctx, got.Parts)
+		}
+		if failing != (err != nil) {
+			failing = err != nil
+			m.logMembership(err)
 		}
 		m.refreshOwners(ctx, ownersEvery)
 		sleep(ctx, joinEvery)
@@ -161,6 +165,17 @@
 	m.leave()
 }
 
+// createTopic makes the group's topic: a topic has partitions to deal out once
+// something was appended to it, if only nothing.
+func (m *Manager) createTopic(ctx context.Context, created *bool) error {
+	if *created {
+		return nil
+	}
+	_, err := m.opts.Journal.Append(ctx, groupTopic, platform.AnyEnd, platform.Writer{Name: producer, Epoch: 1}, nil)
+	*created = err == nil
+	return err
+}
+
 func (m *Manager) logMembership(err error) {
 	if err != nil {
 		m.opts.Logger.Warn("dependency lost", "dependency", "store", "use", "membership", "error", err.Error())
@@ -169,12 +184,22 @@
 	m.opts.Logger.Info("dependency regained", "dependency", "store", "use", "membership")
 }
 
-func (m *Manager) topicsLocked() []string {
-	topics := []string{FleetTopic}
-	for _, p := range m.pools {
-		topics = append(topics, TopicOf(p))
+// fleetDuty stands for the duty over instances among the names of pools, which
+// are never empty.
+const fleetDuty = ""
+
+// dutiesLocked returns which duties belong to each partition. Duties are spread
+// over the partitions evenly, so that members with neighbouring partitions
+// don't get all of them. Nodes that know different configurations may place a
+// duty differently for a moment; its epoch keeps that safe.
+func (m *Manager) dutiesLocked() map[int][]string {
+	names := append([]string{fleetDuty}, m.pools...)
+	out := map[int][]string{}
+	for i, name := range names {
+		part := i * m.opts.Parts / len(names)
+		out[part] = append(out[part], name)
 	}
-	return topics
+	return out
 }
 
 // leaveTimeout bounds what a stopping process spends on giving back.
@@ -183,9 +208,9 @@
 func (m *Manager) leave() {
 	m.mu.Lock()
 	m.leaving = true
-	for topic, h := range m.running {
+	for name, h := range m.running {
 		h.cancel()
-		delete(m.running, topic)
+		delete(m.running, name)
 	}
 	m.mu.Unlock()
 	m.wg.Wait()
@@ -196,43 +221,48 @@
 	}
 }
 
-// assign begins and ends pools to match what the group gave.
-func (m *Manager) assign(ctx context.Context, topics map[string]bool) {
+// assign begins and ends duties to match what the group gave.
+func (m *Manager) assign(ctx context.Context, parts map[int]bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for topic, h := range m.running {
-		if !topics[topic] {
+	mine := map[string]bool{}
+	for part, names := range m.dutiesLocked() {
+		for _, name := range names {
+			mine[name] = parts[part] && len(m.pools) > 0
+		}
+	}
+	for name, h := range m.running {
+		if !mine[name] {
 			h.cancel()
-			delete(m.running, topic)
+			delete(m.running, name)
 		}
 	}
-	for topic := range topics {
-		if m.running[topic] == nil && !m.leaving {
-			m.beginLocked(ctx, topic)
+	for name, isMine := range mine {
+		if isMine && m.running[name] == nil && !m.leaving {
+			m.beginLocked(ctx, name)
 		}
 	}
 }
 
-func (m *Manager) beginLocked(ctx context.Context, topic string) {
+func (m *Manager) beginLocked(ctx context.Context, name string) {
 	ctx, cancel := context.WithCancel(ctx)
 	h := &held{cancel: cancel}
-	m.running[topic] = h
-	pool, isPool := strings.CutPrefix(topic, topicPrefix)
-	if !isPool {
-		h.fleet, h.ready = true, true
+	m.running[name] = h
+	if name == fleetDuty {
+		h.ready = true
 		m.opts.Logger.Info("fleet duty taken")
 		return
 	}
-	h.runner = newRunner(m, pool)
+	h.runner = newRunner(m, name)
 	m.wg.Go(func() {
-		m.own(ctx, topic, h)
+		m.own(ctx, name, h)
 		cancel()
 	})
 }
 
 // own claims a pool and runs it. A pool that was lost to a newer epoch is
 // dropped here; the group gives it back if it still belongs here.
-func (m *Manager) own(ctx context.Context, topic string, h *held) {
+func (m *Manager) own(ctx context.Context, name string, h *held) {
 	r := h.runner
 	r.ctx = ctx
 	for ctx.Err() == nil {
@@ -255,8 +285,8 @@
 	m.mu.Unlock()
 	r.run(ctx)
 	m.mu.Lock()
-	if m.running[topic] == h {
-		delete(m.running, topic)
+	if m.running[name] == h {
+		delete(m.running, name)
 	}
 	m.mu.Unlock()
 }
@@ -265,7 +295,7 @@
 func (m *Manager) local(pool string) *Runner {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if h := m.running[TopicOf(pool)]; h != nil && h.ready {
+	if h := m.running[pool]; h != nil && h.ready {
 		return h.runner
 	}
 	return nil
@@ -275,14 +305,14 @@
 func (m *Manager) HoldsFleet() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.running[FleetTopic] != nil
+	return m.running[fleetDuty] != nil
 }
 
 // OwnerOf returns who owns a pool by the last reading.
 func (m *Manager) OwnerOf(pool string) (Owner, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	o, ok := m.owners[TopicOf(pool)]
+	o, ok := m.owners[pool]
 	return o, ok
 }
 
@@ -310,14 +340,18 @@
 		m.opts.Logger.Debug("owners not read", "error", err.Error())
 		return
 	}
+	m.mu.Lock()
 	owners, peers := map[string]Owner{}, map[string]string{}
-	for topic, member := range rows {
-		if o, ok := parseMember(member); ok {
-			owners[topic] = o
-			peers[o.Node] = o.Addr
+	for part, names := range m.dutiesLocked() {
+		o, ok := parseMember(rows[part])
+		if !ok {
+			continue
+		}
+		peers[o.Node] = o.Addr
+		for _, name := range names {
+			owners[name] = o
 		}
 	}
-	m.mu.Lock()
 	m.owners = owners
 	m.mu.Unlock()
 	m.opts.OnPeers(peers)
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,6 +44,7 @@
 type Journal interface {
 	Append(ctx context.Context, topic string, at int64, w platform.Writer, records []platform.Record) (int64, error)
 	Newest(ctx context.Context, topic string) (platform.Page, error)
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (platform.Page, error)
 }
 
 // Endpoints is the part of the platform's client that orders endpoints.
@@ -126,51 +129,73 @@
 // TopicOf is the topic of a pool's records.
 func TopicOf(pool string) string { return topicPrefix + pool }
 
-// claim takes the pool over: it reads the records and appends a higher epoch
-// on the condition that nothing was appended since. Whoever owned the pool
-// before can append nothing more from then on.
+// claim takes the pool over. A record with the next epoch, appended on the
+// condition that the topic ends where it was read to, makes one claimant the
+// winner of that epoch: under a producer's name two claimants of one epoch
+// would look like one that repeats itself. Announcing the epoch then fences the
+// predecessor, and what it appended in between is read last.
 func (r *Runner) claim(ctx context.Context) error {
-	for {
-		page, err := r.journal.Newest(ctx, r.topic)
-		if err != nil {
-			return err
-		}
-		last, records, err := splitEpoch(page.Records)
-		if err != nil {
-			return err
-		}
-		epoch := last + 1
-		sent := r.now()
-		claim := executor.EncodeEpoch(executor.EpochRecord{Epoch: epoch, Owner: r.owner})
-		_, err = r.journal.Append(ctx, r.topic, page.Next, platform.Writer{Name: producer, Epoch: epoch, Seq: 0},
-			[]platform.Record{{Key: claim.Key, Value: claim.Value}})
-		var moved *platform.MovedOnError
-		if errors.As(err, &moved) {
-			continue
-		}
-		if err != nil {
-			return err
+	page, err := r.journal.Newest(ctx, r.topic)
+	if err != nil {
+		return err
+	}
+	last, err := epochOf(page.Records)
+	if err != nil {
+		return err
+	}
+	epoch := last + 1
+	record := executor.EncodeEpoch(executor.EpochRecord{Epoch: epoch, Owner: r.owner})
+	offset, err := r.journal.Append(ctx, r.topic, page.Next, platform.Writer{}, []platform.Record{{Key: record.Key, Value: record.Value}})
+	if err != nil {
+		return err
+	}
+	sent := r.now()
+	if _, err := r.journal.Append(ctx, r.topic, platform.AnyEnd, platform.Writer{Name: producer, Epoch: epoch}, nil); err != nil {
+		return err
+	}
+	records, err := r.upToFence(ctx, page.Records, offset+1)
+	if err != nil {
+		return err
+	}
+	r.epoch, r.seq, r.proof = epoch, 0, sent
+	r.core = executor.New(r.pool, epoch, r.limits, r.now())
+	r.core.SetWall(r.wall().UnixMilli())
+	return r.core.Restore(records, r.now())
+}
+
+// upToFence adds what was appended between the claim and the fence. Another
+// claim among it means that this one was overtaken.
+func (r *Runner) upToFence(ctx context.Context, base []platform.Record, from int64) ([]executor.Record, error) {
+	page, err := r.journal.Read(ctx, r.topic, from, 0)
+	if err != nil {
+		return nil, err
+	}
+	newest := make(map[string][]byte, len(base))
+	for _, p := range base {
+		newest[p.Key] = p.Value
+	}
+	for _, p := range page.Records {
+		if p.Key == executor.KeyEpoch {
+			return nil, &platform.FencedError{Topic: r.topic}
 		}
-		r.epoch, r.seq, r.proof = epoch, 1, sent
-		r.core = executor.New(r.pool, epoch, r.limits, r.now())
-		r.core.SetWall(r.wall().UnixMilli())
-		return r.core.Restore(records, r.now())
+		newest[p.Key] = p.Value
 	}
+	delete(newest, executor.KeyEpoch)
+	records := make([]executor.Record, 0, len(newest))
+	for _, key := range slices.Sorted(maps.Keys(newest)) {
+		records = append(records, executor.Record{Key: key, Value: newest[key]})
+	}
+	return records, nil
 }
 
-func splitEpoch(page []platform.Record) (epoch int64, records []executor.Record, err error) {
+func epochOf(page []platform.Record) (int64, error) {
 	for _, p := range page {
-		if p.Key != executor.KeyEpoch {
-			records = append(records, executor.Record{Key: p.Key, Value: p.Value})
-			continue
-		}
-		rec, err := executor.DecodeEpoch(p.Value)
-		if err != nil {
-			return 0, nil, err
+		if p.Key == executor.KeyEpoch {
+			rec, err := executor.DecodeEpoch(p.Value)
+			return rec.Epoch, err
 		}
-		epoch = rec.Epoch
 	}
-	return epoch, records, nil
+	return 0, nil
 }
 
 // run owns the pool until ctx ends or a newer epoch shows.
