A new owner begins jobs that were only accepted

Ruled out: the claim (done 0.6 s after the restart) and the endpoints (others' tasks were placed on them). A spec shows it: queued for ever before, completed now.

--- /dev/null
+++ b/internal/executor/executor_test.go
@@ -0,0 +1,121 @@
+package executor_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/jobs"
+)
+
+func small(count int, after ...int) jobs.Step {
+	return jobs.Step{Count: count, CPUMilli: 1000, MemoryMB: 10, EstimateMs: 300, After: after}
+}
+
+var _ = Describe("a pool's jobs", func() {
+	It("run their steps in order and are shown as completed", func() {
+		w := newWorld(1, 3)
+		o := w.takeOver()
+		w.run(100 * time.Millisecond)
+		j := jobOf(1, small(6), small(4, 0))
+		Expect(w.submit(o, j)).To(Equal(executor.VerdictAccepted))
+		w.run(300 * time.Millisecond)
+		Expect(w.state(o, j)).To(Equal("running"))
+		Expect(w.runs).NotTo(HaveKey(j.ID + ".0.1.0"))
+		w.run(2 * time.Second)
+		Expect(w.state(o, j)).To(Equal("completed"))
+		Expect(w.broken).To(BeEmpty())
+	})
+
+	It("fail once a task has failed as often as its queue allows", func() {
+		w := newWorld(1, 3)
+		o := w.takeOver()
+		steps := make([]jobs.Step, poisonStep+1)
+		for i := range steps {
+			steps[i] = small(1)
+		}
+		j := jobOf(1, steps...)
+		w.submit(o, j)
+		w.run(6 * time.Second)
+		Expect(w.state(o, j)).To(Equal("failed"))
+		Expect(w.runs[j.ID+".0.9.0"].failed).To(Equal(3))
+		Expect(w.broken).To(BeEmpty())
+	})
+
+	It("are stopped when cancelled", func() {
+		w := newWorld(1, 3)
+		o := w.takeOver()
+		long := small(3)
+		long.LongRunning = true
+		j := jobOf(1, long)
+		w.hosts["i-00"].took, w.hosts["i-01"].took, w.hosts["i-02"].took = time.Hour, time.Hour, time.Hour
+		w.submit(o, j)
+		w.run(time.Second)
+		Expect(w.state(o, j)).To(Equal("running"))
+		known, _ := o.core.Cancel(w.now, j.ID, 2)
+		Expect(known).To(BeTrue())
+		w.run(time.Second)
+		Expect(w.state(o, j)).To(Equal("cancelled"))
+		for _, h := range w.hosts {
+			Expect(h.running).To(BeEmpty())
+		}
+	})
+})
+
+var _ = Describe("a new owner", func() {
+	// The caller was told that its job is accepted, and asks for it for ever.
+	// The owner dies before it has started any task, so that the journal holds
+	// the job and no progress; its successor has to begin it from that alone.
+	It("begins a job that its predecessor had only accepted", func() {
+		w := newWorld(1, 0)
+		o := w.takeOver()
+		j := jobOf(1, small(2))
+		w.submit(o, j)
+		w.run(50 * time.Millisecond)
+		o.stopped = true
+		w.addHost("i-00")
+		next := w.takeOver()
+		w.run(2 * time.Second)
+		Expect(w.state(next, j)).To(Equal("completed"))
+	})
+
+	// The caller's job runs while its owner dies. The successor asks the
+	// endpoints, goes on with what they run, and starts nothing twice.
+	It("adopts what runs", func() {
+		w := newWorld(1, 3)
+		o := w.takeOver()
+		w.run(100 * time.Millisecond)
+		j := jobOf(1, small(8))
+		w.submit(o, j)
+		w.run(100 * time.Millisecond)
+		o.stopped = true
+		next := w.takeOver()
+		w.run(2 * time.Second)
+		Expect(w.state(next, j)).To(Equal("completed"))
+		Expect(w.broken).To(BeEmpty())
+	})
+
+	// The endpoint of a running task falls silent just as the owner dies. It
+	// may run on for as long as the old owner could have renewed its lease, so
+	// that a second run before that would be a run too many.
+	It("waits for the leases of endpoints that it can't reach", func() {
+		w := newWorld(1, 2)
+		o := w.takeOver()
+		w.run(100 * time.Millisecond)
+		for _, h := range w.hosts {
+			h.took, h.skew = time.Hour, 0.98
+		}
+		j := jobOf(1, small(2))
+		w.submit(o, j)
+		w.run(200 * time.Millisecond)
+		silent := w.hosts["i-00"]
+		silent.silent = true
+		o.stopped = true
+		w.takeOver()
+		w.run(12 * time.Second)
+		Expect(silent.running).To(BeEmpty())
+		Expect(w.broken).To(BeEmpty())
+	})
+})
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -256,6 +256,11 @@
 	for _, t := range p.Tasks {
 		highest = max(highest, t.Occurrence)
 	}
+	// A job that does not recur has begun by being accepted, whether or not any
+	// of its tasks has left a trace.
+	if j.rec.Job.Occurrences == 0 {
+		highest = max(highest, 0)
+	}
 	for j.next <= highest {
 		c.begin(j)
 	}
--- /dev/null
+++ b/internal/executor/world_test.go
@@ -0,0 +1,398 @@
+package executor_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/jobs"
+	"cyclamenwheel/internal/routing"
+)
+
+// world is a pool's surroundings in memory: a journal that refuses older
+// epochs, endpoints with fences, leases and ends, and one or more owners.
+// Orders and answers can be lost or late.
+type world struct {
+	now     time.Duration
+	rng     *rand.Rand
+	journal *journal
+	hosts   map[string]*host
+	owners  []*owner
+	late    []lateOrder
+	// loseOrders and loseAnswers are shares of orders; lateOrders of those
+	// lost are carried out later.
+	loseOrders, loseAnswers, lateOrders float64
+	// broken lists what an observer of the endpoints saw go wrong.
+	broken []string
+	// runs is what has run of each task, by name.
+	runs map[string]*history
+	// mayRun are the jobs that somebody handed in and nobody cancelled.
+	limits executor.Limits
+}
+
+type journal struct {
+	epoch  int64
+	newest map[string][]byte
+}
+
+type history struct {
+	running int
+	done    bool
+	failed  int
+}
+
+type lateOrder struct {
+	at    time.Duration
+	order executor.Order
+	epoch int64
+	lease time.Duration
+}
+
+type run struct {
+	task    string
+	number  int
+	ends    time.Duration
+	outcome executor.HowEnded
+	needs   executor.Room
+}
+
+type host struct {
+	id, rack string
+	capacity executor.Room
+	fence    int64
+	lease    time.Duration
+	running  map[string]*run
+	highest  map[string]int
+	ended    []executor.ListedEnd
+	number   int64
+	silent   bool
+	dead     bool
+	skew     float64
+	draining bool
+	failsAll bool
+	hangs    bool
+	took     time.Duration
+}
+
+type owner struct {
+	core    *executor.Core
+	epoch   int64
+	stopped bool
+	// cut owners reach no journal.
+	cut bool
+	// proof is when the journal last took something.
+	proof time.Duration
+}
+
+const step = 10 * time.Millisecond
+
+func testLimits() executor.Limits {
+	return executor.Limits{Lease: 3 * time.Second, ProofAge: 4 * time.Second, KeepEnded: time.Minute, StopTimeout: 200 * time.Millisecond}
+}
+
+func newWorld(seed uint64, hosts int) *world {
+	w := &world{now: time.Second, rng: rand.New(rand.NewPCG(seed, 7)), limits: testLimits(),
+		journal: &journal{newest: map[string][]byte{}}, hosts: map[string]*host{}, runs: map[string]*history{}}
+	for i := range hosts {
+		w.addHost(fmt.Sprintf("i-%02d", i))
+	}
+	return w
+}
+
+func (w *world) addHost(id string) *host {
+	h := &host{id: id, rack: "r1", capacity: executor.Room{CPUMilli: 4000, MemoryMB: 4000}, running: map[string]*run{},
+		highest: map[string]int{}, skew: 1, took: 300 * time.Millisecond}
+	w.hosts[id] = h
+	return h
+}
+
+func (h *host) clock(now time.Duration) time.Duration {
+	return time.Duration(float64(now) * h.skew)
+}
+
+// takeOver lets a new owner claim the pool, as the shards package does.
+func (w *world) takeOver() *owner {
+	w.journal.epoch++
+	o := &owner{epoch: w.journal.epoch, proof: w.now}
+	o.core = executor.New("pool", o.epoch, w.limits, w.now)
+	o.core.SetWall(w.wall())
+	var records []executor.Record
+	for key, value := range w.journal.newest {
+		records = append(records, executor.Record{Key: key, Value: value})
+	}
+	slices.SortFunc(records, func(a, b executor.Record) int { return slices.Compare([]byte(a.Key), []byte(b.Key)) })
+	if err := o.core.Restore(records, w.now); err != nil {
+		panic(err)
+	}
+	w.owners = append(w.owners, o)
+	return o
+}
+
+func (w *world) wall() int64 { return 1_000_000 + w.now.Milliseconds() }
+
+func (w *world) listing() []executor.EndpointInfo {
+	var out []executor.EndpointInfo
+	for _, h := range w.hosts {
+		if !h.dead {
+			out = append(out, executor.EndpointInfo{ID: h.id, Addr: h.id, Rack: h.rack, Capacity: h.capacity, Draining: h.draining})
+		}
+	}
+	slices.SortFunc(out, func(a, b executor.EndpointInfo) int { return slices.Compare([]byte(a.ID), []byte(b.ID)) })
+	return out
+}
+
+// run lets time pass.
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.now += step
+		w.endpoints()
+		for _, o := range w.owners {
+			if !o.stopped {
+				w.round(o)
+			}
+		}
+	}
+}
+
+func (w *world) round(o *owner) {
+	c := o.core
+	c.SetWall(w.wall())
+	c.ObserveEndpoints(w.now, w.listing())
+	c.Tick(w.now)
+	c.Decide(w.now)
+	c.TakeEvents()
+	if c.Fenced() {
+		o.stopped = true
+		return
+	}
+	if w.now-o.proof < w.limits.ProofAge {
+		for _, l := range c.DueLooks(w.now) {
+			w.look(o, l)
+		}
+		for _, order := range c.TakeUrgent() {
+			w.send(o, order)
+		}
+	}
+	w.flush(o)
+}
+
+// flush appends a batch at once, or ends an owner that has been displaced.
+func (w *world) flush(o *owner) {
+	if o.cut {
+		return
+	}
+	if o.epoch < w.journal.epoch {
+		o.stopped = true
+		return
+	}
+	o.proof = w.now
+	ready := o.core.Ready()
+	for _, r := range ready.Records {
+		if len(r.Value) == 0 {
+			delete(w.journal.newest, r.Key)
+		} else {
+			w.journal.newest[r.Key] = r.Value
+		}
+	}
+	o.core.Advance(ready)
+	for _, order := range ready.Orders {
+		w.send(o, order)
+	}
+}
+
+func (w *world) send(o *owner, order executor.Order) {
+	lease, ok := o.core.GrantFor(w.now, order)
+	if !ok && order.Kind != executor.OrderStop {
+		return
+	}
+	h := w.hosts[order.Endpoint]
+	if h == nil || h.silent || w.rng.Float64() < w.loseOrders {
+		if w.rng.Float64() < w.lateOrders {
+			at := w.now + time.Duration(w.rng.IntN(5000))*time.Millisecond
+			w.late = append(w.late, lateOrder{at, order, o.epoch, lease})
+		}
+		o.core.OrderDone(w.now, order, executor.OrderUnanswered, 0)
+		return
+	}
+	result := w.carryOut(h, order, o.epoch, lease)
+	if w.rng.Float64() < w.loseAnswers {
+		o.core.OrderDone(w.now, order, executor.OrderUnanswered, 0)
+		return
+	}
+	o.core.OrderDone(w.now, order, result, h.clock(w.now))
+}
+
+func (w *world) carryOut(h *host, order executor.Order, epoch int64, lease time.Duration) executor.OrderResult {
+	if h.dead {
+		return executor.OrderGone
+	}
+	if epoch < h.fence {
+		return executor.OrderFenced
+	}
+	h.fence = epoch
+	if order.Kind == executor.OrderStop {
+		w.stop(h, order)
+		return executor.OrderDone
+	}
+	if r := h.running[order.Task]; r != nil && r.number == order.Run {
+		h.lease = max(h.lease, lease)
+		return executor.OrderDone
+	}
+	if order.Run <= h.highest[order.Task] {
+		return executor.OrderOld
+	}
+	if lease <= h.clock(w.now) {
+		return executor.OrderLate
+	}
+	h.lease = max(h.lease, lease)
+	w.start(h, order)
+	return executor.OrderDone
+}
+
+// start begins a run and checks what an observer would.
+func (w *world) start(h *host, order executor.Order) {
+	past := w.history(order.Task)
+	if past.running > 0 {
+		w.broken = append(w.broken, fmt.Sprintf("%v: %s runs twice", w.now, order.Task))
+	}
+	if past.done {
+		w.broken = append(w.broken, fmt.Sprintf("%v: %s starts after it was done", w.now, order.Task))
+	}
+	past.running++
+	n, _ := jobs.ParseTaskName(order.Task)
+	r := &run{task: order.Task, number: order.Run, ends: w.now + h.took, needs: executor.Room{CPUMilli: 1000, MemoryMB: 10}}
+	if h.failsAll || n.Step == poisonStep {
+		r.outcome = executor.EndedFailed
+	}
+	if h.hangs {
+		r.ends = w.now + time.Hour
+	}
+	h.running[order.Task] = r
+	var used executor.Room
+	for _, other := range h.running {
+		used.CPUMilli += other.needs.CPUMilli
+	}
+	if used.CPUMilli > h.capacity.CPUMilli {
+		w.broken = append(w.broken, fmt.Sprintf("%v: %s is over its room", w.now, h.id))
+	}
+}
+
+// poisonStep is a step number whose tasks always fail.
+const poisonStep = 9
+
+func (w *world) history(task string) *history {
+	if w.runs[task] == nil {
+		w.runs[task] = &history{}
+	}
+	return w.runs[task]
+}
+
+func (w *world) stop(h *host, order executor.Order) {
+	if r := h.running[order.Task]; r != nil && r.number == order.Run {
+		r.outcome, r.ends = executor.EndedStopped, w.now+100*time.Millisecond
+		return
+	}
+	h.highest[order.Task] = max(h.highest[order.Task], order.Run)
+}
+
+func (w *world) look(o *owner, l executor.Look) {
+	h := w.hosts[l.Endpoint]
+	switch {
+	case h == nil || h.silent:
+		o.core.LookDone(w.now, l.Endpoint, executor.LookUnanswered, executor.Listed{})
+		return
+	case h.dead:
+		o.core.LookDone(w.now, l.Endpoint, executor.LookGone, executor.Listed{})
+		return
+	case o.epoch < h.fence:
+		o.core.LookDone(w.now, l.Endpoint, executor.LookFenced, executor.Listed{})
+		return
+	}
+	h.fence = o.epoch
+	h.lease = max(h.lease, l.LeaseUntil)
+	h.ended = slices.DeleteFunc(h.ended, func(e executor.ListedEnd) bool {
+		if e.Number <= l.Acknowledged && e.How == executor.EndedDone {
+			w.history(e.Task).done = true
+		}
+		return e.Number <= l.Acknowledged
+	})
+	if w.rng.Float64() < w.loseAnswers {
+		o.core.LookDone(w.now, l.Endpoint, executor.LookUnanswered, executor.Listed{})
+		return
+	}
+	listed := executor.Listed{Clock: h.clock(w.now), Ended: slices.Clone(h.ended)}
+	for _, r := range h.running {
+		percent := 50
+		if !h.hangs {
+			percent = int(w.now/step) % 100
+		}
+		listed.Running = append(listed.Running, executor.ListedRun{Task: r.task, Run: r.number, Percent: percent})
+	}
+	o.core.LookDone(w.now, l.Endpoint, executor.LookAnswered, listed)
+}
+
+func (w *world) endpoints() {
+	due := w.late
+	w.late = nil
+	for _, l := range due {
+		if h := w.hosts[l.order.Endpoint]; l.at <= w.now && h != nil && !h.silent {
+			w.carryOut(h, l.order, l.epoch, l.lease)
+		} else if l.at > w.now {
+			w.late = append(w.late, l)
+		}
+	}
+	for _, h := range w.hosts {
+		lapsed := h.clock(w.now) > h.lease
+		for name, r := range h.running {
+			if lapsed {
+				w.end(h, name, r, executor.EndedLapsed)
+			} else if w.now >= r.ends {
+				w.end(h, name, r, r.outcome)
+			}
+		}
+	}
+}
+
+func (w *world) end(h *host, name string, r *run, how executor.HowEnded) {
+	delete(h.running, name)
+	h.highest[name] = max(h.highest[name], r.number)
+	h.number++
+	h.ended = append(h.ended, executor.ListedEnd{Number: h.number, Task: name, Run: r.number, How: how})
+	past := w.history(name)
+	past.running--
+	if how == executor.EndedFailed {
+		past.failed++
+	}
+}
+
+// kill ends an incarnation and everything on it.
+func (w *world) kill(h *host) {
+	h.dead = true
+	for name := range h.running {
+		w.history(name).running--
+	}
+	clear(h.running)
+}
+
+func terms() routing.Terms {
+	return routing.Terms{Attempts: 3, Stretch: 2, Slack: 5 * time.Second}
+}
+
+func jobOf(n int, steps ...jobs.Step) jobs.Job {
+	return jobs.Job{ID: fmt.Sprintf("%016x", n), Steps: steps}
+}
+
+func (w *world) submit(o *owner, j jobs.Job) executor.Verdict {
+	v, _ := o.core.Submit(w.now, j, executor.Accepting{Queue: "q", Terms: terms()}, 1)
+	return v
+}
+
+func (w *world) state(o *owner, j jobs.Job) string {
+	s, known := o.core.State(j.ID)
+	if !known {
+		return "unknown"
+	}
+	return s.String()
+}
