--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -15,8 +15,6 @@
 const (
 	keyJob      = "j"
 	keyProgress = "p"
-	// KeyEpoch names the record of the newest claim.
-	KeyEpoch = "e"
 )
 
 // Record is a record of the pool's journal; an empty value removes the key.
@@ -58,12 +56,6 @@
 	Checkpoint string
 }
 
-// EpochRecord is the record of a claim of the pool.
-type EpochRecord struct {
-	Epoch int64  `cbor:"1,keyasint"`
-	Owner string `cbor:"2,keyasint"`
-}
-
 // MalformedRecordError says that a record of the journal can't be read. Going
 // on without it could run a task twice, so the pool is not taken over.
 type MalformedRecordError struct {
@@ -85,18 +77,6 @@
 	return data
 }
 
-// EncodeEpoch returns the record of a claim.
-func EncodeEpoch(r EpochRecord) Record { return Record{Key: KeyEpoch, Value: encode(r)} }
-
-// DecodeEpoch reads the record of a claim.
-func DecodeEpoch(value []byte) (EpochRecord, error) {
-	var r EpochRecord
-	if err := cbor.Unmarshal(value, &r); err != nil {
-		return r, &MalformedRecordError{Key: KeyEpoch, Cause: err}
-	}
-	return r, nil
-}
-
 func (j *job) progress() progressRecord {
 	p := progressRecord{FirstOpen: j.firstOpen}
 	for _, o := range j.current {
--- /dev/null
+++ b/internal/fleetops/decide.go
@@ -0,0 +1,298 @@
+package fleetops
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// clearFresh is how long the word of an owner holds that an endpoint is
+	// clear; it is below the time for which the owner keeps it so.
+	clearFresh = 1200 * time.Millisecond
+	// orderRepeat is how long the platform's list has to show an order's
+	// effect before it is given again.
+	orderRepeat = 900 * time.Millisecond
+	// hurryShare of a wave's time is left to tasks that end by themselves;
+	// after it what is left on an instance is stopped.
+	hurryShare = 0.6
+	// hurryAfter is the longest that one instance waits for its tasks.
+	hurryAfter = 4 * time.Second
+)
+
+// Order is an order for the platform.
+type Order struct {
+	Operation Operation
+}
+
+// Clear asks a pool's owner to clear an endpoint, or to go on using it.
+type Clear struct {
+	Instance, Pool, Endpoint string
+	Hurry                    bool
+}
+
+// Actions are what a round has decided.
+type Actions struct {
+	Clears []Clear
+	Orders []Order
+	// Announce are waves whose state the operator is to be told.
+	Announce []Announcement
+	Events   []Event
+}
+
+// Announcement is a wave's state for the operator.
+type Announcement struct {
+	Wave      int
+	Completed bool
+}
+
+// Event is a line for the log.
+type Event struct {
+	What, Instance, Reason string
+	Wave                   int
+	Pool                   string
+}
+
+// Decide goes on with what is under way and begins what is due.
+func (s *State) Decide(now time.Duration, wallMs int64) Actions {
+	var a Actions
+	for _, name := range s.sortedOps() {
+		s.advance(now, wallMs, s.ops[name], &a)
+	}
+	for _, n := range s.sortedWaves() {
+		s.advanceWave(now, s.waves[n], &a)
+	}
+	s.decideMoves(now, &a)
+	for _, name := range s.sortedOps() {
+		s.carryOn(now, wallMs, s.ops[name], &a)
+	}
+	return a
+}
+
+func (s *State) sortedOps() []string {
+	names := make([]string, 0, len(s.ops))
+	for name := range s.ops {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (s *State) sortedWaves() []int {
+	var numbers []int
+	for n := range s.waves {
+		numbers = append(numbers, n)
+	}
+	slices.Sort(numbers)
+	return numbers
+}
+
+// advance ends an operation whose effect the list shows, or follows its
+// instance into a new incarnation.
+func (s *State) advance(now time.Duration, _ int64, op *Operation, a *Actions) {
+	if s.listedAt == 0 {
+		return
+	}
+	i, listed := s.instances[op.Instance]
+	if !listed {
+		s.finish(op.Instance)
+		a.Events = append(a.Events, Event{What: "operation dropped", Instance: op.Instance, Reason: "instance is gone", Wave: op.Wave})
+		return
+	}
+	if op.accepted > 0 && s.listedAt > op.accepted && i.Up && (i.Endpoint != op.Endpoint || op.Endpoint == "") {
+		s.completed(now, op, i, a)
+		return
+	}
+	if op.Phase == PhaseClearing && i.Up && i.Endpoint != op.Endpoint {
+		op.Endpoint, op.cleared = i.Endpoint, false
+		s.dirtyOps[op.Instance] = true
+	}
+}
+
+func (s *State) completed(now time.Duration, op *Operation, i Instance, a *Actions) {
+	if op.Kind == KindMaintain {
+		s.markDone(op.Wave, op.Instance)
+	} else {
+		s.moved[op.Instance] = now
+	}
+	s.finish(op.Instance)
+	a.Events = append(a.Events, Event{What: "operation completed", Instance: op.Instance, Reason: op.Kind.String(), Wave: op.Wave, Pool: i.Pool})
+}
+
+func (s *State) markDone(wave int, instance string) {
+	if w := s.waves[wave]; w != nil && !w.done[instance] {
+		w.done[instance] = true
+		s.dirtyWaves[wave] = true
+	}
+}
+
+// advanceWave begins the maintenance of as many instances as the wave allows.
+func (s *State) advanceWave(now time.Duration, w *Wave, a *Actions) {
+	if w.Completed || w.maxAtOnce == 0 || s.listedAt == 0 {
+		if w.Completed && !w.announced {
+			s.announce(w, a)
+		}
+		return
+	}
+	if !w.announced {
+		s.announce(w, a)
+	}
+	underWay, left := 0, 0
+	var due []Instance
+	for _, name := range w.instances {
+		i, listed := s.instances[name]
+		if w.done[name] || !listed {
+			continue
+		}
+		left++
+		op := s.ops[name]
+		switch {
+		case op != nil && op.Kind == KindMaintain && op.Wave == w.Number:
+			underWay++
+		case op == nil && i.Up:
+			due = append(due, i)
+		}
+	}
+	if left == 0 {
+		w.Completed, w.announced = true, false
+		s.dirtyWaves[w.Number] = true
+		return
+	}
+	s.sortDue(due)
+	for _, i := range due {
+		if underWay >= w.maxAtOnce {
+			return
+		}
+		underWay++
+		s.begin(now, &Operation{Instance: i.Name, Kind: KindMaintain, Wave: w.Number, From: i.Pool, Endpoint: i.Endpoint})
+		a.Events = append(a.Events, Event{What: "maintenance begun", Instance: i.Name, Reason: "wave", Wave: w.Number, Pool: i.Pool})
+	}
+}
+
+func (s *State) announce(w *Wave, a *Actions) {
+	w.announced = true
+	a.Announce = append(a.Announce, Announcement{Wave: w.Number, Completed: w.Completed})
+}
+
+// sortDue puts first what costs least to clear: switched off, then idle, then
+// of pools with the most room left, and those with lasting tasks last.
+func (s *State) sortDue(due []Instance) {
+	cost := map[string]float64{}
+	for _, i := range due {
+		cost[i.Name] = s.clearingCost(i)
+	}
+	slices.SortStableFunc(due, func(a, b Instance) int { return cmp.Compare(cost[a.Name], cost[b.Name]) })
+}
+
+// Weights of clearingCost, in shares of a pool's load.
+const (
+	costLasting = 2.0
+	costIdle    = 0.5
+)
+
+func (s *State) clearingCost(i Instance) float64 {
+	view := s.pools[i.Pool]
+	if i.Pool == s.spare || view == nil {
+		return -1
+	}
+	sum := view.Summary
+	cost := (float64(sum.RunningCPUMilli) + sum.BacklogCoreMs) / float64(max(1, sum.CapacityMilli))
+	if slices.Contains(sum.Idle, i.Endpoint) {
+		cost *= costIdle
+	}
+	if slices.Contains(sum.Lasting, i.Endpoint) {
+		cost += costLasting
+	}
+	return cost
+}
+
+// carryOn asks for an endpoint to be cleared, and gives the order once it is.
+func (s *State) carryOn(now time.Duration, wallMs int64, op *Operation, a *Actions) {
+	i, listed := s.instances[op.Instance]
+	if !listed {
+		return
+	}
+	empty := op.Endpoint == "" || i.Pool == s.spare
+	if op.accepted == 0 && !empty {
+		a.Clears = append(a.Clears, Clear{Instance: op.Instance, Pool: op.From, Endpoint: op.Endpoint, Hurry: s.hurry(now, wallMs, op)})
+	}
+	clear := empty || op.cleared && now-op.clearAt < clearFresh
+	if !clear || op.ordering || op.orderedAt > 0 && now-op.orderedAt < orderRepeat || op.accepted > 0 && !i.Up {
+		return
+	}
+	if op.accepted > 0 && s.listedAt < op.accepted+orderRepeat {
+		return
+	}
+	if op.Phase != PhaseOrdered {
+		op.Phase = PhaseOrdered
+		s.dirtyOps[op.Instance] = true
+	}
+	op.ordering, op.orderedAt = true, now
+	a.Orders = append(a.Orders, Order{*op})
+}
+
+// hurry reports whether an instance can wait no longer for its tasks to end.
+func (s *State) hurry(now time.Duration, wallMs int64, op *Operation) bool {
+	if now-op.since > hurryAfter {
+		return true
+	}
+	w := s.waves[op.Wave]
+	if op.Kind != KindMaintain || w == nil {
+		return false
+	}
+	return wallMs-w.SeenMs > int64(hurryShare*float64(w.within.Milliseconds()))
+}
+
+// OrderResult says how the platform took an order.
+type OrderResult uint8
+
+// Results of orders.
+const (
+	OrderAccepted OrderResult = iota
+	// OrderUnanswered: it may have been carried out.
+	OrderUnanswered
+	// OrderBusy: the instance is not up, or leaves.
+	OrderBusy
+	// OrderRefused: the platform will never do it.
+	OrderRefused
+	// OrderFenced: a newer holder commands the instance.
+	OrderFenced
+)
+
+// Ordered takes in how the platform took an order.
+func (s *State) Ordered(now time.Duration, instance string, result OrderResult) {
+	op := s.ops[instance]
+	if op == nil {
+		return
+	}
+	op.ordering = false
+	switch result {
+	case OrderAccepted:
+		op.accepted = now
+	case OrderRefused:
+		if op.Kind == KindMaintain {
+			s.markDone(op.Wave, instance)
+		}
+		s.finish(instance)
+	}
+}
+
+// Idle reports whether nothing is under way or due.
+func (s *State) Idle() bool {
+	if len(s.ops) > 0 {
+		return false
+	}
+	for _, w := range s.waves {
+		if !w.Completed {
+			return false
+		}
+	}
+	return true
+}
+
+// Unannounced takes in that the operator could not be told a wave's state.
+func (s *State) Unannounced(wave int) {
+	if w := s.waves[wave]; w != nil {
+		w.announced = false
+	}
+}
--- /dev/null
+++ b/internal/fleetops/run.go
@@ -0,0 +1,327 @@
+package fleetops
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/planlease"
+	"cyclamenwheel/internal/tenure"
+	"cyclamenwheel/platform"
+)
+
+const (
+	// Topic holds the duty's records.
+	Topic = "keyed.fleet"
+	// roundEvery spaces rounds.
+	roundEvery = 250 * time.Millisecond
+	// listBusy and listIdle are how old the instance list may be while
+	// something is under way, and otherwise.
+	listBusy = 450 * time.Millisecond
+	listIdle = 2 * time.Second
+	// proofMax is how old the proof of the epoch may be when an instance is
+	// ordered about. With the call's own timeout it is what a successor waits
+	// before its first order, so that two holders never take turns.
+	proofMax   = 900 * time.Millisecond
+	proofEvery = 600 * time.Millisecond
+	// claimRetry spaces attempts at a claim.
+	claimRetry = 200 * time.Millisecond
+	// takeoverWait is that wait; it also outlasts the time for which the
+	// platform remembers the last holder.
+	takeoverWait = 3500 * time.Millisecond
+	firstEpoch   = 1
+)
+
+// Cloud is the part of the platform's client that commands instances.
+type Cloud interface {
+	Instances(ctx context.Context) ([]platform.Instance, error)
+	Move(ctx context.Context, o platform.InstanceOrder, pool string) error
+	Maintain(ctx context.Context, o platform.InstanceOrder, wave int) error
+}
+
+// Pools asks the pools' owners. Owned is false where none answered.
+type Pools interface {
+	Clear(ctx context.Context, pool string, clears []Clear, keep []string) (left map[string]int, sum executor.Summary, owned bool)
+}
+
+// Facts are what the configuration and the operator say.
+type Facts struct {
+	Pools []string
+	Spare string
+	Waves []platform.Wave
+}
+
+// Options of a Runner.
+type Options struct {
+	Holder  string
+	Journal tenure.Journal
+	Cloud   Cloud
+	Pools   Pools
+	Facts   func() Facts
+	Logger  *slog.Logger
+	Limits  Limits
+}
+
+// Runner has the duty while its context lasts.
+type Runner struct {
+	opts    Options
+	state   *State
+	tenure  *tenure.Tenure
+	claimed time.Duration
+	inbox   chan func(now time.Duration)
+	listing bool
+	asking  map[string]bool
+}
+
+// Run claims the duty and does it until ctx ends or a newer epoch shows.
+func Run(ctx context.Context, opts Options) {
+	r := &Runner{opts: opts, inbox: make(chan func(time.Duration), 1024), asking: map[string]bool{}}
+	if !r.claim(ctx) {
+		return
+	}
+	opts.Logger.Info("fleet duty claimed", "epoch", r.tenure.Epoch)
+	tick := time.NewTicker(roundEvery)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case msg := <-r.inbox:
+			msg(planlease.Boottime())
+		case <-tick.C:
+			if err := r.round(ctx); err != nil {
+				opts.Logger.Warn("fleet duty given up", "epoch", r.tenure.Epoch, "error", err.Error())
+				return
+			}
+		}
+	}
+}
+
+func (r *Runner) claim(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		held, records, err := tenure.Claim(ctx, r.opts.Journal, Topic, r.opts.Holder, r.opts.Logger)
+		if err == nil {
+			r.tenure, r.claimed = held, planlease.Boottime()
+			r.state = NewState(r.opts.Limits)
+			err = r.state.Restore(recordsOf(records), r.claimed)
+		}
+		if err == nil {
+			return true
+		}
+		r.opts.Logger.Warn("claim failed", "duty", "fleet", "error", err.Error())
+		sleep(ctx, claimRetry)
+	}
+	return false
+}
+
+func recordsOf(in []platform.Record) []Record {
+	out := make([]Record, len(in))
+	for i, p := range in {
+		out[i] = Record{Key: p.Key, Value: p.Value}
+	}
+	return out
+}
+
+// round decides, makes the decisions durable, and carries them out.
+func (r *Runner) round(ctx context.Context) error {
+	now := planlease.Boottime()
+	facts := r.opts.Facts()
+	for _, w := range facts.Waves {
+		r.state.ObserveWave(w.Number, w.Instances, w.Within, w.MaxAtOnce, time.Now().UnixMilli())
+	}
+	r.list(ctx, facts.Spare)
+	actions := r.state.Decide(now, time.Now().UnixMilli())
+	if err := r.save(ctx); err != nil {
+		return err
+	}
+	for _, e := range actions.Events {
+		r.opts.Logger.Info(e.What, "epoch", r.tenure.Epoch, "instance", e.Instance, "reason", e.Reason, "wave", e.Wave, "pool", e.Pool)
+	}
+	r.ask(ctx, facts.Pools, actions.Clears)
+	for _, o := range actions.Orders {
+		r.order(ctx, o)
+	}
+	for _, a := range actions.Announce {
+		r.announce(ctx, a)
+	}
+	return nil
+}
+
+// save makes what has changed durable, or proves the epoch now and then.
+func (r *Runner) save(ctx context.Context) error {
+	changed := r.state.TakeRecords()
+	if len(changed) == 0 && r.tenure.ProofAge() < proofEvery {
+		return nil
+	}
+	if len(changed) == 0 && r.state.Idle() && r.tenure.ProofAge() < listIdle {
+		return nil
+	}
+	records := make([]platform.Record, len(changed))
+	for i, c := range changed {
+		records[i] = platform.Record{Key: c.Key, Value: c.Value}
+	}
+	return r.tenure.Append(ctx, records)
+}
+
+// list reads the instance list in the background where it is due.
+func (r *Runner) list(ctx context.Context, spare string) {
+	age := listIdle
+	if !r.state.Idle() {
+		age = listBusy
+	}
+	asked := planlease.Boottime()
+	if r.listing || r.state.listedAt > 0 && asked-r.state.listedAt < age {
+		return
+	}
+	r.listing = true
+	go func() {
+		list, err := r.opts.Cloud.Instances(ctx)
+		if err != nil {
+			r.opts.Logger.Warn("instance list not read", "error", err.Error())
+		}
+		r.post(ctx, func(time.Duration) {
+			r.listing = false
+			if err == nil {
+				r.state.ObserveInstances(asked, instancesOf(list), spare)
+			}
+		})
+	}()
+}
+
+func instancesOf(list []platform.Instance) []Instance {
+	out := make([]Instance, len(list))
+	for n, p := range list {
+		i := Instance{Name: p.Name, Pool: p.Pool, Zone: p.Zone, Endpoint: p.Endpoint, CPUMilli: p.Capacity.CPUMilli,
+			Up: p.State == platform.InstanceUp, Busy: p.State == platform.InstanceMoving || p.State == platform.InstanceMaintenance}
+		if len(p.Labels) > 0 {
+			i.Kind = p.Labels[0]
+		}
+		if len(p.Labels) > 1 {
+			i.Rack = p.Labels[1]
+		}
+		out[n] = i
+	}
+	return out
+}
+
+func (r *Runner) post(ctx context.Context, msg func(now time.Duration)) {
+	select {
+	case r.inbox <- msg:
+	case <-ctx.Done():
+	}
+}
+
+// ask tells each pool's owner what to clear and learns how the pool is.
+func (r *Runner) ask(ctx context.Context, pools []string, clears []Clear) {
+	byPool := map[string][]Clear{}
+	for _, c := range clears {
+		byPool[c.Pool] = append(byPool[c.Pool], c)
+	}
+	for _, pool := range pools {
+		if r.asking[pool] {
+			continue
+		}
+		r.asking[pool] = true
+		items := byPool[pool]
+		go func() {
+			asked := planlease.Boottime()
+			left, sum, owned := r.opts.Pools.Clear(ctx, pool, items, nil)
+			r.post(ctx, func(now time.Duration) {
+				r.asking[pool] = false
+				if !owned {
+					return
+				}
+				r.state.ObservePool(now, pool, sum)
+				for _, item := range items {
+					if n, known := left[item.Endpoint]; known {
+						r.state.Cleared(asked, item.Instance, n)
+					}
+				}
+			})
+		}()
+	}
+}
+
+// order gives an order in the background, unless this owner is too new or can't
+// prove that it is the newest.
+func (r *Runner) order(ctx context.Context, o Order) {
+	op := o.Operation
+	now := planlease.Boottime()
+	early := r.tenure.Epoch > firstEpoch && now-r.claimed < takeoverWait
+	if early || r.tenure.ProofAge() > proofMax {
+		r.state.Ordered(now, op.Instance, OrderBusy)
+		return
+	}
+	to := platform.InstanceOrder{Instance: op.Instance, Holder: r.opts.Holder, Fence: r.tenure.Epoch}
+	go func() {
+		var err error
+		if op.Kind == KindMove {
+			err = r.opts.Cloud.Move(ctx, to, op.To)
+		} else {
+			err = r.opts.Cloud.Maintain(ctx, to, op.Wave)
+		}
+		result := resultOf(err)
+		r.opts.Logger.Info("instance ordered", "epoch", r.tenure.Epoch, "instance", op.Instance, "operation", op.Kind.String(),
+			"wave", op.Wave, "to", op.To, "result", int(result), "error", errorText(err))
+		r.post(ctx, func(now time.Duration) { r.state.Ordered(now, op.Instance, result) })
+	}()
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// Reasons of the platform's refusals.
+const (
+	reasonBusy  = "busy"
+	reasonFence = "fence"
+)
+
+func resultOf(err error) OrderResult {
+	var turnedAway *platform.NotDoneError
+	switch {
+	case err == nil:
+		return OrderAccepted
+	case !errors.As(err, &turnedAway):
+		return OrderUnanswered
+	case turnedAway.Status == http.StatusBadRequest:
+		return OrderRefused
+	case turnedAway.Status == http.StatusConflict && turnedAway.Reason == reasonFence:
+		return OrderFenced
+	case turnedAway.Status == http.StatusConflict && turnedAway.Reason != reasonBusy:
+		return OrderRefused
+	}
+	return OrderBusy
+}
+
+// announce tells the operator a wave's state. Until it is stored the wave
+// counts as not announced.
+func (r *Runner) announce(ctx context.Context, a Announcement) {
+	record, err := platform.WaveStatus(a.Wave, a.Completed)
+	if err != nil {
+		r.opts.Logger.Error("wave status not encoded", "wave", a.Wave, "error", err.Error())
+		return
+	}
+	go func() {
+		_, err := r.opts.Journal.Append(ctx, platform.TopicStatus, platform.AnyEnd, platform.Writer{}, []platform.Record{record})
+		if err != nil {
+			r.opts.Logger.Warn("wave status not stored", "wave", a.Wave, "error", err.Error())
+			r.post(ctx, func(time.Duration) { r.state.Unannounced(a.Wave) })
+		}
+	}()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/fleetops/state.go
@@ -0,0 +1,275 @@
+// Package fleetops is the duty over instances: it brings maintenance waves
+// through and moves instances between pools. State and its decisions are pure;
+// Runner reads the instance list, asks the pools' owners to clear endpoints,
+// and gives the platform its orders.
+//
+// Contract: an operation is recorded before its endpoint is cleared, and the
+// platform is told only once the endpoint's owner has said that nothing is left
+// on it. What a predecessor began is gone on with.
+package fleetops
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cyclamenwheel/internal/executor"
+)
+
+// Kind is what an operation does to an instance.
+type Kind uint8
+
+// Kinds of operations.
+const (
+	KindMaintain Kind = iota
+	KindMove
+)
+
+var kindNames = [...]string{"maintain", "move"}
+
+func (k Kind) String() string { return kindNames[k] }
+
+// Phase is how far an operation is.
+type Phase uint8
+
+// Phases of operations.
+const (
+	// PhaseClearing: the endpoint's owner is asked to clear it.
+	PhaseClearing Phase = iota
+	// PhaseOrdered: the platform was told, or may have been.
+	PhaseOrdered
+)
+
+// Operation is one change of an instance under way.
+type Operation struct {
+	Instance string `cbor:"1,keyasint"`
+	Kind     Kind   `cbor:"2,keyasint"`
+	Wave     int    `cbor:"3,keyasint,omitempty"`
+	From     string `cbor:"4,keyasint"`
+	To       string `cbor:"5,keyasint,omitempty"`
+	// Endpoint is the incarnation that the operation ends.
+	Endpoint string `cbor:"6,keyasint,omitempty"`
+	Phase    Phase  `cbor:"7,keyasint,omitempty"`
+
+	since time.Duration
+	// accepted is when the platform confirmed the order.
+	accepted  time.Duration
+	ordering  bool
+	orderedAt time.Duration
+	// clearAt is when the owner last said that nothing is left.
+	clearAt time.Duration
+	cleared bool
+}
+
+// Wave is a maintenance wave and how far it is.
+type Wave struct {
+	Number int `cbor:"1,keyasint"`
+	// SeenMs is when the wave was first seen, in ms since 1970.
+	SeenMs int64 `cbor:"2,keyasint"`
+	// Done are the instances that have been through.
+	Done      []string `cbor:"3,keyasint,omitempty"`
+	Completed bool     `cbor:"4,keyasint,omitempty"`
+
+	instances []string
+	within    time.Duration
+	maxAtOnce int
+	done      map[string]bool
+	// announced reports whether the operator was told the newest state.
+	announced bool
+}
+
+// Instance is an entry of the platform's list.
+type Instance struct {
+	Name, Pool, Zone, Kind, Rack string
+	// Up reports whether it is neither moving, nor maintained, nor down.
+	Up bool
+	// Busy reports a move or maintenance under way.
+	Busy     bool
+	Endpoint string
+	CPUMilli int
+}
+
+// PoolView is what a pool's owner said of it, and when.
+type PoolView struct {
+	Summary executor.Summary
+	At      time.Duration
+}
+
+// State is what the duty knows. It is not safe for concurrent use.
+type State struct {
+	limits Limits
+	spare  string
+	pools  map[string]*PoolView
+
+	instances map[string]Instance
+	// listedAt is when the instance list was asked for.
+	listedAt time.Duration
+	ops      map[string]*Operation
+	waves    map[int]*Wave
+	demand   map[string]*demand
+
+	dirtyOps   map[string]bool
+	dirtyWaves map[int]bool
+	// moved is when an instance last changed its pool.
+	moved map[string]time.Duration
+}
+
+// Limits of the duty.
+type Limits struct {
+	// MoveTime is how long a move takes.
+	MoveTime time.Duration
+}
+
+// NewState returns the state of a duty that knows nothing.
+func NewState(limits Limits) *State {
+	return &State{limits: limits, pools: map[string]*PoolView{}, instances: map[string]Instance{}, ops: map[string]*Operation{},
+		waves: map[int]*Wave{}, demand: map[string]*demand{}, dirtyOps: map[string]bool{}, dirtyWaves: map[int]bool{},
+		moved: map[string]time.Duration{}}
+}
+
+// Keys of the duty's records.
+const (
+	keyOperation = "o"
+	keyWave      = "w"
+)
+
+// Record is a record of the duty's journal; an empty value removes the key.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// MalformedRecordError says that a record can't be read.
+type MalformedRecordError struct {
+	Key   string
+	Cause error
+}
+
+func (e *MalformedRecordError) Error() string { return "record " + e.Key + ": " + e.Cause.Error() }
+
+// Unwrap returns the decoder's failure.
+func (e *MalformedRecordError) Unwrap() error { return e.Cause }
+
+// Restore takes in the records of the duty's journal.
+func (s *State) Restore(records []Record, now time.Duration) error {
+	for _, r := range records {
+		var err error
+		switch {
+		case r.Key == "":
+		case r.Key[:1] == keyOperation:
+			op := &Operation{since: now}
+			if err = cbor.Unmarshal(r.Value, op); err == nil {
+				s.ops[op.Instance] = op
+			}
+		case r.Key[:1] == keyWave:
+			w := &Wave{done: map[string]bool{}}
+			if err = cbor.Unmarshal(r.Value, w); err == nil {
+				for _, name := range w.Done {
+					w.done[name] = true
+				}
+				s.waves[w.Number] = w
+			}
+		}
+		if err != nil {
+			return &MalformedRecordError{Key: r.Key, Cause: err}
+		}
+	}
+	return nil
+}
+
+// OperationsOf reads the endpoints of a pool that operations are about to
+// clear, from the records of the duty's journal.
+func OperationsOf(records []Record, pool string) []string {
+	var endpoints []string
+	for _, r := range records {
+		var op Operation
+		if r.Key == "" || r.Key[:1] != keyOperation || cbor.Unmarshal(r.Value, &op) != nil {
+			continue
+		}
+		if op.From == pool && op.Endpoint != "" {
+			endpoints = append(endpoints, op.Endpoint)
+		}
+	}
+	return endpoints
+}
+
+// encode panics only on types that can't be encoded, which tests find.
+func encode(v any) []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// TakeRecords returns the records that have changed.
+func (s *State) TakeRecords() []Record {
+	var out []Record
+	for name := range s.dirtyOps {
+		r := Record{Key: keyOperation + name}
+		if op := s.ops[name]; op != nil {
+			r.Value = encode(op)
+		}
+		out = append(out, r)
+	}
+	for n := range s.dirtyWaves {
+		w := s.waves[n]
+		w.Done = w.Done[:0]
+		for name := range w.done {
+			w.Done = append(w.Done, name)
+		}
+		slices.Sort(w.Done)
+		out = append(out, Record{Key: keyWave + strconv.Itoa(n), Value: encode(w)})
+	}
+	clear(s.dirtyOps)
+	clear(s.dirtyWaves)
+	slices.SortFunc(out, func(a, b Record) int { return slices.Compare([]byte(a.Key), []byte(b.Key)) })
+	return out
+}
+
+// ObserveWave takes in a wave that the operator asks for.
+func (s *State) ObserveWave(number int, instances []string, within time.Duration, maxAtOnce int, wallMs int64) {
+	w := s.waves[number]
+	if w == nil {
+		w = &Wave{Number: number, SeenMs: wallMs, done: map[string]bool{}}
+		s.waves[number] = w
+		s.dirtyWaves[number] = true
+	}
+	w.instances, w.within, w.maxAtOnce = instances, within, max(1, maxAtOnce)
+}
+
+// ObserveInstances takes in the platform's whole list, asked for at asked.
+func (s *State) ObserveInstances(asked time.Duration, list []Instance, spare string) {
+	s.listedAt, s.spare = asked, spare
+	s.instances = make(map[string]Instance, len(list))
+	for _, i := range list {
+		s.instances[i.Name] = i
+	}
+}
+
+// ObservePool takes in what a pool's owner said.
+func (s *State) ObservePool(now time.Duration, pool string, sum executor.Summary) {
+	s.pools[pool] = &PoolView{Summary: sum, At: now}
+	s.observeDemand(now, pool, sum)
+}
+
+// Cleared takes in how many tasks an owner has left on an operation's endpoint.
+func (s *State) Cleared(now time.Duration, instance string, left int) {
+	if op := s.ops[instance]; op != nil {
+		op.cleared = left == 0
+		op.clearAt = now
+	}
+}
+
+func (s *State) begin(now time.Duration, op *Operation) {
+	op.since = now
+	s.ops[op.Instance] = op
+	s.dirtyOps[op.Instance] = true
+}
+
+func (s *State) finish(name string) {
+	delete(s.ops, name)
+	s.dirtyOps[name] = true
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -5,11 +5,14 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -20,6 +23,7 @@
 	"cyclamenwheel/internal/eventlog"
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/feed"
+	"cyclamenwheel/internal/fleetops"
 	"cyclamenwheel/internal/ingress"
 	"cyclamenwheel/internal/operator"
 	"cyclamenwheel/internal/peer"
@@ -73,6 +77,7 @@
 
 	mu        sync.Mutex
 	endpoints map[string]platform.EndpointEntry
+	waves     map[int]platform.Wave
 }
 
 // Run runs a node until it is told to stop.
@@ -88,7 +93,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	n := &Node{set: set, log: log, client: platform.NewClient(set.Store, set.Instances, set.Advice),
-		endpoints: map[string]platform.EndpointEntry{}}
+		endpoints: map[string]platform.EndpointEntry{}, waves: map[int]platform.Wave{}}
 	log.Info("starting", "version", version.Version, "settings", path)
 	return n.run(ctx, cancel)
 }
@@ -152,6 +157,9 @@
 		Node: n.set.Node, Addr: addr, Member: shards.MemberName(n.set.Node, addr, boot),
 		Membership: n.client, Journal: n.client, Endpoints: n.client, Parts: n.set.Partitions, Logger: n.log,
 		Limits: executor.Limits{Lease: lease, ProofAge: proofAge, KeepEnded: n.set.Bounds.KeepEnded, StopTimeout: n.set.Bounds.StopTimeout},
+		Fleet: func(ctx context.Context) {
+			fleetops.Run(ctx, fleetops.Options{Holder: n.set.Node, Journal: n.client, Cloud: n.client, Pools: calls, Facts: n.facts, Logger: n.log})
+		},
 		OnPeers: func(peers map[string]string) {
 			if err := n.peers.SetPeers(peers); err != nil {
 				n.log.Warn("peer left out", operator.Err(err))
@@ -203,10 +211,44 @@
 
 func (n *Node) takeOperator(_ bool, records []platform.Record) {
 	for _, r := range records {
-		if r.Key == platform.KeyConfig && len(r.Value) > 0 {
+		switch {
+		case len(r.Value) == 0:
+		case r.Key == platform.KeyConfig:
 			n.takeConfig(r.Value)
+		case strings.HasPrefix(r.Key, platform.KeyWavePrefix):
+			n.takeWave(r)
+		}
+	}
+}
+
+func (n *Node) takeWave(r platform.Record) {
+	w, err := platform.DecodeWave(r.Value)
+	if err != nil {
+		n.log.Error("wave unreadable", "key", r.Key, operator.Err(err))
+		return
+	}
+	n.log.Info("wave asked for", "wave", w.Number, "instances", len(w.Instances), "at_once", w.MaxAtOnce, "within_ms", w.Within.Milliseconds())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.waves[w.Number] = w
+}
+
+// facts are what the duty over instances goes by.
+func (n *Node) facts() fleetops.Facts {
+	f := fleetops.Facts{Pools: n.manager.Pools()}
+	if c := n.ingress.Config(); c != nil {
+		for _, s := range c.Services {
+			if s.Spare {
+				f.Spare = s.Name
+			}
 		}
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, number := range slices.Sorted(maps.Keys(n.waves)) {
+		f.Waves = append(f.Waves, n.waves[number])
+	}
+	return f
 }
 
 func (n *Node) takeConfig(value []byte) {
--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/fleetops"
 	"cyclamenwheel/internal/jobs"
 	"cyclamenwheel/internal/peer"
 )
@@ -213,3 +214,16 @@
 	}
 	return out
 }
+
+// Clear asks a pool's owner to clear endpoints, for the duty over instances.
+func (c *Calls) Clear(ctx context.Context, pool string, clears []fleetops.Clear, keep []string) (map[string]int, executor.Summary, bool) {
+	in := VacateCall{Pool: pool}
+	for _, item := range clears {
+		in.Items = append(in.Items, VacateItem{Endpoint: item.Endpoint, Hurry: item.Hurry})
+	}
+	for _, id := range keep {
+		in.Items = append(in.Items, VacateItem{Endpoint: id, Keep: true})
+	}
+	out := c.Vacate(ctx, in)
+	return out.Left, out.Summary, out.Owned
+}
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/fleetops"
 	"cyclamenwheel/internal/planlease"
+	"cyclamenwheel/internal/tenure"
 	"cyclamenwheel/platform"
 )
 
@@ -48,12 +50,15 @@
 	// this process's boot, as one name in the group.
 	Node, Addr, Member string
 	Membership         Membership
-	Journal            Journal
+	Journal            tenure.Journal
 	Endpoints          Endpoints
 	Limits             executor.Limits
 	// Parts is the number of partitions that the store gives a topic.
 	Parts  int
 	Logger *slog.Logger
+	// Fleet does the duty over instances until its context ends or it is
+	// displaced.
+	Fleet func(context.Context)
 	// OnPeers is told the addresses of all owners by node.
 	OnPeers func(map[string]string)
 }
@@ -93,8 +98,7 @@
 type held struct {
 	cancel context.CancelFunc
 	runner *Runner
-	// ready is set once the claim has succeeded. The duty over instances has
-	// no runner and is ready at once.
+	// ready is set once the claim of a pool has succeeded.
 	ready bool
 }
 
@@ -171,7 +175,7 @@
 	if *created {
 		return nil
 	}
-	_, err := m.opts.Journal.Append(ctx, groupTopic, platform.AnyEnd, platform.Writer{Name: producer, Epoch: 1}, nil)
+	_, err := m.opts.Journal.Append(ctx, groupTopic, platform.AnyEnd, platform.Writer{Name: group, Epoch: 1}, nil)
 	*created = err == nil
 	return err
 }
@@ -249,19 +253,17 @@
 	h := &held{cancel: cancel}
 	m.running[name] = h
 	if name == fleetDuty {
-		h.ready = true
-		m.opts.Logger.Info("fleet duty taken")
+		m.wg.Go(func() {
+			m.opts.Fleet(ctx)
+			m.drop(name, h)
+		})
 		return
 	}
 	h.runner = newRunner(m, name)
-	m.wg.Go(func() {
-		m.own(ctx, name, h)
-		cancel()
-	})
+	m.wg.Go(func() { m.own(ctx, name, h) })
 }
 
-// own claims a pool and runs it. A pool that was lost to a newer epoch is
-// dropped here; the group gives it back if it still belongs here.
+// own claims a pool and runs it until it is lost.
 func (m *Manager) own(ctx context.Context, name string, h *held) {
 	r := h.runner
 	r.ctx = ctx
@@ -283,12 +285,36 @@
 	r.core.SetGuarded(m.guarded[r.pool])
 	r.core.ObserveEndpoints(r.now(), m.endpoints[r.pool])
 	m.mu.Unlock()
+	r.honour(m.operations(ctx, r.pool))
 	r.run(ctx)
+	m.drop(name, h)
+}
+
+// drop forgets a duty that has ended here. The group gives it back if it still
+// belongs here.
+func (m *Manager) drop(name string, h *held) {
+	h.cancel()
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.running[name] == h {
 		delete(m.running, name)
 	}
-	m.mu.Unlock()
+}
+
+// operations returns the endpoints of a pool that the duty over instances is
+// about to clear. A new owner that did not know of them would place tasks on an
+// instance that its predecessor has declared clear.
+func (m *Manager) operations(ctx context.Context, pool string) []string {
+	page, err := m.opts.Journal.Newest(ctx, fleetops.Topic)
+	if err != nil {
+		m.opts.Logger.Warn("operations on instances not read", "pool", pool, "error", err.Error())
+		return nil
+	}
+	records := make([]fleetops.Record, len(page.Records))
+	for i, p := range page.Records {
+		records[i] = fleetops.Record{Key: p.Key, Value: p.Value}
+	}
+	return fleetops.OperationsOf(records, pool)
 }
 
 // local returns the runner of a pool that this process owns.
@@ -301,13 +327,6 @@
 	return nil
 }
 
-// HoldsFleet reports whether this process has the duty over instances.
-func (m *Manager) HoldsFleet() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.running[fleetDuty] != nil
-}
-
 // OwnerOf returns who owns a pool by the last reading.
 func (m *Manager) OwnerOf(pool string) (Owner, bool) {
 	m.mu.Lock()
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -7,15 +7,12 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
-	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/jobs"
 	"cyclamenwheel/internal/planlease"
+	"cyclamenwheel/internal/tenure"
 	"cyclamenwheel/platform"
 )
 
@@ -29,24 +26,13 @@
 	// proofEvery is how often an idle owner asks the store whether its epoch
 	// is still the newest.
 	proofEvery = 1500 * time.Millisecond
-	// appendRetry spaces repetitions of an append without a final answer.
-	appendRetry = 60 * time.Millisecond
 	// stuckAfter is how long an append may be unanswered before new jobs are
 	// refused: they could not be accepted in time.
 	stuckAfter = 500 * time.Millisecond
 	// inboxSize bounds messages that wait for the control goroutine.
 	inboxSize = 4096
-	// producer names the owner's appends; there is one writer a pool.
-	producer = "owner"
 )
 
-// Journal is the part of the platform's client that holds a pool's records.
-type Journal interface {
-	Append(ctx context.Context, topic string, at int64, w platform.Writer, records []platform.Record) (int64, error)
-	Newest(ctx context.Context, topic string) (platform.Page, error)
-	Read(ctx context.Context, topic string, from int64, wait time.Duration) (platform.Page, error)
-}
-
 // Endpoints is the part of the platform's client that orders endpoints.
 type Endpoints interface {
 	Start(ctx context.Context, to platform.EndpointRef, o platform.StartOrder) (time.Duration, error)
@@ -90,18 +76,18 @@
 	pool      string
 	topic     string
 	owner     string
-	journal   Journal
+	journal   tenure.Journal
 	endpoints Endpoints
 	log       *slog.Logger
 	limits    executor.Limits
 	now       func() time.Duration
 	wall      func() time.Time
 
-	core  *executor.Core
-	epoch int64
-	seq   int64
-	inbox chan func(now time.Duration)
-	ctx   context.Context
+	core   *executor.Core
+	tenure *tenure.Tenure
+	epoch  int64
+	inbox  chan func(now time.Duration)
+	ctx    context.Context
 
 	waiting   map[uint64]chan Result
 	nextToken uint64
@@ -109,9 +95,7 @@
 	// is when it was first sent.
 	appending  *executor.Ready
 	stuckSince time.Duration
-	// proof is when the newest append that succeeded was sent.
-	proof time.Duration
-	over  bool
+	over       bool
 }
 
 func newRunner(m *Manager, pool string) *Runner {
@@ -129,73 +113,27 @@
 // TopicOf is the topic of a pool's records.
 func TopicOf(pool string) string { return topicPrefix + pool }
 
-// claim takes the pool over. A record with the next epoch, appended on the
-// condition that the topic ends where it was read to, makes one claimant the
-// winner of that epoch: under a producer's name two claimants of one epoch
-// would look like one that repeats itself. Announcing the epoch then fences the
-// predecessor, and what it appended in between is read last.
+// claim takes the pool over and restores its jobs.
 func (r *Runner) claim(ctx context.Context) error {
-	page, err := r.journal.Newest(ctx, r.topic)
-	if err != nil {
-		return err
-	}
-	last, err := epochOf(page.Records)
-	if err != nil {
-		return err
-	}
-	epoch := last + 1
-	record := executor.EncodeEpoch(executor.EpochRecord{Epoch: epoch, Owner: r.owner})
-	offset, err := r.journal.Append(ctx, r.topic, page.Next, platform.Writer{}, []platform.Record{{Key: record.Key, Value: record.Value}})
+	held, records, err := tenure.Claim(ctx, r.journal, r.topic, r.owner, r.log)
 	if err != nil {
 		return err
 	}
-	sent := r.now()
-	if _, err := r.journal.Append(ctx, r.topic, platform.AnyEnd, platform.Writer{Name: producer, Epoch: epoch}, nil); err != nil {
-		return err
-	}
-	records, err := r.upToFence(ctx, page.Records, offset+1)
-	if err != nil {
-		return err
-	}
-	r.epoch, r.seq, r.proof = epoch, 0, sent
-	r.core = executor.New(r.pool, epoch, r.limits, r.now())
+	r.tenure, r.epoch = held, held.Epoch
+	r.core = executor.New(r.pool, r.epoch, r.limits, r.now())
 	r.core.SetWall(r.wall().UnixMilli())
-	return r.core.Restore(records, r.now())
-}
-
-// upToFence adds what was appended between the claim and the fence. Another
-// claim among it means that this one was overtaken.
-func (r *Runner) upToFence(ctx context.Context, base []platform.Record, from int64) ([]executor.Record, error) {
-	page, err := r.journal.Read(ctx, r.topic, from, 0)
-	if err != nil {
-		return nil, err
+	restored := make([]executor.Record, len(records))
+	for i, rec := range records {
+		restored[i] = executor.Record{Key: rec.Key, Value: rec.Value}
 	}
-	newest := make(map[string][]byte, len(base))
-	for _, p := range base {
-		newest[p.Key] = p.Value
-	}
-	for _, p := range page.Records {
-		if p.Key == executor.KeyEpoch {
-			return nil, &platform.FencedError{Topic: r.topic}
-		}
-		newest[p.Key] = p.Value
-	}
-	delete(newest, executor.KeyEpoch)
-	records := make([]executor.Record, 0, len(newest))
-	for _, key := range slices.Sorted(maps.Keys(newest)) {
-		records = append(records, executor.Record{Key: key, Value: newest[key]})
-	}
-	return records, nil
+	return r.core.Restore(restored, r.now())
 }
 
-func epochOf(page []platform.Record) (int64, error) {
-	for _, p := range page {
-		if p.Key == executor.KeyEpoch {
-			rec, err := executor.DecodeEpoch(p.Value)
-			return rec.Epoch, err
-		}
+// honour keeps endpoints clear that are about to leave the pool.
+func (r *Runner) honour(endpoints []string) {
+	for _, id := range endpoints {
+		r.core.Vacate(r.now(), id, false)
 	}
-	return 0, nil
 }
 
 // run owns the pool until ctx ends or a newer epoch shows.
@@ -251,7 +189,7 @@
 		r.over = true
 		return
 	}
-	if r.proven(now) {
+	if r.proven() {
 		for _, l := range r.core.DueLooks(now) {
 			r.look(l)
 		}
@@ -262,7 +200,7 @@
 	r.flush(now)
 }
 
-func (r *Runner) proven(now time.Duration) bool { return now-r.proof < r.limits.ProofAge }
+func (r *Runner) proven() bool { return r.tenure.ProofAge() < r.limits.ProofAge }
 
 // flush appends what has changed, or proves the epoch where nothing has for a
 // while.
@@ -271,60 +209,30 @@
 		return
 	}
 	ready := r.core.Ready()
-	if ready.Empty() && now-r.proof < proofEvery {
+	if ready.Empty() && r.tenure.ProofAge() < proofEvery {
 		return
 	}
-	if len(ready.Records) == 0 && now-r.proof < proofEvery {
+	if len(ready.Records) == 0 && r.tenure.ProofAge() < proofEvery {
 		r.release(ready)
 		return
 	}
 	r.appending, r.stuckSince = &ready, now
-	seq := r.seq
-	if len(ready.Records) > 0 {
-		r.seq++
-	}
-	go r.append(ready, seq)
+	go r.append(ready)
 }
 
-// append repeats an append until the store has given a final answer. Its
-// sequence number makes the store recognise what it has carried out already.
-func (r *Runner) append(ready executor.Ready, seq int64) {
+func (r *Runner) append(ready executor.Ready) {
 	records := make([]platform.Record, len(ready.Records))
 	for i, rec := range ready.Records {
 		records[i] = platform.Record{Key: rec.Key, Value: rec.Value}
 	}
-	for try := 0; r.ctx.Err() == nil; try++ {
-		sent := r.now()
-		_, err := r.journal.Append(r.ctx, r.topic, platform.AnyEnd, platform.Writer{Name: producer, Epoch: r.epoch, Seq: seq}, records)
-		if err == nil {
-			r.post(func(now time.Duration) { r.appended(now, sent, try) })
-			return
-		}
-		if final(err) {
-			r.post(func(time.Duration) { r.appendFailed(err) })
-			return
-		}
-		if try == 0 {
-			r.log.Warn("append not answered, repeating", "seq", seq, "error", err.Error())
-		}
-		time.Sleep(appendRetry)
-	}
-}
-
-func final(err error) bool {
-	var fenced *platform.FencedError
-	var turnedAway *platform.NotDoneError
-	if errors.As(err, &turnedAway) {
-		return turnedAway.Reason != "" // a number out of sequence
+	if err := r.tenure.Append(r.ctx, records); err != nil {
+		r.post(func(time.Duration) { r.appendFailed(err) })
+		return
 	}
-	return errors.As(err, &fenced)
+	r.post(func(time.Duration) { r.appended() })
 }
 
-func (r *Runner) appended(now, sent time.Duration, tries int) {
-	if tries > 0 {
-		r.log.Info("append done after repeating", "tries", tries+1, "duration_ms", (now - r.stuckSince).Milliseconds())
-	}
-	r.proof = max(r.proof, sent)
+func (r *Runner) appended() {
 	ready := *r.appending
 	r.appending = nil
 	r.release(ready)
@@ -342,7 +250,7 @@
 		r.reply(reply.Token, Result{Outcome: OutcomeDone})
 	}
 	now := r.now()
-	if !r.proven(now) {
+	if !r.proven() {
 		return // the orders are sent when their endpoints don't list the runs
 	}
 	for _, o := range ready.Orders {
@@ -430,7 +338,7 @@
 const retryStoreMs = 1000
 
 func (r *Runner) stuck(now time.Duration) bool {
-	return r.appending != nil && now-r.stuckSince > stuckAfter || !r.proven(now)
+	return r.appending != nil && now-r.stuckSince > stuckAfter || !r.proven()
 }
 
 func (r *Runner) cancelJob(ctx context.Context, id string) Result {
@@ -445,7 +353,7 @@
 
 func (r *Runner) state(ctx context.Context, id string) Result {
 	return r.ask(ctx, func(now time.Duration, _ uint64) (Result, bool) {
-		if !r.proven(now) {
+		if !r.proven() {
 			return Result{Outcome: OutcomeUnavailable, Reason: "the store does not answer", RetryAfterMs: retryStoreMs}, true
 		}
 		state, known := r.core.State(id)
--- /dev/null
+++ b/internal/tenure/tenure.go
@@ -0,0 +1,193 @@
+// Package tenure is sole ownership of a topic of the platform's store, under an
+// epoch that fences earlier owners.
+//
+// Contract: records that Claim returns are all that anybody has ever appended
+// and nobody of an earlier epoch can append more. Append is called by one
+// goroutine at a time.
+package tenure
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"cyclamenwheel/internal/planlease"
+	"cyclamenwheel/platform"
+)
+
+const (
+	// appendRetry spaces repetitions of an append without a final answer.
+	appendRetry = 60 * time.Millisecond
+	// producer names the owner's appends; a topic has one writer.
+	producer = "owner"
+	// keyEpoch names the record of the newest claim.
+	keyEpoch = "e"
+)
+
+// Journal is the part of the platform's client that holds records.
+type Journal interface {
+	Append(ctx context.Context, topic string, at int64, w platform.Writer, records []platform.Record) (int64, error)
+	Newest(ctx context.Context, topic string) (platform.Page, error)
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (platform.Page, error)
+}
+
+// epochRecord is the record of a claim.
+type epochRecord struct {
+	Epoch int64  `cbor:"1,keyasint"`
+	Owner string `cbor:"2,keyasint"`
+}
+
+// MalformedEpochError says that the record of the newest claim can't be read,
+// so that no higher epoch can be chosen.
+type MalformedEpochError struct {
+	Topic string
+	Cause error
+}
+
+func (e *MalformedEpochError) Error() string { return e.Topic + ": epoch: " + e.Cause.Error() }
+
+// Unwrap returns the decoder's failure.
+func (e *MalformedEpochError) Unwrap() error { return e.Cause }
+
+// Tenure is one owner's time with a topic.
+type Tenure struct {
+	journal Journal
+	topic   string
+	log     *slog.Logger
+	// Epoch is higher than that of all earlier owners.
+	Epoch int64
+	seq   int64
+	// proof is when the newest append that succeeded was sent.
+	proof atomic.Int64
+}
+
+// Claim takes a topic over. A record with the next epoch, appended on the
+// condition that the topic ends where it was read to, makes one claimant the
+// winner of that epoch: under a producer's name two claimants of one epoch
+// would look like one that repeats itself. Announcing the epoch then fences the
+// predecessor, and what it appended in between is read last.
+func Claim(ctx context.Context, journal Journal, topic, owner string, log *slog.Logger) (*Tenure, []platform.Record, error) {
+	page, err := journal.Newest(ctx, topic)
+	if err != nil {
+		return nil, nil, err
+	}
+	last, err := epochOf(topic, page.Records)
+	if err != nil {
+		return nil, nil, err
+	}
+	t := &Tenure{journal: journal, topic: topic, log: log, Epoch: last + 1}
+	value, err := cbor.Marshal(epochRecord{Epoch: t.Epoch, Owner: owner})
+	if err != nil {
+		return nil, nil, &MalformedEpochError{Topic: topic, Cause: err}
+	}
+	offset, err := journal.Append(ctx, topic, page.Next, platform.Writer{}, []platform.Record{{Key: keyEpoch, Value: value}})
+	if err != nil {
+		return nil, nil, err
+	}
+	sent := planlease.Boottime()
+	if _, err := journal.Append(ctx, topic, platform.AnyEnd, t.writer(), nil); err != nil {
+		return nil, nil, err
+	}
+	t.proof.Store(int64(sent))
+	records, err := t.upToFence(ctx, page.Records, offset+1)
+	return t, records, err
+}
+
+func (t *Tenure) writer() platform.Writer {
+	return platform.Writer{Name: producer, Epoch: t.Epoch, Seq: t.seq}
+}
+
+// upToFence adds what was appended between the claim and the fence. Another
+// claim among it means that this one was overtaken.
+func (t *Tenure) upToFence(ctx context.Context, base []platform.Record, from int64) ([]platform.Record, error) {
+	page, err := t.journal.Read(ctx, t.topic, from, 0)
+	if err != nil {
+		return nil, err
+	}
+	newest := make(map[string][]byte, len(base))
+	for _, p := range base {
+		newest[p.Key] = p.Value
+	}
+	for _, p := range page.Records {
+		if p.Key == keyEpoch {
+			return nil, &platform.FencedError{Topic: t.topic}
+		}
+		newest[p.Key] = p.Value
+	}
+	delete(newest, keyEpoch)
+	records := make([]platform.Record, 0, len(newest))
+	for _, key := range slices.Sorted(maps.Keys(newest)) {
+		if len(newest[key]) > 0 {
+			records = append(records, platform.Record{Key: key, Value: newest[key]})
+		}
+	}
+	return records, nil
+}
+
+func epochOf(topic string, page []platform.Record) (int64, error) {
+	for _, p := range page {
+		if p.Key != keyEpoch {
+			continue
+		}
+		var r epochRecord
+		if err := cbor.Unmarshal(p.Value, &r); err != nil {
+			return 0, &MalformedEpochError{Topic: topic, Cause: err}
+		}
+		return r.Epoch, nil
+	}
+	return 0, nil
+}
+
+// ProofAge is how long ago the store last confirmed that the epoch is the
+// newest, on a clock that counts suspension.
+func (t *Tenure) ProofAge() time.Duration {
+	return planlease.Boottime() - time.Duration(t.proof.Load())
+}
+
+// Append adds records, repeating until the store has given a final answer: its
+// sequence number makes the store recognise what it has carried out already.
+// No records at all only prove the epoch. An error means that the tenure is
+// over, or that ctx has ended.
+func (t *Tenure) Append(ctx context.Context, records []platform.Record) error {
+	w := t.writer()
+	began := planlease.Boottime()
+	for try := 1; ; try++ {
+		sent := planlease.Boottime()
+		_, err := t.journal.Append(ctx, t.topic, platform.AnyEnd, w, records)
+		if err == nil {
+			t.proof.Store(int64(sent))
+			if len(records) > 0 {
+				t.seq++
+			}
+			if try > 1 {
+				t.log.Info("append done after repeating", "topic", t.topic, "tries", try,
+					"duration_ms", (planlease.Boottime() - began).Milliseconds())
+			}
+			return nil
+		}
+		if final(err) || ctx.Err() != nil {
+			return err
+		}
+		if try == 1 {
+			t.log.Warn("append not answered, repeating", "topic", t.topic, "seq", w.Seq, "error", err.Error())
+		}
+		time.Sleep(appendRetry)
+	}
+}
+
+// final reports whether repeating can't help: a newer epoch, or a number out of
+// sequence.
+func final(err error) bool {
+	var fenced *platform.FencedError
+	var turnedAway *platform.NotDoneError
+	if errors.As(err, &turnedAway) {
+		return turnedAway.Reason != ""
+	}
+	return errors.As(err, &fenced)
+}
