Moves between pools by need; work of later steps is no backlog yet

Cause of refusals with room free: a turn of a queue asks more than its pool holds while other pools idle. Instances now go where the work offered and ready to run needs them, and are switched off where it does not.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -80,6 +80,15 @@
 	learned map[string]*workload
 	images  map[string]*workload
 
+	// offered is all work offered, in core-ms; refusedAt keeps a job that comes
+	// again from counting again.
+	offered   float64
+	refusedAt map[string]time.Duration
+	// reach is processor room that other pools and spares can lend, until
+	// reachUntil.
+	reach      int
+	reachUntil time.Duration
+
 	dirty   map[*job]bool
 	order   []*job
 	removed []string
@@ -100,7 +109,7 @@
 		pool: pool, epoch: epoch, limits: limits, claimedAt: now,
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, gone: map[string]bool{},
 		learned: map[string]*workload{}, images: map[string]*workload{},
-		dirty: map[*job]bool{}, acks: map[string]int64{},
+		refusedAt: map[string]time.Duration{}, dirty: map[*job]bool{}, acks: map[string]int64{},
 	}
 }
 
@@ -375,6 +384,8 @@
 	Pool string `json:"pool" cbor:"1,keyasint"`
 	// BacklogCoreMs is work accepted and not yet running.
 	BacklogCoreMs float64 `json:"backlog_core_ms" cbor:"2,keyasint"`
+	// ReadyCoreMs is the part of it that could run at once, given room.
+	ReadyCoreMs float64 `json:"ready_core_ms" cbor:"11,keyasint"`
 	// RunningCPUMilli is what runs now.
 	RunningCPUMilli int `json:"running_cpu_milli" cbor:"3,keyasint"`
 	CapacityMilli   int `json:"capacity_milli" cbor:"4,keyasint"`
@@ -384,12 +395,19 @@
 	// LastingCPUMilli is the part of RunningCPUMilli that does not end by
 	// itself.
 	LastingCPUMilli int `json:"lasting_cpu_milli" cbor:"8,keyasint"`
-	// OfferedCoreMs counts all work offered since the epoch began.
-	OfferedCoreMs float64 `json:"offered_core_ms" cbor:"9,keyasint"`
-	// Idle are endpoints on which nothing runs.
-	Idle []string `json:"idle" cbor:"10,keyasint"`
-	// Lasting are endpoints with tasks that don't end by themselves.
-	Lasting []string `json:"lasting" cbor:"11,keyasint"`
+	// OfferedCoreMs counts all work offered since the epoch began, accepted or
+	// not, each job once.
+	OfferedCoreMs float64    `json:"offered_core_ms" cbor:"9,keyasint"`
+	Hosts         []HostLoad `json:"hosts" cbor:"10,keyasint"`
+}
+
+// HostLoad is how an endpoint in use is loaded.
+type HostLoad struct {
+	Endpoint  string `json:"endpoint" cbor:"1,keyasint"`
+	UsedMilli int    `json:"used_milli" cbor:"2,keyasint"`
+	Tasks     int    `json:"tasks" cbor:"3,keyasint"`
+	// Lasting reports tasks that don't end by themselves.
+	Lasting bool `json:"lasting" cbor:"4,keyasint"`
 }
 
 // Accepting is what a caller's job is accepted under.
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -56,6 +56,7 @@
 	c.expire(now)
 	c.beginDue()
 	c.forgetEnded()
+	c.forgetRefused(now)
 	hosts := c.openHosts(now)
 	if len(hosts) == 0 {
 		return
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -39,7 +39,9 @@
 		return VerdictAccepted, Refusal{}
 	}
 	j := &job{since: now, rec: jobRecord{Job: in, Queue: under.Queue, Terms: under.Terms, AcceptedMs: c.wallMs}}
-	if refusal, refused := c.refuse(now, j); refused {
+	refusal, refused := c.refuse(now, j)
+	c.countOffer(now, j, refused)
+	if refused {
 		c.event(Event{Kind: EventRefused, Job: in.ID, Reason: refusal.Reason})
 		return VerdictRefused, refusal
 	}
@@ -252,29 +254,78 @@
 	// retryCeiling is below the deadline of an ordinary caller, so that the
 	// advice can still be followed.
 	retryCeiling = 3 * time.Second
-	// overbook is how much more than the measured slack is promised: tasks of
-	// different steps overlap, so a backlog drains faster than its sum says.
-	overbook = 1.3
+	// lendTime is how long it takes until lent instances work: a move of some
+	// 1.5 s, and a second to notice the need and to clear them.
+	lendTime = 2500 * time.Millisecond
+	// rememberRefused bounds how long a refused job's return is recognised.
+	rememberRefused = 15 * time.Second
+	// maxRefused bounds the memory that takes.
+	maxRefused = 20000
 )
 
-func (c *Core) refuse(_ time.Duration, j *job) (Refusal, bool) {
+func (c *Core) refuse(now time.Duration, j *job) (Refusal, bool) {
 	if lasting(&j.rec.Job) || j.rec.Job.Occurrences > 0 {
 		return Refusal{}, false
 	}
 	pool := float64(c.serving())
-	if pool == 0 {
+	if pool <= 0 {
 		return Refusal{}, false
 	}
-	wait := c.backlogMs(j.rec.Terms.Priority) / pool
+	wait := c.waitMs(now, c.backlogMs(j.rec.Terms.Priority), pool)
 	chain := c.chainMs(j)
 	slack := (j.rec.Terms.Stretch-1)*chain + float64(j.rec.Terms.Slack.Milliseconds())
-	if wait <= overbook*slack {
+	if wait <= slack {
 		return Refusal{}, false
 	}
 	retry := time.Duration(wait-slack) * time.Millisecond
 	return Refusal{Reason: RefusedBacklog, RetryAfter: min(max(retry, retryFloor), retryCeiling)}, true
 }
 
+// waitMs is how long the backlog takes to drain. Load: a queue's turn begins
+// with more than its pool holds while others' instances idle; refusing what
+// lent instances will run within a few seconds loses it for nothing.
+func (c *Core) waitMs(now time.Duration, backlog, pool float64) float64 {
+	lend := float64(lendTime.Milliseconds())
+	soon := backlog / pool
+	if soon <= lend || now > c.reachUntil {
+		return soon
+	}
+	return lend + (backlog-pool*lend)/(pool+float64(c.reach))
+}
+
+// Reach takes in how much processor room others can lend this pool.
+func (c *Core) Reach(now time.Duration, milli int) {
+	c.reach, c.reachUntil = milli, now+vacateFor
+}
+
+// countOffer adds a job's work to what was offered, once however often the job
+// comes back after a refusal.
+func (c *Core) countOffer(now time.Duration, j *job, refused bool) {
+	id := j.rec.Job.ID
+	at, again := c.refusedAt[id]
+	if refused && len(c.refusedAt) < maxRefused {
+		c.refusedAt[id] = now
+	} else {
+		delete(c.refusedAt, id)
+	}
+	if again && now-at < rememberRefused || lasting(&j.rec.Job) {
+		return
+	}
+	for i := range j.rec.Job.Steps {
+		st := &j.rec.Job.Steps[i]
+		c.offered += float64(st.Count) * float64(st.CPUMilli) / 1000 * c.taskMs(j, st)
+	}
+}
+
+// forgetRefused drops refused jobs that have not come back.
+func (c *Core) forgetRefused(now time.Duration) {
+	for id, at := range c.refusedAt {
+		if now-at > rememberRefused {
+			delete(c.refusedAt, id)
+		}
+	}
+}
+
 func lasting(j *jobs.Job) bool {
 	for i := range j.Steps {
 		if j.Steps[i].LongRunning {
@@ -307,31 +358,47 @@
 }
 
 // backlogMs is the accepted work that has not begun, of this priority or
-// before it, in core-milliseconds times a thousand.
+// before it, in milli-core-milliseconds.
 func (c *Core) backlogMs(priority int) float64 {
 	sum := 0.0
 	for _, j := range c.open {
 		if j.rec.State.Ended() || j.rec.Terms.Priority > priority || lasting(&j.rec.Job) {
 			continue
 		}
-		sum += c.remainingWork(j)
+		w := c.remaining(j)
+		sum += w.ready + w.running + laterShare*w.later
 	}
 	return sum
 }
 
-// remainingWork is what a job still has to run, in milli-core-milliseconds.
-// What runs now counts half.
-func (c *Core) remainingWork(j *job) float64 {
-	sum := 0.0
+// work is what a job still has to run, in milli-core-milliseconds.
+type work struct {
+	// ready could run at once; later waits for earlier steps; running is half
+	// of what runs now.
+	ready, later, running float64
+}
+
+func (c *Core) remaining(j *job) work {
+	var w work
 	for _, o := range j.current {
 		for _, s := range o.steps {
-			running := s.left - s.waiting
-			sum += (float64(s.waiting) + 0.5*float64(running)) * float64(s.spec.CPUMilli) * c.taskMs(j, s.spec)
+			each := float64(s.spec.CPUMilli) * c.taskMs(j, s.spec)
+			waiting := float64(s.waiting) * each
+			if s.waitsFor > 0 {
+				w.later += waiting
+			} else {
+				w.ready += waiting
+			}
+			w.running += float64(s.left-s.waiting) * each / 2
 		}
 	}
-	return sum
+	return w
 }
 
+// laterShare is how much of the work of later steps counts as being ahead of a
+// new job: most of it runs beside the new job's own steps and not before them.
+const laterShare = 0.35
+
 // sortOpen orders jobs by priority, then those that can still be in time, then
 // by objective.
 func (c *Core) sortOpen() {
--- a/internal/executor/vacate.go
+++ b/internal/executor/vacate.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -38,13 +39,6 @@
 	return len(e.tasks) + e.strangers, e.lookedEver
 }
 
-// Keep withdraws a request to vacate.
-func (c *Core) Keep(id string) {
-	if e := c.endpoints[id]; e != nil && !e.draining {
-		e.vacating = false
-	}
-}
-
 // stopLasting stops tasks that last, as many at a time as their steps may
 // miss. A step without a budget is stopped at once.
 func (c *Core) stopLasting(now time.Duration, e *endpoint) {
@@ -90,6 +84,14 @@
 	return n
 }
 
+func (e *endpoint) load() HostLoad {
+	h := HostLoad{Endpoint: e.id, UsedMilli: e.used.CPUMilli, Tasks: len(e.tasks)}
+	for t := range e.tasks {
+		h.Lasting = h.Lasting || t.step.spec.LongRunning
+	}
+	return h
+}
+
 // Summary returns the pool's state in figures.
 func (c *Core) Summary() Summary {
 	s := Summary{Pool: c.pool, Jobs: len(c.open)}
@@ -100,24 +102,18 @@
 		s.Endpoints++
 		s.CapacityMilli += e.capacity.CPUMilli
 		s.RunningCPUMilli += e.used.CPUMilli
-		if len(e.tasks) == 0 {
-			s.Idle = append(s.Idle, e.id)
-		}
-		for t := range e.tasks {
-			if t.step.spec.LongRunning {
-				s.Lasting = append(s.Lasting, e.id)
-				break
-			}
-		}
+		s.Hosts = append(s.Hosts, e.load())
 		s.LastingCPUMilli += e.lastingCPU()
 	}
-	slices.Sort(s.Idle)
-	slices.Sort(s.Lasting)
+	slices.SortFunc(s.Hosts, func(a, b HostLoad) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	s.OfferedCoreMs = c.offered
 	for _, j := range c.open {
 		if j.rec.State.Ended() || lasting(&j.rec.Job) {
 			continue
 		}
-		s.BacklogCoreMs += c.remainingWork(j) / 1000
+		w := c.remaining(j)
+		s.ReadyCoreMs += w.ready / 1000
+		s.BacklogCoreMs += (w.ready + w.running + w.later) / 1000
 		for _, o := range j.current {
 			for _, st := range o.steps {
 				s.WaitingTasks += st.waiting
--- a/internal/fleetops/decide.go
+++ b/internal/fleetops/decide.go
@@ -197,11 +197,16 @@
 	}
 	sum := view.Summary
 	cost := (float64(sum.RunningCPUMilli) + sum.BacklogCoreMs) / float64(max(1, sum.CapacityMilli))
-	if slices.Contains(sum.Idle, i.Endpoint) {
-		cost *= costIdle
-	}
-	if slices.Contains(sum.Lasting, i.Endpoint) {
-		cost += costLasting
+	for _, h := range sum.Hosts {
+		if h.Endpoint != i.Endpoint {
+			continue
+		}
+		if h.Tasks == 0 {
+			cost *= costIdle
+		}
+		if h.Lasting {
+			cost += costLasting
+		}
 	}
 	return cost
 }
@@ -233,13 +238,13 @@
 
 // hurry reports whether an instance can wait no longer for its tasks to end.
 func (s *State) hurry(now time.Duration, wallMs int64, op *Operation) bool {
-	if now-op.since > hurryAfter {
-		return true
-	}
 	w := s.waves[op.Wave]
 	if op.Kind != KindMaintain || w == nil {
 		return false
 	}
+	if now-op.since > hurryAfter {
+		return true
+	}
 	return wallMs-w.SeenMs > int64(hurryShare*float64(w.within.Milliseconds()))
 }
 
@@ -272,6 +277,8 @@
 	case OrderRefused:
 		if op.Kind == KindMaintain {
 			s.markDone(op.Wave, instance)
+		} else {
+			s.unfit[fit{s.instances[instance].Kind, op.To}] = true
 		}
 		s.finish(instance)
 	}
--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -1,18 +1,302 @@
 package fleetops
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"cyclamenwheel/internal/executor"
 )
 
+// Which pool has which instances. Load: queues' demand goes by turns, five
+// times the mean for some seconds and a twentieth in between; a turn is more
+// than a pool holds, while all pools together hold twice the demand. Left where
+// they are, instances idle in three pools while the fourth refuses its callers.
+//
+// A pool's need is the work offered to it a second, plus its backlog spread
+// over the time in which it must drain. Pools that need more get spare
+// instances first, then those that others do not need. What no pool needs for a
+// while is switched off. A move costs as much as a second of an instance in a
+// pool, so a wrong one is cheap and a missed one is not.
+const (
+	// drainWithin is how fast a backlog should drain: about the slack of a
+	// job's objective.
+	drainWithin = 1200 * time.Millisecond
+	// headroom covers tasks that don't fill their endpoints evenly.
+	headroom = 1.15
+	// rateWindow smooths the offered work: jobs come some five a second.
+	rateWindow = 900 * time.Millisecond
+	// viewFresh is how old an owner's word may be to move instances by it.
+	viewFresh = 1500 * time.Millisecond
+	// idleFor is how long instances are too many before they are switched off.
+	idleFor = 1500 * time.Millisecond
+	// settle keeps an instance where it has just come to.
+	settle = 1500 * time.Millisecond
+	// leastInstances stay in a pool beside those with lasting tasks, so that
+	// the first jobs of a turn find room.
+	leastInstances = 2
+	// shortBy is the share of an instance that must be missing to move one.
+	shortBy = 0.35
+)
+
 // demand is what is known of a pool's load over time.
 type demand struct {
-	at time.Duration
+	at      time.Duration
+	offered float64
+	// rate is the work offered, in milli-cores.
+	rate float64
+	// tooMany is since when the pool has had more than it needs.
+	tooMany time.Duration
+}
+
+func (s *State) observeDemand(now time.Duration, pool string, sum executor.Summary) {
+	d := s.demand[pool]
+	if d == nil || sum.OfferedCoreMs < d.offered {
+		s.demand[pool] = &demand{at: now, offered: sum.OfferedCoreMs}
+		return
+	}
+	elapsed := now - d.at
+	if elapsed <= 0 {
+		return
+	}
+	rate := (sum.OfferedCoreMs - d.offered) * 1000 / float64(elapsed.Milliseconds()+1)
+	weight := 1 - math.Exp(-float64(elapsed)/float64(rateWindow))
+	d.rate += weight * (rate - d.rate)
+	d.at, d.offered = now, sum.OfferedCoreMs
+}
+
+// balance is a pool's room against its need, in milli-cores.
+type balance struct {
+	pool string
+	// have counts instances that are on their way here.
+	have, need float64
+}
+
+func (b balance) gap() float64 { return b.need - b.have }
+
+// decideMoves begins moves towards pools that need more, and switches off what
+// none needs.
+func (s *State) decideMoves(now time.Duration, a *Actions) {
+	unit := s.typicalCPU()
+	if unit == 0 || !s.viewsFresh(now) {
+		return
+	}
+	balances := s.balances(unit)
+	slices.SortFunc(balances, func(x, y balance) int { return cmp.Compare(y.gap(), x.gap()) })
+	for i := range balances {
+		for balances[i].gap() > shortBy*unit {
+			donor, from := s.donor(now, unit, balances, balances[i].pool)
+			if donor == nil {
+				break
+			}
+			s.beginMove(now, donor, balances[i].pool, "needed", a)
+			balances[i].have += float64(donor.CPUMilli)
+			if from >= 0 {
+				balances[from].have -= float64(donor.CPUMilli)
+			}
+		}
+	}
+	s.switchOff(now, unit, balances, a)
 }
 
-func (s *State) observeDemand(now time.Duration, pool string, _ executor.Summary) {
-	s.demand[pool] = &demand{at: now}
+func (s *State) viewsFresh(now time.Duration) bool {
+	for _, v := range s.pools {
+		if now-v.At > viewFresh {
+			return false
+		}
+	}
+	return len(s.pools) > 0
 }
 
-func (s *State) decideMoves(_ time.Duration, _ *Actions) {}
+// typicalCPU is the mean size of an instance.
+func (s *State) typicalCPU() float64 {
+	sum := 0
+	for _, i := range s.instances {
+		sum += i.CPUMilli
+	}
+	if len(s.instances) == 0 {
+		return 0
+	}
+	return float64(sum) / float64(len(s.instances))
+}
+
+func (s *State) balances(unit float64) []balance {
+	var out []balance
+	for pool, v := range s.pools {
+		b := balance{pool: pool, have: float64(v.Summary.CapacityMilli) + s.incoming(pool)}
+		b.need = s.need(pool, v.Summary, unit)
+		out = append(out, b)
+	}
+	slices.SortFunc(out, func(x, y balance) int { return cmp.Compare(x.pool, y.pool) })
+	return out
+}
+
+func (s *State) need(pool string, sum executor.Summary, unit float64) float64 {
+	rate := 0.0
+	if d := s.demand[pool]; d != nil {
+		rate = d.rate
+	}
+	work := max(rate, float64(sum.RunningCPUMilli-sum.LastingCPUMilli))
+	drain := sum.ReadyCoreMs * 1000 / float64(drainWithin.Milliseconds())
+	least := float64(sum.LastingCPUMilli) + leastInstances*unit
+	return max(least, float64(sum.LastingCPUMilli)+headroom*(work+drain))
+}
+
+// incoming is the room of instances that are on their way to a pool.
+func (s *State) incoming(pool string) float64 {
+	sum := 0.0
+	for _, op := range s.ops {
+		if op.Kind == KindMove && op.To == pool {
+			sum += float64(s.instances[op.Instance].CPUMilli)
+		}
+	}
+	return sum
+}
+
+// donor returns the instance that is cheapest to give to a pool, and the place
+// of the pool that gives it among balances, or -1 for the spare pool.
+func (s *State) donor(now time.Duration, unit float64, balances []balance, to string) (*Instance, int) {
+	for _, name := range s.sortedInstances() {
+		i := s.instances[name]
+		if i.Pool == s.spare && s.movable(now, i, to) {
+			return &i, -1
+		}
+	}
+	giver := -1
+	for n, b := range balances {
+		if b.gap() > -unit || b.pool == to {
+			continue
+		}
+		if giver < 0 || b.gap() < balances[giver].gap() {
+			giver = n
+		}
+	}
+	if giver < 0 {
+		return nil, -1
+	}
+	return s.leastLoaded(now, balances[giver].pool, to, unit), giver
+}
+
+func (s *State) sortedInstances() []string {
+	names := make([]string, 0, len(s.instances))
+	for name := range s.instances {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// movable reports whether nothing else is done with an instance, and it may
+// serve the pool.
+func (s *State) movable(now time.Duration, i Instance, to string) bool {
+	if !i.Up || s.ops[i.Name] != nil || s.unfit[fit{i.Kind, to}] {
+		return false
+	}
+	at, moved := s.moved[i.Name]
+	return !moved || now-at > settle
+}
+
+// busyShare is how much of an instance may be in use when it is chosen to
+// leave: its tasks run out within about their usual second.
+const busyShare = 0.4
+
+// leastLoaded returns the instance of a pool with the least to wait for, none
+// with lasting tasks.
+func (s *State) leastLoaded(now time.Duration, pool, to string, unit float64) *Instance {
+	byEndpoint := map[string]executor.HostLoad{}
+	for _, h := range s.pools[pool].Summary.Hosts {
+		byEndpoint[h.Endpoint] = h
+	}
+	var best *Instance
+	least := busyShare * unit
+	for _, name := range s.sortedInstances() {
+		i := s.instances[name]
+		h, known := byEndpoint[i.Endpoint]
+		if i.Pool != pool || !known || h.Lasting || !s.movable(now, i, to) {
+			continue
+		}
+		if used := float64(h.UsedMilli); best == nil && used <= least || best != nil && used < least {
+			best, least = &i, used
+		}
+	}
+	return best
+}
+
+func (s *State) beginMove(now time.Duration, i *Instance, to, reason string, a *Actions) {
+	s.begin(now, &Operation{Instance: i.Name, Kind: KindMove, From: i.Pool, To: to, Endpoint: i.Endpoint})
+	a.Events = append(a.Events, Event{What: "move begun", Instance: i.Name, Reason: reason, Pool: to})
+}
+
+// switchOff moves instances to the spare pool that their pools have not needed
+// for a while.
+func (s *State) switchOff(now time.Duration, unit float64, balances []balance, a *Actions) {
+	if s.spare == "" {
+		return
+	}
+	for _, b := range balances {
+		d := s.demand[b.pool]
+		if d == nil {
+			continue
+		}
+		if b.gap() > -unit {
+			d.tooMany = 0
+			continue
+		}
+		if d.tooMany == 0 {
+			d.tooMany = now
+		}
+		if now-d.tooMany < idleFor {
+			continue
+		}
+		for have := b.have; have-b.need >= unit; have -= unit {
+			i := s.leastLoaded(now, b.pool, s.spare, unit)
+			if i == nil {
+				break
+			}
+			s.beginMove(now, i, s.spare, "not needed", a)
+		}
+	}
+}
+
+// Balances returns each pool's room and need, for the log.
+func (s *State) Balances() []Balance {
+	var out []Balance
+	for _, b := range s.balances(s.typicalCPU()) {
+		v := s.pools[b.pool]
+		line := Balance{Pool: b.pool, HaveCores: b.have / 1000, NeedCores: b.need / 1000,
+			ReadyCoreS: v.Summary.ReadyCoreMs / 1000, RunningCores: float64(v.Summary.RunningCPUMilli) / 1000,
+			LastingCores: float64(v.Summary.LastingCPUMilli) / 1000, Endpoints: v.Summary.Endpoints}
+		if d := s.demand[b.pool]; d != nil {
+			line.OfferedCores = d.rate / 1000
+		}
+		out = append(out, line)
+	}
+	return out
+}
+
+// Balance is a pool's room against its need.
+type Balance struct {
+	Pool                                   string
+	HaveCores, NeedCores, OfferedCores     float64
+	ReadyCoreS, RunningCores, LastingCores float64
+	Endpoints                              int
+}
+
+// Reach is the processor room that a pool could be lent within a few seconds:
+// what is on its way, what is switched off, and what others do not need.
+func (s *State) Reach(pool string) int {
+	unit := s.typicalCPU()
+	sum := s.incoming(pool)
+	for _, i := range s.instances {
+		if i.Pool == s.spare && s.spare != "" && i.Up && s.ops[i.Name] == nil {
+			sum += float64(i.CPUMilli)
+		}
+	}
+	for _, b := range s.balances(unit) {
+		if b.pool != pool && b.gap() < -unit {
+			sum -= b.gap()
+		}
+	}
+	return int(sum)
+}
--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net/http"
 	"time"
 
@@ -45,7 +46,7 @@
 
 // Pools asks the pools' owners. Owned is false where none answered.
 type Pools interface {
-	Clear(ctx context.Context, pool string, clears []Clear, keep []string) (left map[string]int, sum executor.Summary, owned bool)
+	Clear(ctx context.Context, pool string, clears []Clear, reachMilli int) (left map[string]int, sum executor.Summary, owned bool)
 }
 
 // Facts are what the configuration and the operator say.
@@ -63,7 +64,6 @@
 	Pools   Pools
 	Facts   func() Facts
 	Logger  *slog.Logger
-	Limits  Limits
 }
 
 // Runner has the duty while its context lasts.
@@ -72,9 +72,11 @@
 	state   *State
 	tenure  *tenure.Tenure
 	claimed time.Duration
-	inbox   chan func(now time.Duration)
-	listing bool
-	asking  map[string]bool
+	// balanced is when the pools' room and need were last logged.
+	balanced time.Duration
+	inbox    chan func(now time.Duration)
+	listing  bool
+	asking   map[string]bool
 }
 
 // Run claims the duty and does it until ctx ends or a newer epoch shows.
@@ -105,7 +107,7 @@
 		held, records, err := tenure.Claim(ctx, r.opts.Journal, Topic, r.opts.Holder, r.opts.Logger)
 		if err == nil {
 			r.tenure, r.claimed = held, planlease.Boottime()
-			r.state = NewState(r.opts.Limits)
+			r.state = NewState()
 			err = r.state.Restore(recordsOf(records), r.claimed)
 		}
 		if err == nil {
@@ -140,6 +142,7 @@
 	for _, e := range actions.Events {
 		r.opts.Logger.Info(e.What, "epoch", r.tenure.Epoch, "instance", e.Instance, "reason", e.Reason, "wave", e.Wave, "pool", e.Pool)
 	}
+	r.logBalances(now)
 	r.ask(ctx, facts.Pools, actions.Clears)
 	for _, o := range actions.Orders {
 		r.order(ctx, o)
@@ -150,6 +153,23 @@
 	return nil
 }
 
+// balanceEvery spaces the lines on pools' room and need.
+const balanceEvery = time.Second
+
+func (r *Runner) logBalances(now time.Duration) {
+	if now-r.balanced < balanceEvery {
+		return
+	}
+	r.balanced = now
+	for _, b := range r.state.Balances() {
+		r.opts.Logger.Info("pool balance", "epoch", r.tenure.Epoch, "pool", b.Pool, "endpoints", b.Endpoints,
+			"have_cores", round1(b.HaveCores), "need_cores", round1(b.NeedCores), "offered_cores", round1(b.OfferedCores),
+			"running_cores", round1(b.RunningCores), "lasting_cores", round1(b.LastingCores), "ready_core_s", round1(b.ReadyCoreS))
+	}
+}
+
+func round1(x float64) float64 { return math.Round(10*x) / 10 }
+
 // save makes what has changed durable, or proves the epoch now and then.
 func (r *Runner) save(ctx context.Context) error {
 	changed := r.state.TakeRecords()
@@ -226,9 +246,10 @@
 		}
 		r.asking[pool] = true
 		items := byPool[pool]
+		reach := r.state.Reach(pool)
 		go func() {
 			asked := planlease.Boottime()
-			left, sum, owned := r.opts.Pools.Clear(ctx, pool, items, nil)
+			left, sum, owned := r.opts.Pools.Clear(ctx, pool, items, reach)
 			r.post(ctx, func(now time.Duration) {
 				r.asking[pool] = false
 				if !owned {
--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -99,9 +99,8 @@
 
 // State is what the duty knows. It is not safe for concurrent use.
 type State struct {
-	limits Limits
-	spare  string
-	pools  map[string]*PoolView
+	spare string
+	pools map[string]*PoolView
 
 	instances map[string]Instance
 	// listedAt is when the instance list was asked for.
@@ -114,19 +113,18 @@
 	dirtyWaves map[int]bool
 	// moved is when an instance last changed its pool.
 	moved map[string]time.Duration
+	// unfit are kinds of instances that the platform refused for a pool.
+	unfit map[fit]bool
 }
 
-// Limits of the duty.
-type Limits struct {
-	// MoveTime is how long a move takes.
-	MoveTime time.Duration
-}
+// fit is a kind of instance in a pool.
+type fit struct{ kind, pool string }
 
 // NewState returns the state of a duty that knows nothing.
-func NewState(limits Limits) *State {
-	return &State{limits: limits, pools: map[string]*PoolView{}, instances: map[string]Instance{}, ops: map[string]*Operation{},
+func NewState() *State {
+	return &State{pools: map[string]*PoolView{}, instances: map[string]Instance{}, ops: map[string]*Operation{},
 		waves: map[int]*Wave{}, demand: map[string]*demand{}, dirtyOps: map[string]bool{}, dirtyWaves: map[int]bool{},
-		moved: map[string]time.Duration{}}
+		moved: map[string]time.Duration{}, unfit: map[fit]bool{}}
 }
 
 // Keys of the duty's records.
--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -48,14 +48,14 @@
 type VacateItem struct {
 	Endpoint string `cbor:"1,keyasint"`
 	Hurry    bool   `cbor:"2,keyasint,omitempty"`
-	// Keep withdraws an earlier request.
-	Keep bool `cbor:"3,keyasint,omitempty"`
 }
 
 // VacateCall asks a pool's owner to clear endpoints, and how the pool is.
 type VacateCall struct {
 	Pool  string       `cbor:"1,keyasint"`
 	Items []VacateItem `cbor:"2,keyasint,omitempty"`
+	// ReachMilli is the processor room that others can lend the pool.
+	ReachMilli int `cbor:"3,keyasint,omitempty"`
 }
 
 // VacateResult says how many tasks are left on each endpoint asked about;
@@ -110,14 +110,11 @@
 	}
 	out.Owned = r.do(ctx, func(now time.Duration, core *executor.Core) {
 		for _, item := range in.Items {
-			if item.Keep {
-				core.Keep(item.Endpoint)
-				continue
-			}
 			if left, known := core.Vacate(now, item.Endpoint, item.Hurry); known {
 				out.Left[item.Endpoint] = left
 			}
 		}
+		core.Reach(now, in.ReachMilli)
 		out.Summary = core.Summary()
 	})
 	return out
@@ -216,14 +213,11 @@
 }
 
 // Clear asks a pool's owner to clear endpoints, for the duty over instances.
-func (c *Calls) Clear(ctx context.Context, pool string, clears []fleetops.Clear, keep []string) (map[string]int, executor.Summary, bool) {
-	in := VacateCall{Pool: pool}
+func (c *Calls) Clear(ctx context.Context, pool string, clears []fleetops.Clear, reachMilli int) (map[string]int, executor.Summary, bool) {
+	in := VacateCall{Pool: pool, ReachMilli: reachMilli}
 	for _, item := range clears {
 		in.Items = append(in.Items, VacateItem{Endpoint: item.Endpoint, Hurry: item.Hurry})
 	}
-	for _, id := range keep {
-		in.Items = append(in.Items, VacateItem{Endpoint: id, Keep: true})
-	}
 	out := c.Vacate(ctx, in)
 	return out.Left, out.Summary, out.Owned
 }
