Fleet duty: no wait after a takeover but for instances that may still get orders; waves first where nobody needs the instance

Only instances with a recorded operation can still get an order from a predecessor, so only these wait.

--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -211,6 +211,15 @@
 		Spec: t.step.job.rec.Job.Spec, Checkpoint: t.checkpoint, Ticket: t.ticket, task: t}
 }
 
+func (e *endpoint) hasLasting() bool {
+	for t := range e.tasks {
+		if t.step.spec.LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
 // choose returns the best endpoint for a task, or nil.
 func (c *Core) choose(t *task, hosts []*endpoint) *endpoint {
 	var best *endpoint
@@ -265,6 +274,9 @@
 	awayFromData = 2.0
 	// avoidFailed keeps a task from an endpoint where it has just failed.
 	avoidFailed = 3.0
+	// besideLasting gathers tasks that last on few endpoints, so that the
+	// others can be moved and maintained without stopping any.
+	besideLasting = 2.0
 	// perBadRun makes an endpoint whose runs fail the last choice.
 	perBadRun = 0.5
 )
@@ -279,6 +291,9 @@
 	score := free
 	if s.LongRunning {
 		score = -free
+		if e.hasLasting() {
+			score += besideLasting
+		}
 	}
 	if s.DataRack != "" && s.DataRack != e.rack {
 		score -= awayFromData
--- a/internal/executor/vacate.go
+++ b/internal/executor/vacate.go
@@ -85,11 +85,7 @@
 }
 
 func (e *endpoint) load() HostLoad {
-	h := HostLoad{Endpoint: e.id, UsedMilli: e.used.CPUMilli, Tasks: len(e.tasks)}
-	for t := range e.tasks {
-		h.Lasting = h.Lasting || t.step.spec.LongRunning
-	}
-	return h
+	return HostLoad{Endpoint: e.id, UsedMilli: e.used.CPUMilli, Tasks: len(e.tasks), Lasting: e.hasLasting()}
 }
 
 // Summary returns the pool's state in figures.
--- a/internal/fleetops/decide.go
+++ b/internal/fleetops/decide.go
@@ -56,13 +56,14 @@
 // Decide goes on with what is under way and begins what is due.
 func (s *State) Decide(now time.Duration, wallMs int64) Actions {
 	var a Actions
+	s.expire(now)
 	for _, name := range s.sortedOps() {
-		s.advance(now, wallMs, s.ops[name], &a)
+		s.advance(now, s.ops[name], &a)
 	}
+	s.decideMoves(now, &a)
 	for _, n := range s.sortedWaves() {
-		s.advanceWave(now, s.waves[n], &a)
+		s.advanceWave(now, wallMs, s.waves[n], &a)
 	}
-	s.decideMoves(now, &a)
 	for _, name := range s.sortedOps() {
 		s.carryOn(now, wallMs, s.ops[name], &a)
 	}
@@ -71,8 +72,10 @@
 
 func (s *State) sortedOps() []string {
 	names := make([]string, 0, len(s.ops))
-	for name := range s.ops {
-		names = append(names, name)
+	for name, op := range s.ops {
+		if op.Phase != PhaseOver {
+			names = append(names, name)
+		}
 	}
 	slices.Sort(names)
 	return names
@@ -87,23 +90,28 @@
 	return numbers
 }
 
+// shownAfter is how long after an accepted order the list has surely been made
+// with its effect. An instance that is up then, unchanged, had been through
+// already when the order came.
+const shownAfter = 900 * time.Millisecond
+
 // advance ends an operation whose effect the list shows, or follows its
 // instance into a new incarnation.
-func (s *State) advance(now time.Duration, _ int64, op *Operation, a *Actions) {
+func (s *State) advance(now time.Duration, op *Operation, a *Actions) {
 	if s.listedAt == 0 {
 		return
 	}
 	i, listed := s.instances[op.Instance]
-	if !listed {
-		s.finish(op.Instance)
+	switch {
+	case !listed:
+		s.finish(now, op)
 		a.Events = append(a.Events, Event{What: "operation dropped", Instance: op.Instance, Reason: "instance is gone", Wave: op.Wave})
-		return
-	}
-	if op.accepted > 0 && s.listedAt > op.accepted && i.Up && (i.Endpoint != op.Endpoint || op.Endpoint == "") {
+	case !i.Up:
+	case op.Phase == PhaseOrdered && op.Kind == KindMove && i.Pool == op.To:
 		s.completed(now, op, i, a)
-		return
-	}
-	if op.Phase == PhaseClearing && i.Up && i.Endpoint != op.Endpoint {
+	case op.accepted > 0 && s.listedAt > op.accepted && (i.Endpoint != op.Endpoint || s.listedAt > op.accepted+shownAfter):
+		s.completed(now, op, i, a)
+	case op.accepted == 0 && i.Endpoint != op.Endpoint:
 		op.Endpoint, op.cleared = i.Endpoint, false
 		s.dirtyOps[op.Instance] = true
 	}
@@ -112,14 +120,13 @@
 func (s *State) completed(now time.Duration, op *Operation, i Instance, a *Actions) {
 	if op.Kind == KindMaintain {
 		s.markDone(op.Wave, op.Instance)
-	} else {
-		s.moved[op.Instance] = now
 	}
-	s.finish(op.Instance)
+	s.finish(now, op)
 	a.Events = append(a.Events, Event{What: "operation completed", Instance: op.Instance, Reason: op.Kind.String(), Wave: op.Wave, Pool: i.Pool})
 }
 
 func (s *State) markDone(wave int, instance string) {
+	delete(s.reserved, instance)
 	if w := s.waves[wave]; w != nil && !w.done[instance] {
 		w.done[instance] = true
 		s.dirtyWaves[wave] = true
@@ -127,16 +134,13 @@
 }
 
 // advanceWave begins the maintenance of as many instances as the wave allows.
-func (s *State) advanceWave(now time.Duration, w *Wave, a *Actions) {
-	if w.Completed || w.maxAtOnce == 0 || s.listedAt == 0 {
-		if w.Completed && !w.announced {
-			s.announce(w, a)
-		}
-		return
-	}
+func (s *State) advanceWave(now time.Duration, wallMs int64, w *Wave, a *Actions) {
 	if !w.announced {
 		s.announce(w, a)
 	}
+	if w.Completed || w.maxAtOnce == 0 || s.listedAt == 0 {
+		return
+	}
 	underWay, left := 0, 0
 	var due []Instance
 	for _, name := range w.instances {
@@ -147,9 +151,9 @@
 		left++
 		op := s.ops[name]
 		switch {
-		case op != nil && op.Kind == KindMaintain && op.Wave == w.Number:
+		case op != nil && op.Kind == KindMaintain && op.Wave == w.Number && op.Phase != PhaseOver:
 			underWay++
-		case op == nil && i.Up:
+		case (op == nil || op.Phase == PhaseOver) && i.Up:
 			due = append(due, i)
 		}
 	}
@@ -158,17 +162,41 @@
 		s.dirtyWaves[w.Number] = true
 		return
 	}
+	s.beginMaintenance(now, wallMs, w, due, underWay, a)
+}
+
+// patientShare of a wave's time goes to instances that nobody needs at the
+// moment; after it the rest follows, whatever it costs. Load: half of all
+// instances are idle at any time, other ones a few seconds later.
+const patientShare = 0.45
+
+func (s *State) beginMaintenance(now time.Duration, wallMs int64, w *Wave, due []Instance, underWay int, a *Actions) {
+	patient := wallMs-w.SeenMs < int64(patientShare*float64(w.within.Milliseconds()))
 	s.sortDue(due)
+	for _, i := range due {
+		s.reserved[i.Name] = !patient
+	}
 	for _, i := range due {
 		if underWay >= w.maxAtOnce {
 			return
 		}
+		if patient && !s.dispensable(i) {
+			continue
+		}
 		underWay++
 		s.begin(now, &Operation{Instance: i.Name, Kind: KindMaintain, Wave: w.Number, From: i.Pool, Endpoint: i.Endpoint})
 		a.Events = append(a.Events, Event{What: "maintenance begun", Instance: i.Name, Reason: "wave", Wave: w.Number, Pool: i.Pool})
 	}
 }
 
+// dispensable reports whether an instance's pool can do without it.
+func (s *State) dispensable(i Instance) bool {
+	if i.Pool == s.spare || s.pools[i.Pool] == nil {
+		return true
+	}
+	return s.surplus[i.Pool] > float64(i.CPUMilli)
+}
+
 func (s *State) announce(w *Wave, a *Actions) {
 	w.announced = true
 	a.Announce = append(a.Announce, Announcement{Wave: w.Number, Completed: w.Completed})
@@ -214,7 +242,7 @@
 // carryOn asks for an endpoint to be cleared, and gives the order once it is.
 func (s *State) carryOn(now time.Duration, wallMs int64, op *Operation, a *Actions) {
 	i, listed := s.instances[op.Instance]
-	if !listed {
+	if !listed || now < s.quiet[op.Instance] {
 		return
 	}
 	empty := op.Endpoint == "" || i.Pool == s.spare
@@ -280,14 +308,16 @@
 		} else {
 			s.unfit[fit{s.instances[instance].Kind, op.To}] = true
 		}
-		s.finish(instance)
+		s.finish(now, op)
 	}
 }
 
 // Idle reports whether nothing is under way or due.
 func (s *State) Idle() bool {
-	if len(s.ops) > 0 {
-		return false
+	for _, op := range s.ops {
+		if op.Phase != PhaseOver {
+			return false
+		}
 	}
 	for _, w := range s.waves {
 		if !w.Completed {
--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -25,14 +25,18 @@
 	drainWithin = 1200 * time.Millisecond
 	// headroom covers tasks that don't fill their endpoints evenly.
 	headroom = 1.15
-	// rateWindow smooths the offered work: jobs come some five a second.
-	rateWindow = 900 * time.Millisecond
+	// riseWindow and fallWindow smooth the offered work: jobs come some five a
+	// second. A turn begins at once and is missed by whoever waits for proof;
+	// that it has ended costs little to learn late.
+	riseWindow = 300 * time.Millisecond
+	fallWindow = 1200 * time.Millisecond
+	// viewEvery is how long a pool's owner takes to have a new instance in use
+	// and to be asked about it.
+	viewEvery = 250 * time.Millisecond
 	// viewFresh is how old an owner's word may be to move instances by it.
 	viewFresh = 1500 * time.Millisecond
 	// idleFor is how long instances are too many before they are switched off.
-	idleFor = 1500 * time.Millisecond
-	// settle keeps an instance where it has just come to.
-	settle = 1500 * time.Millisecond
+	idleFor = 2500 * time.Millisecond
 	// leastInstances stay in a pool beside those with lasting tasks, so that
 	// the first jobs of a turn find room.
 	leastInstances = 2
@@ -61,7 +65,11 @@
 		return
 	}
 	rate := (sum.OfferedCoreMs - d.offered) * 1000 / float64(elapsed.Milliseconds()+1)
-	weight := 1 - math.Exp(-float64(elapsed)/float64(rateWindow))
+	window := fallWindow
+	if rate > d.rate {
+		window = riseWindow
+	}
+	weight := 1 - math.Exp(-float64(elapsed)/float64(window))
 	d.rate += weight * (rate - d.rate)
 	d.at, d.offered = now, sum.OfferedCoreMs
 }
@@ -82,11 +90,16 @@
 	if unit == 0 || !s.viewsFresh(now) {
 		return
 	}
-	balances := s.balances(unit)
+	balances := s.balances(now, unit)
 	slices.SortFunc(balances, func(x, y balance) int { return cmp.Compare(y.gap(), x.gap()) })
 	for i := range balances {
 		for balances[i].gap() > shortBy*unit {
-			donor, from := s.donor(now, unit, balances, balances[i].pool)
+			if op := s.redirect(balances[i].pool); op != nil {
+				balances[i].have += float64(s.instances[op.Instance].CPUMilli)
+				a.Events = append(a.Events, Event{What: "move redirected", Instance: op.Instance, Reason: "needed", Pool: op.To})
+				continue
+			}
+			donor, from := s.donor(unit, balances, balances[i].pool)
 			if donor == nil {
 				break
 			}
@@ -98,6 +111,24 @@
 		}
 	}
 	s.switchOff(now, unit, balances, a)
+	for _, b := range balances {
+		s.surplus[b.pool] = -b.gap()
+	}
+}
+
+// redirect sends an instance to a pool that was about to be switched off and
+// has not been ordered to yet.
+func (s *State) redirect(pool string) *Operation {
+	for _, name := range s.sortedOps() {
+		op := s.ops[name]
+		if op.Kind != KindMove || op.To != s.spare || op.Phase != PhaseClearing || op.From == pool || s.unfit[fit{s.instances[name].Kind, pool}] {
+			continue
+		}
+		op.To = pool
+		s.dirtyOps[name] = true
+		return op
+	}
+	return nil
 }
 
 func (s *State) viewsFresh(now time.Duration) bool {
@@ -121,10 +152,10 @@
 	return float64(sum) / float64(len(s.instances))
 }
 
-func (s *State) balances(unit float64) []balance {
+func (s *State) balances(now time.Duration, unit float64) []balance {
 	var out []balance
 	for pool, v := range s.pools {
-		b := balance{pool: pool, have: float64(v.Summary.CapacityMilli) + s.incoming(pool)}
+		b := balance{pool: pool, have: float64(v.Summary.CapacityMilli) + s.incoming(now, pool)}
 		b.need = s.need(pool, v.Summary, unit)
 		out = append(out, b)
 	}
@@ -143,11 +174,13 @@
 	return max(least, float64(sum.LastingCPUMilli)+headroom*(work+drain))
 }
 
-// incoming is the room of instances that are on their way to a pool.
-func (s *State) incoming(pool string) float64 {
+// incoming is the room of instances that are on their way to a pool. One that
+// has had the time to arrive counts among the pool's own, if it did.
+func (s *State) incoming(now time.Duration, pool string) float64 {
 	sum := 0.0
 	for _, op := range s.ops {
-		if op.Kind == KindMove && op.To == pool {
+		arrived := op.accepted > 0 && now-op.accepted > s.limits.MoveTime+viewEvery
+		if op.Kind == KindMove && op.To == pool && op.Phase != PhaseOver && !arrived {
 			sum += float64(s.instances[op.Instance].CPUMilli)
 		}
 	}
@@ -156,10 +189,10 @@
 
 // donor returns the instance that is cheapest to give to a pool, and the place
 // of the pool that gives it among balances, or -1 for the spare pool.
-func (s *State) donor(now time.Duration, unit float64, balances []balance, to string) (*Instance, int) {
+func (s *State) donor(unit float64, balances []balance, to string) (*Instance, int) {
 	for _, name := range s.sortedInstances() {
 		i := s.instances[name]
-		if i.Pool == s.spare && s.movable(now, i, to) {
+		if i.Pool == s.spare && s.movable(i, to) {
 			return &i, -1
 		}
 	}
@@ -175,7 +208,7 @@
 	if giver < 0 {
 		return nil, -1
 	}
-	return s.leastLoaded(now, balances[giver].pool, to, unit), giver
+	return s.leastLoaded(balances[giver].pool, to, unit), giver
 }
 
 func (s *State) sortedInstances() []string {
@@ -189,12 +222,8 @@
 
 // movable reports whether nothing else is done with an instance, and it may
 // serve the pool.
-func (s *State) movable(now time.Duration, i Instance, to string) bool {
-	if !i.Up || s.ops[i.Name] != nil || s.unfit[fit{i.Kind, to}] {
-		return false
-	}
-	at, moved := s.moved[i.Name]
-	return !moved || now-at > settle
+func (s *State) movable(i Instance, to string) bool {
+	return i.Up && !s.reserved[i.Name] && s.active(i.Name) == nil && !s.unfit[fit{i.Kind, to}]
 }
 
 // busyShare is how much of an instance may be in use when it is chosen to
@@ -203,7 +232,7 @@
 
 // leastLoaded returns the instance of a pool with the least to wait for, none
 // with lasting tasks.
-func (s *State) leastLoaded(now time.Duration, pool, to string, unit float64) *Instance {
+func (s *State) leastLoaded(pool, to string, unit float64) *Instance {
 	byEndpoint := map[string]executor.HostLoad{}
 	for _, h := range s.pools[pool].Summary.Hosts {
 		byEndpoint[h.Endpoint] = h
@@ -213,7 +242,7 @@
 	for _, name := range s.sortedInstances() {
 		i := s.instances[name]
 		h, known := byEndpoint[i.Endpoint]
-		if i.Pool != pool || !known || h.Lasting || !s.movable(now, i, to) {
+		if i.Pool != pool || !known || h.Lasting || !s.movable(i, to) {
 			continue
 		}
 		if used := float64(h.UsedMilli); best == nil && used <= least || best != nil && used < least {
@@ -250,7 +279,7 @@
 			continue
 		}
 		for have := b.have; have-b.need >= unit; have -= unit {
-			i := s.leastLoaded(now, b.pool, s.spare, unit)
+			i := s.leastLoaded(b.pool, s.spare, unit)
 			if i == nil {
 				break
 			}
@@ -260,9 +289,9 @@
 }
 
 // Balances returns each pool's room and need, for the log.
-func (s *State) Balances() []Balance {
+func (s *State) Balances(now time.Duration) []Balance {
 	var out []Balance
-	for _, b := range s.balances(s.typicalCPU()) {
+	for _, b := range s.balances(now, s.typicalCPU()) {
 		v := s.pools[b.pool]
 		line := Balance{Pool: b.pool, HaveCores: b.have / 1000, NeedCores: b.need / 1000,
 			ReadyCoreS: v.Summary.ReadyCoreMs / 1000, RunningCores: float64(v.Summary.RunningCPUMilli) / 1000,
@@ -285,15 +314,15 @@
 
 // Reach is the processor room that a pool could be lent within a few seconds:
 // what is on its way, what is switched off, and what others do not need.
-func (s *State) Reach(pool string) int {
+func (s *State) Reach(now time.Duration, pool string) int {
 	unit := s.typicalCPU()
-	sum := s.incoming(pool)
+	sum := s.incoming(now, pool)
 	for _, i := range s.instances {
-		if i.Pool == s.spare && s.spare != "" && i.Up && s.ops[i.Name] == nil {
+		if i.Pool == s.spare && s.spare != "" && i.Up && s.active(i.Name) == nil {
 			sum += float64(i.CPUMilli)
 		}
 	}
-	for _, b := range s.balances(unit) {
+	for _, b := range s.balances(now, unit) {
 		if b.pool != pool && b.gap() < -unit {
 			sum -= b.gap()
 		}
--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -19,22 +19,17 @@
 	// Topic holds the duty's records.
 	Topic = "keyed.fleet"
 	// roundEvery spaces rounds.
-	roundEvery = 250 * time.Millisecond
+	roundEvery = 150 * time.Millisecond
 	// listBusy and listIdle are how old the instance list may be while
 	// something is under way, and otherwise.
 	listBusy = 450 * time.Millisecond
 	listIdle = 2 * time.Second
 	// proofMax is how old the proof of the epoch may be when an instance is
-	// ordered about. With the call's own timeout it is what a successor waits
-	// before its first order, so that two holders never take turns.
+	// ordered about; a successor waits out what was sent with it.
 	proofMax   = 900 * time.Millisecond
 	proofEvery = 600 * time.Millisecond
 	// claimRetry spaces attempts at a claim.
 	claimRetry = 200 * time.Millisecond
-	// takeoverWait is that wait; it also outlasts the time for which the
-	// platform remembers the last holder.
-	takeoverWait = 3500 * time.Millisecond
-	firstEpoch   = 1
 )
 
 // Cloud is the part of the platform's client that commands instances.
@@ -64,14 +59,14 @@
 	Pools   Pools
 	Facts   func() Facts
 	Logger  *slog.Logger
+	Limits  Limits
 }
 
 // Runner has the duty while its context lasts.
 type Runner struct {
-	opts    Options
-	state   *State
-	tenure  *tenure.Tenure
-	claimed time.Duration
+	opts   Options
+	state  *State
+	tenure *tenure.Tenure
 	// balanced is when the pools' room and need were last logged.
 	balanced time.Duration
 	inbox    chan func(now time.Duration)
@@ -106,9 +101,9 @@
 	for ctx.Err() == nil {
 		held, records, err := tenure.Claim(ctx, r.opts.Journal, Topic, r.opts.Holder, r.opts.Logger)
 		if err == nil {
-			r.tenure, r.claimed = held, planlease.Boottime()
-			r.state = NewState()
-			err = r.state.Restore(recordsOf(records), r.claimed)
+			r.tenure = held
+			r.state = NewState(r.opts.Limits)
+			err = r.state.Restore(recordsOf(records), planlease.Boottime())
 		}
 		if err == nil {
 			return true
@@ -161,7 +156,7 @@
 		return
 	}
 	r.balanced = now
-	for _, b := range r.state.Balances() {
+	for _, b := range r.state.Balances(now) {
 		r.opts.Logger.Info("pool balance", "epoch", r.tenure.Epoch, "pool", b.Pool, "endpoints", b.Endpoints,
 			"have_cores", round1(b.HaveCores), "need_cores", round1(b.NeedCores), "offered_cores", round1(b.OfferedCores),
 			"running_cores", round1(b.RunningCores), "lasting_cores", round1(b.LastingCores), "ready_core_s", round1(b.ReadyCoreS))
@@ -246,7 +241,7 @@
 		}
 		r.asking[pool] = true
 		items := byPool[pool]
-		reach := r.state.Reach(pool)
+		reach := r.state.Reach(planlease.Boottime(), pool)
 		go func() {
 			asked := planlease.Boottime()
 			left, sum, owned := r.opts.Pools.Clear(ctx, pool, items, reach)
@@ -266,13 +261,12 @@
 	}
 }
 
-// order gives an order in the background, unless this owner is too new or can't
-// prove that it is the newest.
+// order gives an order in the background, unless this owner can't prove that it
+// is the newest.
 func (r *Runner) order(ctx context.Context, o Order) {
 	op := o.Operation
 	now := planlease.Boottime()
-	early := r.tenure.Epoch > firstEpoch && now-r.claimed < takeoverWait
-	if early || r.tenure.ProofAge() > proofMax {
+	if r.tenure.ProofAge() > proofMax {
 		r.state.Ordered(now, op.Instance, OrderBusy)
 		return
 	}
--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -40,6 +40,10 @@
 	PhaseClearing Phase = iota
 	// PhaseOrdered: the platform was told, or may have been.
 	PhaseOrdered
+	// PhaseOver: it has ended. The record is kept for as long as the platform
+	// remembers who ordered the instance, so that a successor leaves the
+	// instance alone for that long.
+	PhaseOver
 )
 
 // Operation is one change of an instance under way.
@@ -58,6 +62,8 @@
 	accepted  time.Duration
 	ordering  bool
 	orderedAt time.Duration
+	// over is when it ended.
+	over time.Duration
 	// clearAt is when the owner last said that nothing is left.
 	clearAt time.Duration
 	cleared bool
@@ -99,8 +105,9 @@
 
 // State is what the duty knows. It is not safe for concurrent use.
 type State struct {
-	spare string
-	pools map[string]*PoolView
+	limits Limits
+	spare  string
+	pools  map[string]*PoolView
 
 	instances map[string]Instance
 	// listedAt is when the instance list was asked for.
@@ -109,22 +116,38 @@
 	waves    map[int]*Wave
 	demand   map[string]*demand
 
+	// reserved are instances that are kept for a wave's last part: moving from
+	// pool to pool they would never be free for it.
+	reserved map[string]bool
+	// surplus is what each pool has beyond its need, in milli-cores, by the
+	// last round.
+	surplus map[string]float64
+
 	dirtyOps   map[string]bool
 	dirtyWaves map[int]bool
-	// moved is when an instance last changed its pool.
-	moved map[string]time.Duration
+	// quiet is until when an instance that a predecessor may have ordered about
+	// is left alone.
+	quiet map[string]time.Duration
 	// unfit are kinds of instances that the platform refused for a pool.
 	unfit map[fit]bool
 }
 
+// Limits are times that the deployment promises.
+type Limits struct {
+	// MoveTime is how long a move takes.
+	MoveTime time.Duration
+	// HolderTTL is how long the platform remembers who ordered an instance.
+	HolderTTL time.Duration
+}
+
 // fit is a kind of instance in a pool.
 type fit struct{ kind, pool string }
 
 // NewState returns the state of a duty that knows nothing.
-func NewState() *State {
-	return &State{pools: map[string]*PoolView{}, instances: map[string]Instance{}, ops: map[string]*Operation{},
+func NewState(limits Limits) *State {
+	return &State{limits: limits, pools: map[string]*PoolView{}, instances: map[string]Instance{}, ops: map[string]*Operation{},
 		waves: map[int]*Wave{}, demand: map[string]*demand{}, dirtyOps: map[string]bool{}, dirtyWaves: map[int]bool{},
-		moved: map[string]time.Duration{}, unfit: map[fit]bool{}}
+		surplus: map[string]float64{}, reserved: map[string]bool{}, unfit: map[fit]bool{}, quiet: map[string]time.Duration{}}
 }
 
 // Keys of the duty's records.
@@ -159,7 +182,7 @@
 		case r.Key[:1] == keyOperation:
 			op := &Operation{since: now}
 			if err = cbor.Unmarshal(r.Value, op); err == nil {
-				s.ops[op.Instance] = op
+				s.restoreOperation(op, now)
 			}
 		case r.Key[:1] == keyWave:
 			w := &Wave{done: map[string]bool{}}
@@ -177,6 +200,22 @@
 	return nil
 }
 
+// restoreOperation goes on with what a predecessor began. It recorded each
+// operation before it gave an order, so that of all instances only these can
+// still get one from it: they are left alone until it has surely fallen silent
+// and the platform no longer counts its order as recent.
+func (s *State) restoreOperation(op *Operation, now time.Duration) {
+	s.quiet[op.Instance] = now + s.limits.HolderTTL + orderSilence
+	if op.Phase == PhaseOver {
+		op.over = now
+	}
+	s.ops[op.Instance] = op
+}
+
+// orderSilence outlasts an order that a displaced holder sends with its last
+// proof of the epoch, and the time that the call may take.
+const orderSilence = proofMax + time.Second
+
 // OperationsOf reads the endpoints of a pool that operations are about to
 // clear, from the records of the duty's journal.
 func OperationsOf(records []Record, pool string) []string {
@@ -186,7 +225,7 @@
 		if r.Key == "" || r.Key[:1] != keyOperation || cbor.Unmarshal(r.Value, &op) != nil {
 			continue
 		}
-		if op.From == pool && op.Endpoint != "" {
+		if op.From == pool && op.Endpoint != "" && op.Phase != PhaseOver {
 			endpoints = append(endpoints, op.Endpoint)
 		}
 	}
@@ -267,7 +306,32 @@
 	s.dirtyOps[op.Instance] = true
 }
 
-func (s *State) finish(name string) {
-	delete(s.ops, name)
-	s.dirtyOps[name] = true
+// finish ends an operation. Where the platform was told of it the record stays
+// for a while.
+func (s *State) finish(now time.Duration, op *Operation) {
+	s.dirtyOps[op.Instance] = true
+	if op.Phase == PhaseClearing {
+		delete(s.ops, op.Instance)
+		return
+	}
+	op.Phase, op.over = PhaseOver, now
+}
+
+// expire drops ended operations that the platform no longer remembers.
+func (s *State) expire(now time.Duration) {
+	for name, op := range s.ops {
+		if op.Phase == PhaseOver && now-op.over > s.limits.HolderTTL {
+			delete(s.ops, name)
+			s.dirtyOps[name] = true
+		}
+	}
+}
+
+// active returns the operation under way on an instance, or nil.
+func (s *State) active(instance string) *Operation {
+	op := s.ops[instance]
+	if op == nil || op.Phase == PhaseOver {
+		return nil
+	}
+	return op
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -40,6 +40,7 @@
 	LeaseTTL    time.Duration
 	Pace        time.Duration
 	Harm        time.Duration
+	Move        time.Duration
 }
 
 // NodeTable lists the settings of cyclamen-node.
@@ -65,6 +66,7 @@
 		{Section: sectionBounds, Name: "lease_ttl", Kind: KindDuration, Default: "3s", Unit: "ms", Min: 0, Max: 600 * second, Doc: "How long the platform remembers who ordered an instance last."},
 		{Section: sectionBounds, Name: "pace", Kind: KindDuration, Default: "100ms", Unit: "ms", Min: 0, Max: 600 * second, Doc: "Time until a changed pace takes effect."},
 		{Section: sectionBounds, Name: "harm", Kind: KindDuration, Default: "4s", Unit: "ms", Min: 0, Max: 600 * second, Doc: "How long a serving task may be over its target because of tasks beside it."},
+		{Section: sectionBounds, Name: "move", Kind: KindDuration, Default: "1500ms", Unit: "ms, s", Min: 0, Max: 600 * second, Doc: "How long an instance takes to move to another pool."},
 		{Section: sectionLimits, Name: "memory", Kind: KindBytes, Default: "256MiB", Unit: "MiB", Min: 16 << 20, Max: maxMemory, Doc: "Memory above which the process is killed."},
 		{Section: sectionLimits, Name: "processor", Kind: KindString, Default: "1", Unit: "cores", Doc: "This instance's share of a core."},
 	}}
@@ -88,7 +90,7 @@
 			Grace: v.Duration(sectionBounds, "grace"), StopTimeout: v.Duration(sectionBounds, "stop_timeout"),
 			KeepEnded: v.Duration(sectionBounds, "keep_ended"), Notice: v.Duration(sectionBounds, "notice"),
 			LeaseTTL: v.Duration(sectionBounds, "lease_ttl"), Pace: v.Duration(sectionBounds, "pace"),
-			Harm: v.Duration(sectionBounds, "harm"),
+			Harm: v.Duration(sectionBounds, "harm"), Move: v.Duration(sectionBounds, "move"),
 		},
 	}
 	if a := v.Addr(sectionStore, "instances"); a.IsValid() {
