--- a/internal/fleetops/decide.go
+++ b/internal/fleetops/decide.go
@@ -256,8 +256,8 @@
 	if op.accepted > 0 && s.listedAt < op.accepted+orderRepeat {
 		return
 	}
-	if op.Phase != PhaseOrdered {
-		op.Phase = PhaseOrdered
+	if op.Phase != PhaseOrdered || op.Holder != s.limits.Holder {
+		op.Phase, op.Holder = PhaseOrdered, s.limits.Holder
 		s.dirtyOps[op.Instance] = true
 	}
 	op.ordering, op.orderedAt = true, now
--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -30,6 +30,10 @@
 	// that it has ended costs little to learn late.
 	riseWindow = 300 * time.Millisecond
 	fallWindow = 1200 * time.Millisecond
+	// riseLead and riseMost are how far a rise is drawn out, and the most that
+	// is believed of it: jobs come in clumps.
+	riseLead = 1.0
+	riseMost = 1.8
 	// viewEvery is how long a pool's owner takes to have a new instance in use
 	// and to be asked about it.
 	viewEvery = 250 * time.Millisecond
@@ -48,8 +52,9 @@
 type demand struct {
 	at      time.Duration
 	offered float64
-	// rate is the work offered, in milli-cores.
-	rate float64
+	// rate is the work offered, in milli-cores: fast to rise, slow to fall.
+	// slow follows it evenly.
+	rate, slow float64
 	// tooMany is since when the pool has had more than it needs.
 	tooMany time.Duration
 }
@@ -71,6 +76,7 @@
 	}
 	weight := 1 - math.Exp(-float64(elapsed)/float64(window))
 	d.rate += weight * (rate - d.rate)
+	d.slow += (1 - math.Exp(-float64(elapsed)/float64(fallWindow))) * (rate - d.slow)
 	d.at, d.offered = now, sum.OfferedCoreMs
 }
 
@@ -166,7 +172,7 @@
 func (s *State) need(pool string, sum executor.Summary, unit float64) float64 {
 	rate := 0.0
 	if d := s.demand[pool]; d != nil {
-		rate = d.rate
+		rate = d.expected()
 	}
 	work := max(rate, float64(sum.RunningCPUMilli-sum.LastingCPUMilli))
 	drain := sum.ReadyCoreMs * 1000 / float64(drainWithin.Milliseconds())
@@ -174,6 +180,13 @@
 	return max(least, float64(sum.LastingCPUMilli)+headroom*(work+drain))
 }
 
+// expected is the work offered by the time that an instance called now has
+// arrived. A turn of demand takes a second or two to rise; the lead of the fast
+// mean over the slow one says how fast.
+func (d *demand) expected() float64 {
+	return min(d.rate+riseLead*max(0, d.rate-d.slow), riseMost*d.rate)
+}
+
 // incoming is the room of instances that are on their way to a pool. One that
 // has had the time to arrive counts among the pool's own, if it did.
 func (s *State) incoming(now time.Duration, pool string) float64 {
--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -56,6 +56,8 @@
 	// Endpoint is the incarnation that the operation ends.
 	Endpoint string `cbor:"6,keyasint,omitempty"`
 	Phase    Phase  `cbor:"7,keyasint,omitempty"`
+	// Holder gave the order, if any was given.
+	Holder string `cbor:"8,keyasint,omitempty"`
 
 	since time.Duration
 	// accepted is when the platform confirmed the order.
@@ -134,6 +136,8 @@
 
 // Limits are times that the deployment promises.
 type Limits struct {
+	// Holder is this node, as the platform knows it.
+	Holder string
 	// MoveTime is how long a move takes.
 	MoveTime time.Duration
 	// HolderTTL is how long the platform remembers who ordered an instance.
@@ -200,12 +204,15 @@
 	return nil
 }
 
-// restoreOperation goes on with what a predecessor began. It recorded each
-// operation before it gave an order, so that of all instances only these can
+// restoreOperation goes on with what a predecessor began. It recorded each order
+// before it gave it, so that of all instances only those with such a record can
 // still get one from it: they are left alone until it has surely fallen silent
-// and the platform no longer counts its order as recent.
+// and the platform no longer counts its order as recent. What this node ordered
+// itself, in an earlier tenure, needs no such care.
 func (s *State) restoreOperation(op *Operation, now time.Duration) {
-	s.quiet[op.Instance] = now + s.limits.HolderTTL + orderSilence
+	if op.Phase != PhaseClearing && op.Holder != s.limits.Holder {
+		s.quiet[op.Instance] = now + s.limits.HolderTTL + orderSilence
+	}
 	if op.Phase == PhaseOver {
 		op.over = now
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -159,7 +159,7 @@
 		Limits: executor.Limits{Lease: lease, ProofAge: proofAge, KeepEnded: n.set.Bounds.KeepEnded, StopTimeout: n.set.Bounds.StopTimeout},
 		Fleet: func(ctx context.Context) {
 			fleetops.Run(ctx, fleetops.Options{Holder: n.set.Node, Journal: n.client, Cloud: n.client, Pools: calls, Facts: n.facts, Logger: n.log,
-				Limits: fleetops.Limits{MoveTime: n.set.Bounds.Move, HolderTTL: n.set.Bounds.LeaseTTL}})
+				Limits: fleetops.Limits{Holder: n.set.Node, MoveTime: n.set.Bounds.Move, HolderTTL: n.set.Bounds.LeaseTTL}})
 		},
 		OnPeers: func(peers map[string]string) {
 			if err := n.peers.SetPeers(peers); err != nil {
