Endpoints that the platform has ended are given up at once; no stop beside a predecessor's

Its owner is now told that the incarnation has ended. Tasks that wait for over 2 s now say in the log what for.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -99,6 +99,8 @@
 	events  []Event
 
 	claimedAt time.Duration
+	// explained is when the log last said what tasks wait for.
+	explained time.Duration
 	wallMs    int64
 	fenced    bool
 }
@@ -368,6 +370,7 @@
 	EventRestored EventKind = "jobs restored"
 	EventVacating EventKind = "endpoint vacating"
 	EventPaced    EventKind = "task paced"
+	EventWaits    EventKind = "task waits"
 )
 
 func (c *Core) event(e Event) { c.events = append(c.events, e) }
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -118,4 +118,59 @@
 		Expect(silent.running).To(BeEmpty())
 		Expect(w.broken).To(BeEmpty())
 	})
+
+	// Users of a lasting task see two of its copies away at once, where one may
+	// be. The old owner has ordered one to stop and died; the endpoint lists the
+	// run as working until the stop is through, and the new owner stops another.
+	It("stops no lasting task while its predecessor's stop may be under way", func() {
+		w := newWorld(1, 4)
+		o := w.takeOver()
+		w.run(100 * time.Millisecond)
+		serve := small(3)
+		serve.LongRunning, serve.MayMiss, serve.MaxPerEndpoint = true, 1, 1
+		for _, h := range w.hosts {
+			h.took, h.percent = time.Hour, 100
+		}
+		w.submit(o, jobOf(1, serve))
+		w.run(2 * time.Second)
+		o.stopped = true
+		next := w.takeOver()
+		w.run(200 * time.Millisecond)
+		for id, h := range w.hosts {
+			if len(h.running) > 0 {
+				next.core.Vacate(w.now, id, false)
+			}
+		}
+		w.run(50 * time.Millisecond)
+		for _, h := range w.hosts {
+			for _, r := range h.running {
+				Expect(r.outcome).NotTo(Equal(executor.EndedStopped))
+			}
+		}
+	})
+})
+
+var _ = Describe("an endpoint whose instance was moved", func() {
+	// Callers' tasks wait for a lease to run out on an endpoint that is no more:
+	// the platform has ended it, service discovery lists it for seconds, and
+	// the promise to place nothing there has expired.
+	It("is given up as soon as the platform has ended it", func() {
+		w := newWorld(1, 1)
+		o := w.takeOver()
+		w.run(100 * time.Millisecond)
+		j := jobOf(1, small(1))
+		w.submit(o, j)
+		w.run(50 * time.Millisecond)
+		w.hosts["i-00"].silent = true
+		for name := range w.hosts["i-00"].running {
+			w.history(name).running--
+		}
+		clear(w.hosts["i-00"].running)
+		w.addHost("i-01")
+		w.run(100 * time.Millisecond)
+		o.core.Gone(w.now, "i-00")
+		w.run(time.Second)
+		Expect(w.state(o, j)).To(Equal("completed"))
+		Expect(w.broken).To(BeEmpty())
+	})
 })
--- /dev/null
+++ b/internal/executor/explain.go
@@ -0,0 +1,124 @@
+package executor
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+const (
+	// waitsLong is how long a task may wait, though its turn has come, before
+	// the log says why; waitsEvery spaces those lines.
+	waitsLong  = 2 * time.Second
+	waitsEvery = 2 * time.Second
+	// waitsShown bounds the tasks that one round explains.
+	waitsShown = 3
+)
+
+// explainWaiting says of a few tasks that wait for long what they wait for.
+func (c *Core) explainWaiting(now time.Duration) {
+	if now-c.explained < waitsEvery {
+		return
+	}
+	c.explained = now
+	shown := 0
+	for _, j := range c.open {
+		if j.rec.State.Ended() || now-j.since < waitsLong {
+			continue
+		}
+		for _, t := range j.waitingTasks() {
+			if shown == waitsShown {
+				return
+			}
+			shown++
+			c.event(Event{Kind: EventWaits, Job: j.rec.Job.ID, Task: t.name(), Run: t.run,
+				Reason: c.WhyWaiting(now, t), AgeMs: (now - j.since).Milliseconds()})
+		}
+	}
+}
+
+// waitingTasks returns one task of each step whose turn has come.
+func (j *job) waitingTasks() []*task {
+	var out []*task
+	for _, o := range j.current {
+		for _, s := range o.steps {
+			if s.waitsFor > 0 || o.left == 0 {
+				continue
+			}
+			for _, t := range s.tasks {
+				if t.phase == taskWaiting {
+					out = append(out, t)
+					break
+				}
+			}
+		}
+	}
+	return out
+}
+
+// WhyWaiting counts the pool's endpoints by what keeps a task from them.
+func (c *Core) WhyWaiting(now time.Duration, t *task) string {
+	counts := map[string]int{}
+	for _, e := range c.endpoints {
+		counts[c.obstacle(now, t, e)]++
+	}
+	var parts []string
+	for _, name := range obstacles {
+		if counts[name] > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", counts[name], name))
+		}
+	}
+	if now < t.notBefore {
+		parts = append(parts, "backs off")
+	}
+	return strings.Join(parts, ", ")
+}
+
+// Obstacles, in the order in which they are told.
+const (
+	obstacleNone      = "open"
+	obstacleRoom      = "full"
+	obstacleLabel     = "unlike"
+	obstacleSpread    = "with too many of its step"
+	obstacleSharing   = "with tasks it must not share with"
+	obstacleUnlisted  = "not listed"
+	obstacleDraining  = "draining"
+	obstacleVacating  = "vacating"
+	obstacleUnknown   = "not heard from yet"
+	obstacleSilent    = "silent"
+	obstacleStrangers = "with unknown runs"
+	obstacleQuiet     = "quarantined"
+)
+
+var obstacles = []string{obstacleNone, obstacleRoom, obstacleLabel, obstacleSpread, obstacleSharing, obstacleUnlisted,
+	obstacleDraining, obstacleVacating, obstacleUnknown, obstacleSilent, obstacleStrangers, obstacleQuiet}
+
+// obstacle returns what keeps a task from an endpoint.
+func (c *Core) obstacle(now time.Duration, t *task, e *endpoint) string {
+	s := t.step.spec
+	switch {
+	case !e.listed:
+		return obstacleUnlisted
+	case e.draining:
+		return obstacleDraining
+	case e.vacating:
+		return obstacleVacating
+	case !e.lookedEver:
+		return obstacleUnknown
+	case e.failedLook > 0:
+		return obstacleSilent
+	case e.strangers > 0:
+		return obstacleStrangers
+	case now < e.quarantine:
+		return obstacleQuiet
+	case !e.free().holds(needs(s)):
+		return obstacleRoom
+	case s.Requires != "" && s.Requires != e.kind && s.Requires != e.rack:
+		return obstacleLabel
+	case s.MaxPerEndpoint > 0 && t.step.perHost[e] >= s.MaxPerEndpoint:
+		return obstacleSpread
+	case sharesBadly(s, e):
+		return obstacleSharing
+	}
+	return obstacleNone
+}
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -63,6 +63,9 @@
 // Gone takes in that an incarnation has ended, and everything on it with it.
 func (c *Core) Gone(now time.Duration, id string) {
 	e := c.endpoints[id]
+	if c.gone[id] {
+		return
+	}
 	c.gone[id] = true
 	if e == nil {
 		return
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -57,6 +57,7 @@
 	c.beginDue()
 	c.forgetEnded()
 	c.forgetRefused(now)
+	c.explainWaiting(now)
 	hosts := c.openHosts(now)
 	if len(hosts) == 0 {
 		return
@@ -123,7 +124,7 @@
 		if t.phase != taskWaiting || now < t.notBefore {
 			continue
 		}
-		e := c.choose(t, hosts)
+		e := c.choose(now, t, hosts)
 		if e == nil {
 			return
 		}
@@ -179,7 +180,7 @@
 		}
 	}
 	for _, t := range s.tasks {
-		e := c.choose(t, hosts)
+		e := c.choose(now, t, hosts)
 		if e == nil {
 			undo()
 			return false
@@ -221,11 +222,11 @@
 }
 
 // choose returns the best endpoint for a task, or nil.
-func (c *Core) choose(t *task, hosts []*endpoint) *endpoint {
+func (c *Core) choose(now time.Duration, t *task, hosts []*endpoint) *endpoint {
 	var best *endpoint
 	bestScore := 0.0
 	for _, e := range hosts {
-		if !c.fits(t, e) {
+		if !c.fits(now, t, e) {
 			continue
 		}
 		score := c.score(t, e)
@@ -236,18 +237,8 @@
 	return best
 }
 
-func (c *Core) fits(t *task, e *endpoint) bool {
-	s := t.step.spec
-	if !e.free().holds(needs(s)) {
-		return false
-	}
-	if s.Requires != "" && s.Requires != e.kind && s.Requires != e.rack {
-		return false
-	}
-	if s.MaxPerEndpoint > 0 && t.step.perHost[e] >= s.MaxPerEndpoint {
-		return false
-	}
-	return !sharesBadly(s, e)
+func (c *Core) fits(now time.Duration, t *task, e *endpoint) bool {
+	return c.obstacle(now, t, e) == obstacleNone
 }
 
 // sharesBadly keeps tasks that fill away from tasks that serve. Load: what
--- a/internal/executor/vacate.go
+++ b/internal/executor/vacate.go
@@ -7,7 +7,7 @@
 )
 
 // vacateFor is how long a request to vacate holds unless it is repeated.
-const vacateFor = 3 * time.Second
+const vacateFor = 4 * time.Second
 
 // vacate stops placing on an endpoint and moves what lasts on it elsewhere.
 func (c *Core) vacate(now time.Duration, e *endpoint) {
@@ -39,9 +39,19 @@
 	return len(e.tasks) + e.strangers, e.lookedEver
 }
 
+// unknownStops covers a stop that a predecessor sent just before it was fenced.
+const unknownStops = time.Second
+
 // stopLasting stops tasks that last, as many at a time as their steps may
 // miss. A step without a budget is stopped at once.
+//
+// A predecessor may have ordered stops that this owner does not know of, and
+// endpoints list a run as working until its stop is through. Until those stops
+// must have ended, one more could be one too many.
 func (c *Core) stopLasting(now time.Duration, e *endpoint) {
+	if c.epoch > 1 && now < c.claimedAt+c.limits.StopTimeout+unknownStops {
+		return
+	}
 	for t := range e.tasks {
 		s := t.step
 		if !s.spec.LongRunning || t.stopping {
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -27,8 +27,7 @@
 	// broken lists what an observer of the endpoints saw go wrong.
 	broken []string
 	// runs is what has run of each task, by name.
-	runs map[string]*history
-	// mayRun are the jobs that somebody handed in and nobody cancelled.
+	runs   map[string]*history
 	limits executor.Limits
 }
 
@@ -74,6 +73,8 @@
 	failsAll bool
 	hangs    bool
 	took     time.Duration
+	// percent is listed of all runs, where it is set.
+	percent int
 }
 
 type owner struct {
@@ -328,6 +329,9 @@
 		if !h.hangs {
 			percent = int(w.now/step) % 100
 		}
+		if h.percent > 0 {
+			percent = h.percent
+		}
 		listed.Running = append(listed.Running, executor.ListedRun{Task: r.task, Run: r.number, Percent: percent})
 	}
 	o.core.LookDone(w.now, l.Endpoint, executor.LookAnswered, listed)
--- a/internal/fleetops/decide.go
+++ b/internal/fleetops/decide.go
@@ -29,6 +29,9 @@
 type Clear struct {
 	Instance, Pool, Endpoint string
 	Hurry                    bool
+	// Ended says that the platform has ended the incarnation. Service discovery
+	// lists it for some seconds more.
+	Ended bool
 }
 
 // Actions are what a round has decided.
@@ -245,9 +248,11 @@
 	if !listed || now < s.quiet[op.Instance] {
 		return
 	}
-	empty := op.Endpoint == "" || i.Pool == s.spare
-	if op.accepted == 0 && !empty {
-		a.Clears = append(a.Clears, Clear{Instance: op.Instance, Pool: op.From, Endpoint: op.Endpoint, Hurry: s.hurry(now, wallMs, op)})
+	// An instance that is up without an endpoint may get one at any moment.
+	empty := i.Pool == s.spare
+	if op.Endpoint != "" && !empty {
+		a.Clears = append(a.Clears, Clear{Instance: op.Instance, Pool: op.From, Endpoint: op.Endpoint,
+			Hurry: s.hurry(now, wallMs, op), Ended: s.ended(op, i)})
 	}
 	clear := empty || op.cleared && now-op.clearAt < clearFresh
 	if !clear || op.ordering || op.orderedAt > 0 && now-op.orderedAt < orderRepeat || op.accepted > 0 && !i.Up {
@@ -264,6 +269,13 @@
 	a.Orders = append(a.Orders, Order{*op})
 }
 
+// ended reports whether the platform has ended the incarnation that an operation
+// is about: it has accepted the order, and its list has shown the effect since.
+// An order that only repeats one that was done ends nothing.
+func (s *State) ended(op *Operation, i Instance) bool {
+	return op.accepted > 0 && s.listedAt > op.accepted && (!i.Up || i.Endpoint != op.Endpoint)
+}
+
 // hurry reports whether an instance can wait no longer for its tasks to end.
 func (s *State) hurry(now time.Duration, wallMs int64, op *Operation) bool {
 	w := s.waves[op.Wave]
--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -48,6 +48,8 @@
 type VacateItem struct {
 	Endpoint string `cbor:"1,keyasint"`
 	Hurry    bool   `cbor:"2,keyasint,omitempty"`
+	// Ended says that the incarnation is known to have ended.
+	Ended bool `cbor:"3,keyasint,omitempty"`
 }
 
 // VacateCall asks a pool's owner to clear endpoints, and how the pool is.
@@ -110,6 +112,10 @@
 	}
 	out.Owned = r.do(ctx, func(now time.Duration, core *executor.Core) {
 		for _, item := range in.Items {
+			if item.Ended {
+				core.Gone(now, item.Endpoint)
+				continue
+			}
 			if left, known := core.Vacate(now, item.Endpoint, item.Hurry); known {
 				out.Left[item.Endpoint] = left
 			}
@@ -216,7 +222,7 @@
 func (c *Calls) Clear(ctx context.Context, pool string, clears []fleetops.Clear, reachMilli int) (map[string]int, executor.Summary, bool) {
 	in := VacateCall{Pool: pool, ReachMilli: reachMilli}
 	for _, item := range clears {
-		in.Items = append(in.Items, VacateItem{Endpoint: item.Endpoint, Hurry: item.Hurry})
+		in.Items = append(in.Items, VacateItem{Endpoint: item.Endpoint, Hurry: item.Hurry, Ended: item.Ended})
 	}
 	out := c.Vacate(ctx, in)
 	return out.Left, out.Summary, out.Owned
