Duties are spread by weighted rendezvous over the group's members; a holder says when it has given its last order

Now a member that comes or goes moves little beside its own duties, and a release record shortens the wait for instances ordered last.

--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -90,11 +90,24 @@
 			msg(planlease.Boottime())
 		case <-tick.C:
 			if err := r.round(ctx); err != nil {
-				opts.Logger.Warn("fleet duty given up", "epoch", r.tenure.Epoch, "error", err.Error())
+				opts.Logger.Warn("fleet duty lost", "epoch", r.tenure.Epoch, "error", err.Error())
 				return
 			}
 		}
 	}
+	r.release()
+}
+
+// releaseTimeout bounds what a stopping process spends on its last record.
+const releaseTimeout = 400 * time.Millisecond
+
+// release tells a successor that no more orders follow.
+func (r *Runner) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	last := r.state.Release(planlease.Boottime())
+	err := r.tenure.Append(ctx, []platform.Record{{Key: last.Key, Value: last.Value}})
+	r.opts.Logger.Info("fleet duty given up", "epoch", r.tenure.Epoch, "error", errorText(err))
 }
 
 func (r *Runner) claim(ctx context.Context) bool {
--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -127,6 +127,8 @@
 
 	dirtyOps   map[string]bool
 	dirtyWaves map[int]bool
+	// released reports that a predecessor's release is still on record.
+	released bool
 	// quiet is until when an instance that a predecessor may have ordered about
 	// is left alone.
 	quiet map[string]time.Duration
@@ -158,6 +160,7 @@
 const (
 	keyOperation = "o"
 	keyWave      = "w"
+	keyRelease   = "r"
 )
 
 // Record is a record of the duty's journal; an empty value removes the key.
@@ -166,6 +169,23 @@
 	Value []byte
 }
 
+// release is written by a holder that gives the duty up in order: it gives no
+// more orders, and these are the ages in ms of its last ones.
+type release struct {
+	AgesMs map[string]int64 `cbor:"1,keyasint"`
+}
+
+// Release returns the record with which a holder gives the duty up.
+func (s *State) Release(now time.Duration) Record {
+	r := release{AgesMs: map[string]int64{}}
+	for name, op := range s.ops {
+		if op.orderedAt > 0 {
+			r.AgesMs[name] = (now - op.orderedAt).Milliseconds()
+		}
+	}
+	return Record{Key: keyRelease, Value: encode(r)}
+}
+
 // MalformedRecordError says that a record can't be read.
 type MalformedRecordError struct {
 	Key   string
@@ -179,10 +199,15 @@
 
 // Restore takes in the records of the duty's journal.
 func (s *State) Restore(records []Record, now time.Duration) error {
+	var released *release
 	for _, r := range records {
 		var err error
 		switch {
 		case r.Key == "":
+		case r.Key == keyRelease:
+			released = &release{}
+			err = cbor.Unmarshal(r.Value, released)
+			s.released = true
 		case r.Key[:1] == keyOperation:
 			op := &Operation{since: now}
 			if err = cbor.Unmarshal(r.Value, op); err == nil {
@@ -201,9 +226,27 @@
 			return &MalformedRecordError{Key: r.Key, Cause: err}
 		}
 	}
+	if released != nil {
+		s.shortenQuiet(released, now)
+	}
 	return nil
 }
 
+// shortenQuiet applies what a predecessor said when it gave the duty up.
+func (s *State) shortenQuiet(r *release, now time.Duration) {
+	for name := range s.quiet {
+		age, ordered := r.AgesMs[name]
+		left := s.limits.HolderTTL - time.Duration(age)*time.Millisecond
+		if !ordered {
+			continue // by an earlier holder still
+		}
+		s.quiet[name] = now + max(0, left) + releaseMargin
+	}
+}
+
+// releaseMargin covers an order that was on its way as the duty was given up.
+const releaseMargin = 150 * time.Millisecond
+
 // restoreOperation goes on with what a predecessor began. It recorded each order
 // before it gave it, so that of all instances only those with such a record can
 // still get one from it: they are left alone until it has surely fallen silent
@@ -267,6 +310,10 @@
 		slices.Sort(w.Done)
 		out = append(out, Record{Key: keyWave + strconv.Itoa(n), Value: encode(w)})
 	}
+	if len(out) > 0 && s.released {
+		s.released = false
+		out = append(out, Record{Key: keyRelease})
+	}
 	clear(s.dirtyOps)
 	clear(s.dirtyWaves)
 	slices.SortFunc(out, func(a, b Record) int { return slices.Compare([]byte(a.Key), []byte(b.Key)) })
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -154,8 +154,8 @@
 	}
 	addr := n.set.PeerListen.String()
 	n.manager = shards.NewManager(shards.Options{
-		Node: n.set.Node, Addr: addr, Member: shards.MemberName(n.set.Node, addr, boot),
-		Membership: n.client, Journal: n.client, Endpoints: n.client, Parts: n.set.Partitions, Logger: n.log,
+		Node: n.set.Node, Addr: addr, Member: shards.MemberName(n.set.Node, addr, boot, n.set.Processor),
+		Membership: n.client, Journal: n.client, Endpoints: n.client, Logger: n.log,
 		Limits: executor.Limits{Lease: lease, ProofAge: proofAge, KeepEnded: n.set.Bounds.KeepEnded, StopTimeout: n.set.Bounds.StopTimeout},
 		Fleet: func(ctx context.Context) {
 			fleetops.Run(ctx, fleetops.Options{Holder: n.set.Node, Journal: n.client, Cloud: n.client, Pools: calls, Facts: n.facts, Logger: n.log,
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -5,6 +5,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,6 +40,25 @@
 	return ranked
 }
 
+// Weighted returns the members by falling score for key, where a member's
+// chance of being first is its share of all weights.
+func Weighted(key []byte, weights map[string]float64) []string {
+	keySum := xxhash.Sum64(key)
+	scores := make(map[string]float64, len(weights))
+	for m, w := range weights {
+		uniform := (float64(weight(keySum, m)>>11) + 0.5) / (1 << 53)
+		scores[m] = -w / math.Log(uniform)
+	}
+	ranked := slices.Collect(maps.Keys(weights))
+	slices.SortFunc(ranked, func(a, b string) int {
+		if c := cmp.Compare(scores[b], scores[a]); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	return ranked
+}
+
 // weight mixes the two hashes with the finalizer of a 64-bit hash, so that
 // members whose own hashes are close don't share their fate on every key.
 func weight(keySum uint64, member string) uint64 {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -22,13 +22,11 @@
 	Store, Instances, Advice string
 	// Orders is how endpoints get their orders.
 	Orders string
-	// Partitions is how many the store gives a topic.
-	Partitions int
-	Bounds     NodeBounds
+	Bounds NodeBounds
 	// Memory is the soft limit in bytes.
 	Memory int64
 	// Processor is this instance's share of a core.
-	Processor string
+	Processor float64
 }
 
 // NodeBounds are times that the deployment promises.
@@ -57,7 +55,6 @@
 		{Section: sectionStore, Name: "address", Kind: KindHostPort, Required: true, Doc: "Address of the platform's store."},
 		{Section: sectionStore, Name: "instances", Kind: KindHostPort, Optional: true, Doc: "Address of the platform's instance list."},
 		{Section: sectionStore, Name: "advice", Kind: KindHostPort, Optional: true, Doc: "Address of the advice service, where queues have one."},
-		{Section: sectionStore, Name: "partitions", Kind: KindInt, Default: "24", Min: 1, Max: 4096, Doc: "Partitions that the store gives a topic."},
 		{Section: sectionStore, Name: "orders", Kind: KindName, Default: "rpc", Doc: "How endpoints get their orders; only rpc is supported."},
 		{Section: sectionBounds, Name: "grace", Kind: KindDuration, Default: "6s", Unit: "s", Min: second, Max: 600 * second, Doc: "Time between the signal to stop and the kill."},
 		{Section: sectionBounds, Name: "stop_timeout", Kind: KindDuration, Default: "900ms", Unit: "ms", Min: 1, Max: 600 * second, Doc: "Longest time that an endpoint takes to stop a task."},
@@ -68,7 +65,7 @@
 		{Section: sectionBounds, Name: "harm", Kind: KindDuration, Default: "4s", Unit: "ms", Min: 0, Max: 600 * second, Doc: "How long a serving task may be over its target because of tasks beside it."},
 		{Section: sectionBounds, Name: "move", Kind: KindDuration, Default: "1500ms", Unit: "ms, s", Min: 0, Max: 600 * second, Doc: "How long an instance takes to move to another pool."},
 		{Section: sectionLimits, Name: "memory", Kind: KindBytes, Default: "256MiB", Unit: "MiB", Min: 16 << 20, Max: maxMemory, Doc: "Memory above which the process is killed."},
-		{Section: sectionLimits, Name: "processor", Kind: KindString, Default: "1", Unit: "cores", Doc: "This instance's share of a core."},
+		{Section: sectionLimits, Name: "processor", Kind: KindRatio, Default: "1", Unit: "cores", Doc: "This instance's share of a core."},
 	}}
 }
 
@@ -84,8 +81,8 @@
 		Front:      v.Addr(sectionCallers, "listen"), Ready: v.Addr(sectionCallers, "ready"),
 		PeerListen: v.Addr(sectionPeer, "listen"), Operator: v.Addr(sectionOperator, "listen"),
 		Store:  v.Addr(sectionStore, "address").String(),
-		Orders: v.String(sectionStore, "orders"), Partitions: v.Int(sectionStore, "partitions"),
-		Memory: v.Bytes(sectionLimits, "memory"), Processor: v.String(sectionLimits, "processor"),
+		Orders: v.String(sectionStore, "orders"),
+		Memory: v.Bytes(sectionLimits, "memory"), Processor: v.Ratio(sectionLimits, "processor"),
 		Bounds: NodeBounds{
 			Grace: v.Duration(sectionBounds, "grace"), StopTimeout: v.Duration(sectionBounds, "stop_timeout"),
 			KeepEnded: v.Duration(sectionBounds, "keep_ended"), Notice: v.Duration(sectionBounds, "notice"),
--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -140,7 +140,7 @@
 	result := notOwner
 	for try := range 2 {
 		if try > 0 {
-			c.Manager.refreshOwners(ctx, ownersMin)
+			c.Manager.refreshMembers(ctx, membersMin)
 		}
 		if c.Manager.local(pool) != nil {
 			result = here(ctx)
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -4,7 +4,9 @@
 	"context"
 	"log/slog"
 	"maps"
+	"math"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -12,14 +14,15 @@
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/fleetops"
 	"cyclamenwheel/internal/planlease"
+	"cyclamenwheel/internal/rendezvous"
 	"cyclamenwheel/internal/tenure"
 	"cyclamenwheel/platform"
 )
 
 const (
-	// group is the membership group of the processes that own pools. It deals
-	// out the partitions of groupTopic, which holds no records: each pool and
-	// the duty over instances has a partition of it.
+	// group is the membership group of the processes that own pools. What it
+	// deals out are the partitions of groupTopic, which holds no records: who
+	// has any of them is a member.
 	group      = "owners"
 	groupTopic = "owners"
 	// memberTTL is how long a silent member keeps what it holds; it decides
@@ -27,10 +30,11 @@
 	memberTTL = 1200 * time.Millisecond
 	// joinEvery leaves room for two lost joins within memberTTL.
 	joinEvery = 350 * time.Millisecond
-	// ownersEvery is how often the owners of all pools are read; a call that
-	// finds no owner reads them at once, at most each ownersMin.
-	ownersEvery = time.Second
-	ownersMin   = 120 * time.Millisecond
+	// membersEvery is how often the members are read while the group's
+	// generation stays; a call that finds no owner reads them at once, at most
+	// each membersMin.
+	membersEvery = 2 * time.Second
+	membersMin   = 120 * time.Millisecond
 	// claimRetry spaces attempts at a claim.
 	claimRetry = 150 * time.Millisecond
 	// memberSeparator stands between the parts of a member's name.
@@ -53,9 +57,7 @@
 	Journal            tenure.Journal
 	Endpoints          Endpoints
 	Limits             executor.Limits
-	// Parts is the number of partitions that the store gives a topic.
-	Parts  int
-	Logger *slog.Logger
+	Logger             *slog.Logger
 	// Fleet does the duty over instances until its context ends or it is
 	// displaced.
 	Fleet func(context.Context)
@@ -63,20 +65,28 @@
 	OnPeers func(map[string]string)
 }
 
-// MemberName is a process's name in the group.
-func MemberName(node, addr, boot string) string {
-	return strings.Join([]string{node, addr, boot}, memberSeparator)
+// MemberName is a process's name in the group; processor is its share of a
+// core.
+func MemberName(node, addr, boot string, processor float64) string {
+	return strings.Join([]string{node, addr, boot, strconv.FormatFloat(processor, 'g', -1, 64)}, memberSeparator)
 }
 
 // Owner is where a pool's owner is reached.
 type Owner struct{ Node, Addr string }
 
-func parseMember(name string) (Owner, bool) {
+// member is a process in the group.
+type member struct {
+	Owner
+	processor float64
+}
+
+func parseMember(name string) (member, bool) {
 	parts := strings.Split(name, memberSeparator)
-	if len(parts) != 3 {
-		return Owner{}, false
+	if len(parts) != 4 {
+		return member{}, false
 	}
-	return Owner{Node: parts[0], Addr: parts[1]}, true
+	processor, err := strconv.ParseFloat(parts[3], 64)
+	return member{Owner{Node: parts[0], Addr: parts[1]}, processor}, err == nil
 }
 
 // Manager keeps this process in the group and runs the pools that it is given.
@@ -88,8 +98,9 @@
 	endpoints map[string][]executor.EndpointInfo
 	guarded   map[string]bool
 	running   map[string]*held
+	// owners are who has each duty by the members last read, at membersAt.
 	owners    map[string]Owner
-	ownersAt  time.Duration
+	membersAt time.Duration
 	leaving   bool
 	wg        sync.WaitGroup
 }
@@ -113,8 +124,11 @@
 func (m *Manager) SetPools(guarded map[string]bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.pools = slices.Sorted(maps.Keys(guarded))
-	m.guarded = guarded
+	pools := slices.Sorted(maps.Keys(guarded))
+	if !slices.Equal(pools, m.pools) {
+		m.membersAt = 0 // spread the duties anew
+	}
+	m.pools, m.guarded = pools, guarded
 }
 
 // SetEndpoints passes service discovery on to the owners here, by pool.
@@ -152,18 +166,16 @@
 		if err == nil {
 			got, err = m.opts.Membership.Join(ctx, group, m.opts.Member, groupTopic, memberTTL, generation)
 		}
-		if err == nil {
-			if got.Generation != generation {
-				m.opts.Logger.Info("group changed", "generation", got.Generation, "parts", len(got.Parts))
-			}
-			generation = got.Generation
-			m.assign(ctx, got.Parts)
+		age := membersEvery
+		if err == nil && got.Generation != generation {
+			generation, age = got.Generation, 0
 		}
 		if failing != (err != nil) {
 			failing = err != nil
 			m.logMembership(err)
 		}
-		m.refreshOwners(ctx, ownersEvery)
+		m.refreshMembers(ctx, age)
+		m.assign(ctx)
 		sleep(ctx, joinEvery)
 	}
 	m.leave()
@@ -192,20 +204,39 @@
 // are never empty.
 const fleetDuty = ""
 
-// dutiesLocked returns which duties belong to each partition. Duties are spread
-// over the partitions evenly, so that members with neighbouring partitions
-// don't get all of them. Nodes that know different configurations may place a
-// duty differently for a moment; its epoch keeps that safe.
-func (m *Manager) dutiesLocked() map[int][]string {
-	names := append([]string{fleetDuty}, m.pools...)
-	out := map[int][]string{}
-	for i, name := range names {
-		part := i * m.opts.Parts / len(names)
-		out[part] = append(out[part], name)
+// spread returns who has which duty. Each goes to the member that ranks highest
+// for it and is not full yet, so that a member that comes or goes moves little
+// beside its own, and nobody gets more than its part. Nodes that know other
+// members or pools may place a duty differently for a moment; its epoch keeps
+// that safe.
+func spread(pools []string, members []member) map[string]Owner {
+	names := append([]string{fleetDuty}, pools...)
+	owners := map[string]Owner{}
+	if len(members) == 0 {
+		return owners
 	}
-	return out
+	weights, byNode := map[string]float64{}, map[string]member{}
+	for _, b := range members {
+		weights[b.Node], byNode[b.Node] = b.processor, b
+	}
+	most := int(math.Ceil(dutySlack * float64(len(names)) / float64(len(byNode))))
+	load := map[string]int{}
+	for _, name := range names {
+		for _, node := range rendezvous.Weighted([]byte("duty "+name), weights) {
+			if load[node] < most {
+				load[node]++
+				owners[name] = byNode[node].Owner
+				break
+			}
+		}
+	}
+	return owners
 }
 
+// dutySlack is how far above the mean a member's number of duties may be: with
+// none, one member that comes or goes moves the duties of many.
+const dutySlack = 1.5
+
 // leaveTimeout bounds what a stopping process spends on giving back.
 const leaveTimeout = time.Second
 
@@ -225,24 +256,18 @@
 	}
 }
 
-// assign begins and ends duties to match what the group gave.
-func (m *Manager) assign(ctx context.Context, parts map[int]bool) {
+// assign begins and ends duties to match what is this node's.
+func (m *Manager) assign(ctx context.Context) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	mine := map[string]bool{}
-	for part, names := range m.dutiesLocked() {
-		for _, name := range names {
-			mine[name] = parts[part] && len(m.pools) > 0
-		}
-	}
 	for name, h := range m.running {
-		if !mine[name] {
+		if m.owners[name].Node != m.opts.Node {
 			h.cancel()
 			delete(m.running, name)
 		}
 	}
-	for name, isMine := range mine {
-		if isMine && m.running[name] == nil && !m.leaving {
+	for name, owner := range m.owners {
+		if owner.Node == m.opts.Node && m.running[name] == nil && !m.leaving {
 			m.beginLocked(ctx, name)
 		}
 	}
@@ -342,40 +367,59 @@
 	return slices.Clone(m.pools)
 }
 
-// refreshOwners reads the owners where the last reading is older than age.
-func (m *Manager) refreshOwners(ctx context.Context, age time.Duration) {
+// refreshMembers reads the members where the last reading is older than age.
+func (m *Manager) refreshMembers(ctx context.Context, age time.Duration) {
 	now := planlease.Boottime()
 	m.mu.Lock()
-	due := m.ownersAt == 0 || now-m.ownersAt >= age
+	due := m.membersAt == 0 || now-m.membersAt >= age
 	if due {
-		m.ownersAt = now
+		m.membersAt = now
 	}
+	pools := m.pools
 	m.mu.Unlock()
 	if !due {
 		return
 	}
 	rows, err := m.opts.Membership.Owners(ctx, group)
 	if err != nil {
-		m.opts.Logger.Debug("owners not read", "error", err.Error())
+		m.opts.Logger.Debug("members not read", "error", err.Error())
 		return
 	}
+	members, peers := membersOf(rows)
+	owners := map[string]Owner{}
+	if len(pools) > 0 {
+		owners = spread(pools, members)
+	}
 	m.mu.Lock()
-	owners, peers := map[string]Owner{}, map[string]string{}
-	for part, names := range m.dutiesLocked() {
-		o, ok := parseMember(rows[part])
-		if !ok {
-			continue
-		}
-		peers[o.Node] = o.Addr
-		for _, name := range names {
-			owners[name] = o
-		}
+	if !maps.Equal(m.owners, owners) {
+		m.opts.Logger.Info("duties spread", "members", len(members), "mine", countOf(owners, m.opts.Node))
 	}
 	m.owners = owners
 	m.mu.Unlock()
 	m.opts.OnPeers(peers)
 }
 
+func membersOf(rows map[int]string) (members []member, peers map[string]string) {
+	peers = map[string]string{}
+	for _, name := range slices.Compact(slices.Sorted(maps.Values(rows))) {
+		if b, ok := parseMember(name); ok {
+			members = append(members, b)
+			peers[b.Node] = b.Addr
+		}
+	}
+	return members, peers
+}
+
+func countOf(owners map[string]Owner, node string) int {
+	n := 0
+	for _, o := range owners {
+		if o.Node == node {
+			n++
+		}
+	}
+	return n
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
