--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -103,6 +103,8 @@
 	explained time.Duration
 	wallMs    int64
 	fenced    bool
+	// adviceOut: a call for advice is under way.
+	adviceOut bool
 }
 
 // New returns the empty state of a pool under an epoch claimed at now.
@@ -170,6 +172,7 @@
 	failures int
 	// gangDone: one member has ended done, which stands for all of them.
 	gangDone bool
+	advice   advice
 	perHost  map[*endpoint]int
 }
 
@@ -371,6 +374,7 @@
 	EventVacating EventKind = "endpoint vacating"
 	EventPaced    EventKind = "task paced"
 	EventWaits    EventKind = "task waits"
+	EventAdvised  EventKind = "step advised"
 )
 
 func (c *Core) event(e Event) { c.events = append(c.events, e) }
--- a/internal/executor/explain.go
+++ b/internal/executor/explain.go
@@ -81,6 +81,7 @@
 	obstacleLabel     = "unlike"
 	obstacleSpread    = "with too many of its step"
 	obstacleSharing   = "with tasks it must not share with"
+	obstacleTicket    = "without a ticket"
 	obstacleUnlisted  = "not listed"
 	obstacleDraining  = "draining"
 	obstacleVacating  = "vacating"
@@ -90,7 +91,7 @@
 	obstacleQuiet     = "quarantined"
 )
 
-var obstacles = []string{obstacleNone, obstacleRoom, obstacleLabel, obstacleSpread, obstacleSharing, obstacleUnlisted,
+var obstacles = []string{obstacleNone, obstacleRoom, obstacleLabel, obstacleSpread, obstacleSharing, obstacleTicket, obstacleUnlisted,
 	obstacleDraining, obstacleVacating, obstacleUnknown, obstacleSilent, obstacleStrangers, obstacleQuiet}
 
 // obstacle returns what keeps a task from an endpoint.
@@ -119,6 +120,8 @@
 		return obstacleSpread
 	case sharesBadly(s, e):
 		return obstacleSharing
+	case !t.step.advised(now, e):
+		return obstacleTicket
 	}
 	return obstacleNone
 }
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -97,7 +97,10 @@
 		e.nextLook = now
 	case OrderLate:
 		t.answered = true
-	case OrderNoRoom, OrderUnhealthy, OrderNoTicket, OrderInvalid:
+	case OrderNoTicket:
+		delete(t.step.advice.tickets, e.id)
+		c.notStarted(now, t, e, result)
+	case OrderNoRoom, OrderUnhealthy, OrderInvalid:
 		c.notStarted(now, t, e, result)
 	}
 }
@@ -107,7 +110,9 @@
 // place until a stop has closed its number.
 func (c *Core) notStarted(now time.Duration, t *task, e *endpoint, result OrderResult) {
 	c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: "start refused: " + result.String()})
-	e.quarantine = max(e.quarantine, now+refusedPause)
+	if result != OrderNoTicket {
+		e.quarantine = max(e.quarantine, now+refusedPause)
+	}
 	t.stopping = true
 	c.breakGang(t.step)
 }
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -199,6 +199,7 @@
 func (c *Core) place(now time.Duration, t *task, e *endpoint, run int) {
 	c.occupy(t, e, now)
 	t.run = run
+	t.ticket, _ = t.step.ticketFor(now, e.id)
 	t.step.waiting--
 	t.step.job.started = true
 	t.movedAt = now
--- /dev/null
+++ b/internal/executor/property_test.go
@@ -0,0 +1,100 @@
+package executor_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/jobs"
+)
+
+// seeds of the random days; each that ever failed stays among them.
+const seeds = 300
+
+// A day of random trouble: orders and answers are lost, some orders come late,
+// owners are killed, cut off from the journal while they go on, or merely slow,
+// two and three of them at once; endpoints fall silent and come back, crash for
+// good, drain, fail all they start or stand still. Callers see each job end;
+// endpoints see no task twice, none after its end, and never too many at once.
+var _ = Describe("random days", func() {
+	for seed := uint64(1); seed <= seeds; seed++ {
+		It(fmt.Sprintf("keep the promises under seed %d", seed), func() { randomDay(seed) })
+	}
+})
+
+func randomDay(seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 99))
+	w := newWorld(seed, 4)
+	w.loseOrders, w.loseAnswers, w.lateOrders = 0.05*rng.Float64(), 0.05*rng.Float64(), 0.7
+	for _, h := range w.hosts {
+		h.skew = 0.98 + 0.02*rng.Float64()
+	}
+	o := w.takeOver()
+	var handedIn []jobs.Job
+	for round := range 40 {
+		if rng.IntN(2) == 0 {
+			j := jobOf(round+1, small(1+rng.IntN(5)), small(1+rng.IntN(3), 0))
+			w.submit(o, j)
+			handedIn = append(handedIn, j)
+		}
+		w.run(time.Duration(50+rng.IntN(400)) * time.Millisecond)
+		o = w.trouble(rng, o, round)
+	}
+	w.calm()
+	o = w.takeOver()
+	w.run(25 * time.Second)
+	Expect(w.broken).To(BeEmpty())
+	for _, j := range handedIn {
+		Expect(w.state(o, j)).To(Or(Equal("completed"), Equal("failed"), Equal("unknown")), j.ID)
+	}
+}
+
+// trouble lets one thing go wrong, and returns the owner that callers reach.
+func (w *world) trouble(rng *rand.Rand, o *owner, round int) *owner {
+	host := w.hosts[fmt.Sprintf("i-%02d", rng.IntN(4))]
+	switch rng.IntN(14) {
+	case 0:
+		o.stopped = true
+		return w.takeOver()
+	case 1:
+		return w.takeOver() // the other goes on until it notices
+	case 2:
+		o.cut = true
+		return w.takeOver()
+	case 3, 4:
+		host.silent = true
+	case 5, 6:
+		host.silent = false
+	case 7:
+		w.kill(host)
+		w.addHost(fmt.Sprintf("n-%02d", round))
+	case 8:
+		host.failsAll = !host.failsAll
+	case 9:
+		host.hangs = !host.hangs
+	case 10:
+		host.draining = true
+	case 11:
+		host.unwell = !host.unwell
+	case 12:
+		host.hiddenFrom = o.epoch + 1
+		o.cut = true
+		return w.takeOver()
+	}
+	return o
+}
+
+func (w *world) calm() {
+	w.loseOrders, w.loseAnswers = 0, 0
+	for _, h := range w.hosts {
+		h.silent, h.failsAll, h.hangs = false, false, false
+		h.draining, h.unwell, h.hiddenFrom = false, false, 0
+	}
+	for _, o := range w.owners {
+		o.stopped = true
+	}
+	w.addHost("last")
+}
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -21,6 +21,7 @@
 	hosts   map[string]*host
 	owners  []*owner
 	late    []lateOrder
+	answers []lateAnswer
 	// loseOrders and loseAnswers are shares of orders; lateOrders of those
 	// lost are carried out later.
 	loseOrders, loseAnswers, lateOrders float64
@@ -49,12 +50,22 @@
 	lease time.Duration
 }
 
+// lateAnswer is a listing on its way to an owner.
+type lateAnswer struct {
+	at       time.Duration
+	to       *owner
+	endpoint string
+	listed   executor.Listed
+}
+
 type run struct {
 	task    string
 	number  int
 	ends    time.Duration
 	outcome executor.HowEnded
 	needs   executor.Room
+	// hung runs make no progress.
+	hung bool
 }
 
 type host struct {
@@ -67,6 +78,11 @@
 	ended    []executor.ListedEnd
 	number   int64
 	silent   bool
+	// hiddenFrom is the lowest epoch whose owner can't reach it; 0 hides it
+	// from nobody.
+	hiddenFrom int64
+	// unwell endpoints turn starts away.
+	unwell   bool
 	dead     bool
 	skew     float64
 	draining bool
@@ -109,6 +125,11 @@
 	return h
 }
 
+// hears reports whether an owner's calls arrive.
+func (h *host) hears(epoch int64) bool {
+	return !h.silent && (h.hiddenFrom == 0 || epoch < h.hiddenFrom)
+}
+
 func (h *host) clock(now time.Duration) time.Duration {
 	return time.Duration(float64(now) * h.skew)
 }
@@ -149,6 +170,7 @@
 	for end := w.now + d; w.now < end; {
 		w.now += step
 		w.endpoints()
+		w.deliver()
 		for _, o := range w.owners {
 			if !o.stopped {
 				w.round(o)
@@ -209,7 +231,7 @@
 		return
 	}
 	h := w.hosts[order.Endpoint]
-	if h == nil || h.silent || w.rng.Float64() < w.loseOrders {
+	if h == nil || !h.hears(o.epoch) || w.rng.Float64() < w.loseOrders {
 		if w.rng.Float64() < w.lateOrders {
 			at := w.now + time.Duration(w.rng.IntN(5000))*time.Millisecond
 			w.late = append(w.late, lateOrder{at, order, o.epoch, lease})
@@ -247,6 +269,9 @@
 	if lease <= h.clock(w.now) {
 		return executor.OrderLate
 	}
+	if h.unwell && w.rng.IntN(2) == 0 {
+		return executor.OrderUnhealthy
+	}
 	h.lease = max(h.lease, lease)
 	w.start(h, order)
 	return executor.OrderDone
@@ -268,7 +293,7 @@
 		r.outcome = executor.EndedFailed
 	}
 	if h.hangs {
-		r.ends = w.now + time.Hour
+		r.ends, r.hung = w.now+time.Hour, true
 	}
 	h.running[order.Task] = r
 	var used executor.Room
@@ -301,7 +326,7 @@
 func (w *world) look(o *owner, l executor.Look) {
 	h := w.hosts[l.Endpoint]
 	switch {
-	case h == nil || h.silent:
+	case h == nil || !h.hears(o.epoch):
 		o.core.LookDone(w.now, l.Endpoint, executor.LookUnanswered, executor.Listed{})
 		return
 	case h.dead:
@@ -326,7 +351,7 @@
 	listed := executor.Listed{Clock: h.clock(w.now), Ended: slices.Clone(h.ended)}
 	for _, r := range h.running {
 		percent := 50
-		if !h.hangs {
+		if !r.hung {
 			percent = int(w.now/step) % 100
 		}
 		if h.percent > 0 {
@@ -334,7 +359,22 @@
 		}
 		listed.Running = append(listed.Running, executor.ListedRun{Task: r.task, Run: r.number, Percent: percent})
 	}
-	o.core.LookDone(w.now, l.Endpoint, executor.LookAnswered, listed)
+	delay := time.Duration(w.rng.IntN(12)) * step
+	w.answers = append(w.answers, lateAnswer{w.now + delay, o, l.Endpoint, listed})
+}
+
+// deliver hands listings to their owners, which may have heard newer things
+// meanwhile.
+func (w *world) deliver() {
+	waiting := w.answers
+	w.answers = nil
+	for _, a := range waiting {
+		if a.at > w.now {
+			w.answers = append(w.answers, a)
+		} else if !a.to.stopped {
+			a.to.core.LookDone(w.now, a.endpoint, executor.LookAnswered, a.listed)
+		}
+	}
 }
 
 func (w *world) endpoints() {
--- a/internal/shards/orders.go
+++ b/internal/shards/orders.go
@@ -123,3 +123,14 @@
 	}
 	return out
 }
+
+// advise asks for advice in the background.
+func (r *Runner) advise(call executor.AdviceCall) {
+	go func() {
+		got, err := r.endpoints.Advise(r.ctx, call.Step, call.Endpoints, call.Timeout)
+		if err != nil {
+			r.log.Info("no advice", "epoch", r.epoch, "task", call.Step, "error", err.Error())
+		}
+		r.post(func(now time.Duration) { r.core.AdviceDone(now, call, got.Tickets, got.Valid, err == nil) })
+	}()
+}
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -33,12 +33,14 @@
 	inboxSize = 4096
 )
 
-// Endpoints is the part of the platform's client that orders endpoints.
+// Endpoints is the part of the platform's client that orders endpoints
+// and asks which of them may be ordered.
 type Endpoints interface {
 	Start(ctx context.Context, to platform.EndpointRef, o platform.StartOrder) (time.Duration, error)
 	Stop(ctx context.Context, to platform.EndpointRef, task string, run int, fence int64) (time.Duration, error)
 	Pace(ctx context.Context, to platform.EndpointRef, task string, run, percent int, fence int64) (time.Duration, error)
 	Renew(ctx context.Context, to platform.EndpointRef, r platform.Renewal) (platform.Look, error)
+	Advise(ctx context.Context, step string, endpoints []string, timeout time.Duration) (platform.Advice, error)
 }
 
 // Outcome is what a call on a pool came to.
@@ -197,6 +199,9 @@
 			r.send(now, o)
 		}
 	}
+	if call, due := r.core.DueAdvice(now); due {
+		r.advise(call)
+	}
 	r.flush(now)
 }
 
