--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -161,6 +161,9 @@
 			fleetops.Run(ctx, fleetops.Options{Holder: n.set.Node, Journal: n.client, Cloud: n.client, Pools: calls, Facts: n.facts, Logger: n.log,
 				Limits: fleetops.Limits{Holder: n.set.Node, MoveTime: n.set.Bounds.Move, HolderTTL: n.set.Bounds.LeaseTTL}})
 		},
+		AskMembers: func(ctx context.Context, node string) (shards.MembersResult, error) {
+			return shards.AskMembers(ctx, n.peers, node)
+		},
 		OnPeers: func(peers map[string]string) {
 			if err := n.peers.SetPeers(peers); err != nil {
 				n.log.Warn("peer left out", operator.Err(err))
--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -19,6 +19,7 @@
 	kindState   = "job.state"
 	kindPending = "queue.pending"
 	kindVacate  = "pool.vacate"
+	kindMembers = "group.members"
 )
 
 // callTimeout bounds a call to a pool's owner. An owner answers within some
@@ -68,6 +69,21 @@
 	Summary executor.Summary `cbor:"3,keyasint"`
 }
 
+// MembersCall asks a peer for the group's members.
+type MembersCall struct{}
+
+// MembersResult is what a peer read of the group last: the member of each
+// partition.
+type MembersResult struct {
+	Rows  map[int]string `cbor:"1,keyasint,omitempty"`
+	AgeMs int64          `cbor:"2,keyasint"`
+}
+
+// AskMembers asks a peer for the members that it read last.
+func AskMembers(ctx context.Context, peers *peer.Node, node string) (MembersResult, error) {
+	return peer.Call[MembersCall, MembersResult](ctx, peers, node, kindMembers, MembersCall{})
+}
+
 // Register makes this process answer its peers' calls.
 func (m *Manager) Register(n *peer.Node) {
 	peer.Handle(n, kindSubmit, func(ctx context.Context, _ peer.Identity, in SubmitCall) (Result, error) {
@@ -82,6 +98,9 @@
 	peer.Handle(n, kindPending, func(ctx context.Context, _ peer.Identity, in QueueCall) (Result, error) {
 		return m.localCall(in.Pool, func(r *Runner) Result { return r.pending(ctx, in.Queue) }), nil
 	})
+	peer.Handle(n, kindMembers, func(context.Context, peer.Identity, MembersCall) (MembersResult, error) {
+		return m.lastRows(), nil
+	})
 	peer.Handle(n, kindVacate, func(ctx context.Context, _ peer.Identity, in VacateCall) (VacateResult, error) {
 		return m.localVacate(ctx, in), nil
 	})
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -61,6 +61,8 @@
 	// Fleet does the duty over instances until its context ends or it is
 	// displaced.
 	Fleet func(context.Context)
+	// AskMembers asks a peer for the members that it read last.
+	AskMembers func(ctx context.Context, node string) (MembersResult, error)
 	// OnPeers is told the addresses of all owners by node.
 	OnPeers func(map[string]string)
 }
@@ -101,8 +103,11 @@
 	// owners are who has each duty by the members last read, at membersAt.
 	owners    map[string]Owner
 	membersAt time.Duration
-	leaving   bool
-	wg        sync.WaitGroup
+	// rows are the store's own words on the members, read at rowsAt.
+	rows    map[int]string
+	rowsAt  time.Duration
+	leaving bool
+	wg      sync.WaitGroup
 }
 
 // held is a duty that this process owns or is about to.
@@ -382,8 +387,13 @@
 	}
 	rows, err := m.opts.Membership.Owners(ctx, group)
 	if err != nil {
-		m.opts.Logger.Debug("members not read", "error", err.Error())
-		return
+		var ok bool
+		if rows, ok = m.askPeers(ctx); !ok {
+			m.opts.Logger.Debug("members not read", "error", err.Error())
+			return
+		}
+	} else {
+		m.keepRows(rows)
 	}
 	members, peers := membersOf(rows)
 	owners := map[string]Owner{}
@@ -399,6 +409,62 @@
 	m.opts.OnPeers(peers)
 }
 
+// keepRows remembers a reading of the store for peers that can't read it.
+func (m *Manager) keepRows(rows map[int]string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rows, m.rowsAt = rows, planlease.Boottime()
+}
+
+const (
+	// rowsFresh is how old a peer's reading may be to be believed.
+	rowsFresh = 3 * time.Second
+	// askLimit and askTimeout bound what a node spends on asking peers.
+	askLimit   = 3
+	askTimeout = 250 * time.Millisecond
+)
+
+// askPeers learns the members from peers. A store that turns some nodes away
+// while it serves the others leaves these nodes' callers without answers
+// otherwise: they go on asking owners that have changed.
+func (m *Manager) askPeers(ctx context.Context) (map[int]string, bool) {
+	m.mu.Lock()
+	_, known := membersOf(m.rows)
+	m.mu.Unlock()
+	asked := 0
+	for node := range known { // in random order
+		if node == m.opts.Node || asked == askLimit {
+			continue
+		}
+		asked++
+		if rows, ok := m.askPeer(ctx, node); ok {
+			return rows, true
+		}
+	}
+	return nil, false
+}
+
+func (m *Manager) askPeer(ctx context.Context, node string) (map[int]string, bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	got, err := m.opts.AskMembers(ctx, node)
+	if err != nil || time.Duration(got.AgeMs)*time.Millisecond > rowsFresh || len(got.Rows) == 0 {
+		return nil, false
+	}
+	m.opts.Logger.Info("members learnt from a peer", "peer", node, "age_ms", got.AgeMs, "members", len(got.Rows))
+	return got.Rows, true
+}
+
+// lastRows answers a peer that can't read the store.
+func (m *Manager) lastRows() MembersResult {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.rowsAt == 0 {
+		return MembersResult{AgeMs: math.MaxInt32}
+	}
+	return MembersResult{Rows: m.rows, AgeMs: (planlease.Boottime() - m.rowsAt).Milliseconds()}
+}
+
 func membersOf(rows map[int]string) (members []member, peers map[string]string) {
 	peers = map[string]string{}
 	for _, name := range slices.Compact(slices.Sorted(maps.Values(rows))) {
