Duties only on strong nodes; service discovery read by owners only; appends gathered

Cause on the grown sites: the owner of a pool of 61 endpoints was a node of 0.19 cores (480 of 866 requests of its queue failed), and each of 40 nodes read service discovery record by record (179,000 calls).

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -423,5 +423,8 @@
 	Terms routing.Terms
 }
 
+// Dirty reports whether records wait for Ready.
+func (c *Core) Dirty() bool { return len(c.dirty) > 0 || len(c.starts) > 0 || len(c.replies) > 0 }
+
 // Busy reports whether anything runs, waits or is to be written.
 func (c *Core) Busy() bool { return len(c.open) > 0 || len(c.dirty) > 0 || len(c.urgent) > 0 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -33,9 +33,11 @@
 	Read(ctx context.Context, topic string, from int64, wait time.Duration) (platform.Page, error)
 }
 
-// Follow reads a topic until ctx ends. History that is gone is made up for by
+// Follow reads a topic until ctx ends, leaving at least gap between two reads:
+// a topic that changes all the time would otherwise cost a call for each
+// record. History that is gone is made up for by
 // reading the newest records again, so that a feed is never behind for good.
-func Follow(ctx context.Context, store Store, topic string, log *slog.Logger, handle Handler) {
+func Follow(ctx context.Context, store Store, topic string, gap time.Duration, log *slog.Logger, handle Handler) {
 	f := follower{store: store, topic: topic, log: log, handle: handle, next: -1}
 	retry := retryMin
 	for ctx.Err() == nil {
@@ -43,6 +45,7 @@
 		if err == nil {
 			f.regained()
 			retry = retryMin
+			sleep(ctx, gap)
 			continue
 		}
 		if ctx.Err() != nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -118,8 +118,8 @@
 	var wg sync.WaitGroup
 	membership, leave := context.WithCancel(ctx)
 	wg.Go(func() { n.manager.Run(membership) })
-	wg.Go(func() { feed.Follow(ctx, n.client, platform.TopicOperator, n.log, n.takeOperator) })
-	wg.Go(func() { feed.Follow(ctx, n.client, platform.TopicEndpoints, n.log, n.takeEndpoints) })
+	wg.Go(func() { feed.Follow(ctx, n.client, platform.TopicOperator, 0, n.log, n.takeOperator) })
+	wg.Go(func() { n.followEndpoints(ctx) })
 	n.log.Info("started", "boot", boot)
 	n.await(signals)
 	err = n.stop(front, ready, leave)
@@ -128,6 +128,42 @@
 	return err
 }
 
+const (
+	// endpointsGap gathers records of service discovery into one read.
+	endpointsGap = 80 * time.Millisecond
+	// dutyCheck is how soon a node that was given a pool begins to read service
+	// discovery, and dutyLinger how long it goes on without any.
+	dutyCheck  = 60 * time.Millisecond
+	dutyLinger = 3 * time.Second
+)
+
+// followEndpoints reads service discovery while this node owns pools. The other
+// nodes have no use for it, and each read has its price.
+func (n *Node) followEndpoints(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !n.manager.HoldsPools() {
+			sleep(ctx, dutyCheck)
+			continue
+		}
+		following, stop := context.WithCancel(ctx)
+		go n.stopWhenIdle(following, stop)
+		feed.Follow(following, n.client, platform.TopicEndpoints, endpointsGap, n.log, n.takeEndpoints)
+		stop()
+	}
+}
+
+func (n *Node) stopWhenIdle(ctx context.Context, stop context.CancelFunc) {
+	idle := time.Duration(0)
+	for ctx.Err() == nil && idle < dutyLinger {
+		sleep(ctx, dutyCheck)
+		idle += dutyCheck
+		if n.manager.HoldsPools() {
+			idle = 0
+		}
+	}
+	stop()
+}
+
 // await returns when the process is told to stop.
 func (n *Node) await(signals <-chan os.Signal) {
 	for s := range signals {
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -221,7 +221,7 @@
 		return owners
 	}
 	weights, byNode := map[string]float64{}, map[string]member{}
-	for _, b := range members {
+	for _, b := range strong(members) {
 		weights[b.Node], byNode[b.Node] = b.processor, b
 	}
 	most := int(math.Ceil(dutySlack * float64(len(names)) / float64(len(byNode))))
@@ -238,6 +238,21 @@
 	return owners
 }
 
+// strongShare is the share of the largest processor that a member needs to get
+// a duty. Load: nodes differ by a factor of four, and a pool at its peak keeps
+// one of the small ones busy with its renewals alone, so that callers wait in
+// vain for its answers.
+const strongShare = 0.6
+
+// strong returns the members that may have duties.
+func strong(members []member) []member {
+	most := 0.0
+	for _, b := range members {
+		most = max(most, b.processor)
+	}
+	return slices.DeleteFunc(slices.Clone(members), func(b member) bool { return b.processor < strongShare*most })
+}
+
 // dutySlack is how far above the mean a member's number of duties may be: with
 // none, one member that comes or goes moves the duties of many.
 const dutySlack = 1.5
@@ -365,6 +380,18 @@
 	return o, ok
 }
 
+// HoldsPools reports whether this process owns a pool or is about to.
+func (m *Manager) HoldsPools() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name := range m.running {
+		if name != fleetDuty {
+			return true
+		}
+	}
+	return false
+}
+
 // Pools returns the names of all pools.
 func (m *Manager) Pools() []string {
 	m.mu.Lock()
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -26,6 +26,9 @@
 	// proofEvery is how often an idle owner asks the store whether its epoch
 	// is still the newest.
 	proofEvery = 1500 * time.Millisecond
+	// appendGap is the least time between two appends: each call has its price,
+	// and a batch takes no longer than a single record.
+	appendGap = 15 * time.Millisecond
 	// stuckAfter is how long an append may be unanswered before new jobs are
 	// refused: they could not be accepted in time.
 	stuckAfter = 500 * time.Millisecond
@@ -174,6 +177,9 @@
 }
 
 func (r *Runner) tick() time.Duration {
+	if r.core.Dirty() && r.appending == nil {
+		return appendGap
+	}
 	if r.core.Busy() {
 		return tickBusy
 	}
@@ -210,7 +216,7 @@
 // flush appends what has changed, or proves the epoch where nothing has for a
 // while.
 func (r *Runner) flush(now time.Duration) {
-	if r.appending != nil {
+	if r.appending != nil || now-r.stuckSince < appendGap {
 		return
 	}
 	ready := r.core.Ready()
