--- /dev/null
+++ b/internal/standin/trial/cluster.go
@@ -0,0 +1,193 @@
+// Package trial runs real nodes as processes on loopback against the wire
+// stand-in, hands jobs in as callers do, and checks what callers see.
+package trial
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"cyclamenwheel/internal/standin/wire"
+)
+
+// Cluster is a platform and the nodes that run on it.
+type Cluster struct {
+	Platform *wire.Platform
+	program  string
+	dir      string
+	nodes    []*Node
+}
+
+// Node is one process.
+type Node struct {
+	Name, Front, ready string
+	settings, log      string
+	cmd                *exec.Cmd
+	done               chan struct{}
+}
+
+// StartError says that a process could not be started.
+type StartError struct {
+	What  string
+	Cause error
+}
+
+func (e *StartError) Error() string { return "starting " + e.What + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *StartError) Unwrap() error { return e.Cause }
+
+// Start starts nodes of the program; dir takes their settings and logs.
+func Start(program, dir string, platform *wire.Platform, nodes int) (*Cluster, error) {
+	c := &Cluster{Platform: platform, program: program, dir: dir}
+	for i := range nodes {
+		n, err := c.prepare(fmt.Sprintf("node-%d", i+1))
+		if err == nil {
+			err = c.Run(n)
+		}
+		if err != nil {
+			c.Close()
+			return nil, err
+		}
+		c.nodes = append(c.nodes, n)
+	}
+	return c, nil
+}
+
+// Nodes returns all nodes, running or not.
+func (c *Cluster) Nodes() []*Node { return c.nodes }
+
+func (c *Cluster) prepare(name string) (*Node, error) {
+	front, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	ready, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	peer, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{Name: name, Front: front, ready: ready, settings: filepath.Join(c.dir, name+".ini"), log: filepath.Join(c.dir, name+".log")}
+	text := fmt.Sprintf("[process]\nnode = %s\nzone = z\n[callers]\nlisten = %s\nready = %s\n[peer]\nlisten = %s\n[store]\naddress = %s\ninstances = %s\n[bounds]\nmove = 300ms\nlease_ttl = 500ms\n",
+		name, front, ready, peer, c.Platform.Addr(), c.Platform.Addr())
+	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+		return nil, &StartError{What: name, Cause: err}
+	}
+	return n, nil
+}
+
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", &StartError{What: "listener", Cause: err}
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// Run starts a node's process, also again after it has ended.
+func (c *Cluster) Run(n *Node) error {
+	log, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return &StartError{What: n.Name, Cause: err}
+	}
+	n.cmd = exec.Command(c.program)
+	n.cmd.Env = append(os.Environ(), "CYCLAMENWHEEL_NODE_FILE="+n.settings)
+	n.cmd.Stdout, n.cmd.Stderr = log, log
+	if err := n.cmd.Start(); err != nil {
+		return &StartError{What: n.Name, Cause: err}
+	}
+	n.done = make(chan struct{})
+	go func(cmd *exec.Cmd, done chan struct{}) {
+		_ = cmd.Wait() // how it ended is judged by what callers see
+		log.Close()
+		close(done)
+	}(n.cmd, n.done)
+	return nil
+}
+
+// Signal sends a signal to the node's own process.
+func (n *Node) Signal(s syscall.Signal) error { return n.cmd.Process.Signal(s) }
+
+// Wait waits for the node's process to end and returns its exit code.
+func (n *Node) Wait() int {
+	<-n.done
+	return n.cmd.ProcessState.ExitCode()
+}
+
+// Log returns what the node wrote.
+func (n *Node) Log() string {
+	data, err := os.ReadFile(n.log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
+
+// Ready reports whether the node says that it is ready.
+func (n *Node) Ready() bool {
+	resp, err := http.Get("http://" + n.ready + "/cyclamenwheel/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Close kills every node that still runs.
+func (c *Cluster) Close() {
+	for _, n := range c.nodes {
+		select {
+		case <-n.done:
+		default:
+			_ = n.cmd.Process.Kill() // it may end by itself meanwhile
+			<-n.done
+		}
+	}
+}
+
+// Caller sends requests of one host to the nodes in turn.
+type Caller struct {
+	Cluster *Cluster
+	Host    string
+	mu      sync.Mutex
+	next    int
+}
+
+// callTimeout is a caller's patience for one try.
+const callTimeout = 3 * time.Second
+
+// Do sends one request to the next node. A status of 0 stands for no answer.
+func (c *Caller) Do(method, path, body string) (status int, answer string) {
+	c.mu.Lock()
+	node := c.Cluster.nodes[c.next%len(c.Cluster.nodes)]
+	c.next++
+	c.mu.Unlock()
+	req, err := http.NewRequest(method, "http://"+node.Front+path, bytes.NewBufferString(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Host = c.Host
+	client := http.Client{Timeout: callTimeout}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(data)
+}
--- /dev/null
+++ b/internal/standin/trial/soak.go
@@ -0,0 +1,168 @@
+package trial
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"cyclamenwheel/internal/standin/wire"
+)
+
+// Report is what a run of jobs under trouble came to.
+type Report struct {
+	Jobs, Accepted, Refused, Tasks int
+	// Faults are what was done, in order.
+	Faults []string
+	// Unfinished are accepted jobs that did not complete; Broken is what the
+	// endpoints saw go wrong.
+	Unfinished, Broken []string
+}
+
+// Whole reports whether nothing was lost, doubled or left.
+func (r Report) Whole() bool { return len(r.Unfinished) == 0 && len(r.Broken) == 0 && r.Accepted > 0 }
+
+const (
+	// faultEvery spaces faults, and faultLasts is how long those that end last
+	// at most.
+	faultEvery = 900 * time.Millisecond
+	faultLasts = 2500 * time.Millisecond
+	// submitEvery spaces a submitter's jobs.
+	submitEvery = 60 * time.Millisecond
+	submitters  = 3
+	// drainLimit bounds the wait for the last jobs.
+	drainLimit = 60 * time.Second
+)
+
+// Soak hands jobs in for a while, under random faults of a seed if faults is
+// set, then waits for all of them.
+func Soak(c *Cluster, host string, pools []string, seed uint64, lasts time.Duration, faults bool) Report {
+	caller := &Caller{Cluster: c, Host: host}
+	end := time.Now().Add(lasts)
+	var r Report
+	var all []Submitted
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for s := range submitters {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(seed, uint64(s)))
+			for n := 1; time.Now().Before(end); n++ {
+				j := caller.Submit(pools[rng.IntN(len(pools))], (s+1)<<32+n, 1+rng.IntN(5), 50+rng.IntN(300))
+				mu.Lock()
+				all = append(all, j)
+				mu.Unlock()
+				time.Sleep(submitEvery)
+			}
+		})
+	}
+	if faults {
+		r.Faults = injectUntil(c, pools, seed, end)
+	}
+	wg.Wait()
+	r.Unfinished = caller.AwaitAll(all, drainLimit)
+	r.Broken = c.Platform.Broken()
+	for _, j := range all {
+		r.Jobs++
+		if j.Accepted {
+			r.Accepted++
+			r.Tasks += j.Tasks
+		}
+		if j.Refused {
+			r.Refused++
+		}
+	}
+	return r
+}
+
+// injector does one fault after the other; those that last overlap.
+type injector struct {
+	c     *Cluster
+	pools []string
+	rng   *rand.Rand
+	wave  int
+	done  []string
+	wg    sync.WaitGroup
+	// busy are nodes that a fault is under way on.
+	busy sync.Map
+}
+
+func injectUntil(c *Cluster, pools []string, seed uint64, end time.Time) []string {
+	in := &injector{c: c, pools: pools, rng: rand.New(rand.NewPCG(seed, 77))}
+	for time.Now().Add(faultEvery).Before(end) {
+		time.Sleep(faultEvery/2 + time.Duration(in.rng.Int64N(int64(faultEvery))))
+		in.one()
+	}
+	in.wg.Wait()
+	c.Platform.SetFaults(wire.Faults{})
+	c.Platform.SetStoreDown(false)
+	return in.done
+}
+
+func (in *injector) one() {
+	node := in.c.nodes[in.rng.IntN(len(in.c.nodes))]
+	lasts := time.Duration(in.rng.Int64N(int64(faultLasts)))
+	pool := in.pools[in.rng.IntN(len(in.pools))]
+	kind := in.rng.IntN(7)
+	in.done = append(in.done, fmt.Sprintf("%d on %s, %s for %v", kind, node.Name, pool, lasts))
+	switch kind {
+	case 0:
+		in.restart(node, syscall.SIGKILL, lasts)
+	case 1:
+		in.restart(node, syscall.SIGTERM, 0)
+	case 2:
+		in.freeze(node, lasts)
+	case 3:
+		in.c.Platform.SetStoreDown(true)
+		in.after(lasts, func() { in.c.Platform.SetStoreDown(false) })
+	case 4:
+		in.c.Platform.SetFaults(wire.Faults{LostAnswers: 0.3, LostOrders: 0.2})
+		in.after(lasts, func() { in.c.Platform.SetFaults(wire.Faults{}) })
+	case 5:
+		in.note(in.c.Platform.KillEndpoint(pool))
+	case 6:
+		in.wave++
+		in.note(in.c.Platform.AskWave(in.wave, 2, 20*time.Second, in.c.Platform.Instances(pool)...))
+	}
+}
+
+func (in *injector) note(err error) {
+	if err != nil {
+		in.done = append(in.done, "failed: "+err.Error())
+	}
+}
+
+func (in *injector) after(d time.Duration, f func()) {
+	in.wg.Go(func() {
+		time.Sleep(d)
+		f()
+	})
+}
+
+// restart ends a node by a signal and starts it again.
+func (in *injector) restart(n *Node, s syscall.Signal, away time.Duration) {
+	if _, busy := in.busy.LoadOrStore(n.Name, true); busy {
+		return
+	}
+	in.note(n.Signal(s))
+	in.wg.Go(func() {
+		defer in.busy.Delete(n.Name)
+		n.Wait()
+		time.Sleep(away)
+		if err := in.c.Run(n); err != nil {
+			panic(err)
+		}
+	})
+}
+
+// freeze stops a node's process and lets it go on.
+func (in *injector) freeze(n *Node, lasts time.Duration) {
+	if _, busy := in.busy.LoadOrStore(n.Name, true); busy {
+		return
+	}
+	in.note(n.Signal(syscall.SIGSTOP))
+	in.after(lasts, func() {
+		defer in.busy.Delete(n.Name)
+		_ = n.Signal(syscall.SIGCONT) // the process can't have ended while stopped
+	})
+}
--- /dev/null
+++ b/internal/standin/wire/endpoint.go
@@ -0,0 +1,238 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Endpoint is one incarnation of an endpoint. The spec of a task is how many
+// milliseconds it works.
+type Endpoint struct {
+	p        *Platform
+	id       string
+	pool     string
+	instance string
+	listener net.Listener
+	server   *http.Server
+	began    time.Time
+
+	fence   int64
+	lease   time.Duration
+	running map[string]*taskRun
+	highest map[string]int
+	ended   []taskEnd
+	number  int64
+	gone    bool
+}
+
+type taskRun struct {
+	number int
+	began  time.Time
+	work   time.Duration
+	stop   bool
+}
+
+type taskEnd struct {
+	number     int64
+	task       string
+	run        int
+	how, saved string
+}
+
+type order struct {
+	Task       string `json:"task"`
+	Run        int    `json:"run"`
+	Spec       string `json:"spec"`
+	DeadlineMs int64  `json:"deadlineMs"`
+	Fence      int64  `json:"fence"`
+	AckCursor  int64  `json:"ackCursor"`
+	WaitMs     int64  `json:"waitMs"`
+}
+
+// stopTime is how long a stop takes.
+const stopTime = 50 * time.Millisecond
+
+func (p *Platform) startEndpointLocked(instance, pool string) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	p.incarnations++
+	e := &Endpoint{p: p, id: fmt.Sprintf("i-%06d", p.incarnations), pool: pool, instance: instance, listener: listener,
+		began: time.Now(), running: map[string]*taskRun{}, highest: map[string]int{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /cyclamenwheel/run-start", e.handle(e.start))
+	mux.HandleFunc("POST /cyclamenwheel/run-stop", e.handle(e.stopRun))
+	mux.HandleFunc("POST /cyclamenwheel/hold", e.hold)
+	e.server = &http.Server{Handler: mux}
+	go func() { _ = e.server.Serve(listener) }() // ends with Close
+	p.endpoints[e.id] = e
+	p.instances[instance].endpoint = e.id
+	entry, err := json.Marshal(map[string]any{"service": pool, "addr": listener.Addr().String(), "zone": "z", "state": "ready",
+		"capacity": map[string]int{"cpu": endpointCPU, "memMb": endpointMemory, "gpu": 0}, "labels": []string{"a", "r-" + instance}})
+	if err != nil {
+		return err
+	}
+	p.putKeyed("keyed.servers", e.id, entry)
+	return nil
+}
+
+// endLocked ends an incarnation at once, and all that runs on it.
+func (e *Endpoint) endLocked() {
+	e.gone = true
+	for name := range e.running {
+		e.p.history(name).running--
+	}
+	clear(e.running)
+	delete(e.p.endpoints, e.id)
+	e.p.putKeyed("keyed.servers", e.id, nil)
+	go e.server.Close()
+}
+
+func (e *Endpoint) clock() time.Duration { return time.Since(e.began) + time.Minute }
+
+// handle checks incarnation and fence, and answers with the clock.
+func (e *Endpoint) handle(f func(order) (int, string)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var in order
+		if json.NewDecoder(r.Body).Decode(&in) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		e.p.mu.Lock()
+		status, reason := e.check(r, in)
+		if status == http.StatusOK {
+			status, reason = f(in)
+		}
+		clock := e.clock().Milliseconds()
+		lost := e.p.rng.Float64() < e.p.faults.LostOrders
+		e.p.mu.Unlock()
+		if lost {
+			panic(http.ErrAbortHandler)
+		}
+		reply(w, status, map[string]any{"clockMs": clock, "reason": reason})
+	}
+}
+
+func (e *Endpoint) check(r *http.Request, in order) (int, string) {
+	if want := r.Header.Get("Cyclamenwheel-Expect-Instance"); e.gone || want != "" && want != e.id {
+		return http.StatusMisdirectedRequest, ""
+	}
+	if in.Fence < e.fence {
+		return http.StatusConflict, "fence"
+	}
+	e.fence = in.Fence
+	e.settle()
+	return http.StatusOK, ""
+}
+
+func (e *Endpoint) start(in order) (int, string) {
+	if run := e.running[in.Task]; run != nil && run.number == in.Run {
+		return http.StatusOK, ""
+	}
+	if in.Run <= e.highest[in.Task] {
+		return http.StatusConflict, "old"
+	}
+	if lease := time.Duration(in.DeadlineMs) * time.Millisecond; lease > e.lease {
+		e.lease = lease
+	}
+	if e.lease <= e.clock() {
+		return http.StatusConflict, "late"
+	}
+	ms, err := strconv.Atoi(in.Spec)
+	if err != nil {
+		return http.StatusBadRequest, ""
+	}
+	e.running[in.Task] = &taskRun{number: in.Run, began: time.Now(), work: time.Duration(ms) * time.Millisecond}
+	e.p.began(in.Task, e)
+	return http.StatusOK, ""
+}
+
+func (e *Endpoint) stopRun(in order) (int, string) {
+	if run := e.running[in.Task]; run != nil && run.number == in.Run {
+		run.stop, run.work = true, time.Since(run.began)+stopTime
+		return http.StatusOK, ""
+	}
+	e.highest[in.Task] = max(e.highest[in.Task], in.Run)
+	return http.StatusOK, ""
+}
+
+// settle ends what is through or has lost its lease.
+func (e *Endpoint) settle() {
+	lapsed := e.clock() > e.lease
+	for name, run := range e.running {
+		switch {
+		case lapsed:
+			e.endRun(name, run, "lapsed")
+		case time.Since(run.began) < run.work:
+		case run.stop:
+			e.endRun(name, run, "stopped")
+		default:
+			e.endRun(name, run, "done")
+		}
+	}
+}
+
+func (e *Endpoint) endRun(name string, run *taskRun, how string) {
+	delete(e.running, name)
+	e.highest[name] = max(e.highest[name], run.number)
+	e.number++
+	e.ended = append(e.ended, taskEnd{number: e.number, task: name, run: run.number, how: how})
+	e.p.history(name).running--
+}
+
+func (e *Endpoint) hold(w http.ResponseWriter, r *http.Request) {
+	var in order
+	if json.NewDecoder(r.Body).Decode(&in) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	deadline := time.Now().Add(time.Duration(in.WaitMs) * time.Millisecond)
+	for {
+		e.p.mu.Lock()
+		status, reason := e.check(r, in)
+		if status != http.StatusOK {
+			clock := e.clock().Milliseconds()
+			e.p.mu.Unlock()
+			reply(w, status, map[string]any{"clockMs": clock, "reason": reason})
+			return
+		}
+		e.lease = max(e.lease, time.Duration(in.DeadlineMs)*time.Millisecond)
+		e.acknowledge(in.AckCursor)
+		if len(e.ended) > 0 || !time.Now().Before(deadline) || r.Context().Err() != nil {
+			body := e.listing()
+			e.p.mu.Unlock()
+			reply(w, http.StatusOK, body)
+			return
+		}
+		e.p.mu.Unlock()
+		time.Sleep(pollStep)
+	}
+}
+
+// acknowledge forgets ends. A task whose good end is forgotten must not start
+// again.
+func (e *Endpoint) acknowledge(upTo int64) {
+	for len(e.ended) > 0 && e.ended[0].number <= upTo {
+		if e.ended[0].how == "done" {
+			e.p.history(e.ended[0].task).done = true
+		}
+		e.ended = e.ended[1:]
+	}
+}
+
+func (e *Endpoint) listing() map[string]any {
+	running, ended := [][]any{}, [][]any{}
+	for name, run := range e.running {
+		percent := min(99, int(100*time.Since(run.began)/(run.work+1)))
+		running = append(running, []any{name, run.number, "", percent, 0})
+	}
+	for _, end := range e.ended {
+		ended = append(ended, []any{end.number, end.task, end.run, end.how, end.saved})
+	}
+	return map[string]any{"clockMs": e.clock().Milliseconds(), "running": running, "ended": ended}
+}
--- /dev/null
+++ b/internal/standin/wire/store.go
@@ -0,0 +1,310 @@
+package wire
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+)
+
+const (
+	// partitions is how many a topic of the system's own gets.
+	partitions = 24
+	// keptAppends is how many appends of a producer are recognised.
+	keptAppends = 5
+	// pageItems bounds a page of newest records.
+	pageItems = 500
+	pollStep  = 5 * time.Millisecond
+)
+
+// topic is the only partition that holds records.
+type topic struct {
+	first   int64
+	records [][]byte
+	writers map[string]*writer
+}
+
+type writer struct {
+	epoch, next int64
+	recent      map[int64]appendAnswer
+}
+
+type appendAnswer struct {
+	Offset int64  `json:"offset"`
+	End    int64  `json:"end"`
+	Reason string `json:"reason,omitempty"`
+}
+
+func (t *topic) end() int64 { return t.first + int64(len(t.records)) }
+
+func (p *Platform) topic(name string) *topic {
+	t := p.topics[name]
+	if t == nil {
+		t = &topic{writers: map[string]*writer{}}
+		p.topics[name] = t
+	}
+	return t
+}
+
+// putKeyed appends a record with a key, as operators and endpoints do.
+func (p *Platform) putKeyed(name, key string, value []byte) {
+	record := append([]byte{byte(len(key))}, key...)
+	t := p.topic(name)
+	t.records = append(t.records, append(record, value...))
+}
+
+func (p *Platform) handleAppend(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	raw, err := io.ReadAll(r.Body)
+	records, ok := splitRecords(raw)
+	if err != nil || !ok {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	if p.storeDown {
+		p.mu.Unlock()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	status, answer := p.appendLocked(p.topic(q.Get("topic")), q.Get, records)
+	lost := status == http.StatusOK && p.rng.Float64() < p.faults.LostAnswers
+	p.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, status, answer)
+}
+
+func (p *Platform) appendLocked(t *topic, get func(string) string, records [][]byte) (int, appendAnswer) {
+	number := func(name string) int64 {
+		n, _ := strconv.ParseInt(get(name), 10, 64) // absent counts as 0
+		return n
+	}
+	producer, epoch, seq := get("producer"), number("epoch"), number("seq")
+	if producer != "" {
+		by := t.writers[producer]
+		if by == nil || epoch > by.epoch {
+			by = &writer{epoch: epoch, next: seq, recent: map[int64]appendAnswer{}}
+			t.writers[producer] = by
+		}
+		if epoch < by.epoch {
+			return http.StatusConflict, appendAnswer{Reason: "fenced"}
+		}
+		if had, again := by.recent[seq]; again && len(records) > 0 {
+			return http.StatusOK, had
+		}
+		if len(records) > 0 && seq != by.next {
+			return http.StatusConflict, appendAnswer{Reason: "seq"}
+		}
+	}
+	if get("at") != "" && number("at") != t.end() {
+		return http.StatusPreconditionFailed, appendAnswer{End: t.end()}
+	}
+	answer := appendAnswer{Offset: t.end()}
+	t.records = append(t.records, records...)
+	answer.End = t.end()
+	if producer != "" && len(records) > 0 {
+		by := t.writers[producer]
+		by.recent[seq] = answer
+		delete(by.recent, seq-keptAppends)
+		by.next = seq + 1
+	}
+	return http.StatusOK, answer
+}
+
+func splitRecords(raw []byte) ([][]byte, bool) {
+	var out [][]byte
+	for len(raw) > 0 {
+		if len(raw) < 4 {
+			return nil, false
+		}
+		size := int(binary.BigEndian.Uint32(raw))
+		raw = raw[4:]
+		if size > len(raw) {
+			return nil, false
+		}
+		out = append(out, slices.Clone(raw[:size]))
+		raw = raw[size:]
+	}
+	return out, true
+}
+
+func (p *Platform) handleRead(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, _ := strconv.ParseInt(q.Get("from"), 10, 64)
+	waitMs, _ := strconv.Atoi(q.Get("waitMs"))
+	deadline := time.Now().Add(time.Duration(waitMs) * time.Millisecond)
+	for {
+		p.mu.Lock()
+		down, t := p.storeDown, p.topic(q.Get("topic"))
+		first, end := t.first, t.end()
+		var found [][]byte
+		if from >= first && from < end {
+			found = slices.Clone(t.records[from-first:])
+		}
+		p.mu.Unlock()
+		switch {
+		case down:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case from < first:
+			reply(w, http.StatusGone, map[string]int64{"earliest": first})
+			return
+		case len(found) > 0 || !time.Now().Before(deadline) || r.Context().Err() != nil:
+			writePage(w, first, end, found)
+			return
+		}
+		time.Sleep(pollStep)
+	}
+}
+
+func writePage(w http.ResponseWriter, first, end int64, records [][]byte) {
+	out := binary.BigEndian.AppendUint64(nil, uint64(end))
+	out = binary.BigEndian.AppendUint64(out, uint64(first))
+	for _, rec := range records {
+		out = binary.BigEndian.AppendUint32(out, uint32(len(rec)))
+		out = append(out, rec...)
+	}
+	_, _ = w.Write(out) // a reader that has gone needs nothing
+}
+
+type newestItem struct {
+	Key    string `json:"key"`
+	Value  string `json:"value"`
+	Offset int64  `json:"offset"`
+}
+
+func (p *Platform) handleNewest(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	if p.storeDown {
+		p.mu.Unlock()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	t := p.topic(r.URL.Query().Get("topic"))
+	newest := map[string]newestItem{}
+	for i, rec := range t.records {
+		key := string(rec[1 : 1+rec[0]])
+		value := rec[1+rec[0]:]
+		if len(value) == 0 {
+			delete(newest, key)
+			continue
+		}
+		newest[key] = newestItem{key, base64.StdEncoding.EncodeToString(value), t.first + int64(i)}
+	}
+	end := t.end()
+	p.mu.Unlock()
+	items := []newestItem{}
+	for key, item := range newest {
+		if key > r.URL.Query().Get("after") {
+			items = append(items, item)
+		}
+	}
+	slices.SortFunc(items, func(a, b newestItem) int { return slices.Compare([]byte(a.Key), []byte(b.Key)) })
+	more := len(items) > pageItems
+	reply(w, http.StatusOK, map[string]any{"items": items[:min(pageItems, len(items))], "hasMore": more, "end": end})
+}
+
+type groupMember struct {
+	seen time.Time
+	ttl  time.Duration
+}
+
+type groupCall struct {
+	Member string `json:"member"`
+	TTLMs  int64  `json:"ttlMs"`
+}
+
+func (p *Platform) handleJoin(w http.ResponseWriter, r *http.Request) {
+	var in groupCall
+	if json.NewDecoder(r.Body).Decode(&in) != nil || in.Member == "" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.storeDown {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	p.lapseMembersLocked()
+	if _, known := p.members[in.Member]; !known {
+		p.generation++
+	}
+	p.members[in.Member] = groupMember{time.Now(), time.Duration(in.TTLMs) * time.Millisecond}
+	rows := [][]any{}
+	for part, member := range p.dealLocked() {
+		if member == in.Member {
+			rows = append(rows, []any{"owners", part, 0})
+		}
+	}
+	reply(w, http.StatusOK, map[string]any{"generation": p.generation, "parts": rows})
+}
+
+func (p *Platform) lapseMembersLocked() {
+	for name, m := range p.members {
+		if time.Since(m.seen) > m.ttl {
+			delete(p.members, name)
+			p.generation++
+		}
+	}
+}
+
+// dealLocked returns the member of each partition.
+func (p *Platform) dealLocked() []string {
+	names := make([]string, 0, len(p.members))
+	for name := range p.members {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	out := make([]string, partitions)
+	for part := range out {
+		if len(names) > 0 {
+			out[part] = names[part%len(names)]
+		}
+	}
+	return out
+}
+
+func (p *Platform) handleLeave(w http.ResponseWriter, r *http.Request) {
+	var in groupCall
+	if json.NewDecoder(r.Body).Decode(&in) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, known := p.members[in.Member]; known {
+		delete(p.members, in.Member)
+		p.generation++
+	}
+	reply(w, http.StatusOK, struct{}{})
+}
+
+func (p *Platform) handleOwners(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.storeDown {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	p.lapseMembersLocked()
+	rows := [][]any{}
+	for part, member := range p.dealLocked() {
+		if member != "" {
+			rows = append(rows, []any{"owners", part, member, 0})
+		}
+	}
+	reply(w, http.StatusOK, map[string]any{"parts": rows})
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // a caller that has gone needs nothing
+}
