--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -302,7 +302,7 @@
 	if pool <= 0 {
 		return Refusal{}, false
 	}
-	wait := c.waitMs(now, c.backlogMs(j.rec.Terms.Priority), pool)
+	wait := c.waitMs(now, c.backlogMs(now, j.rec.Terms.Priority), pool)
 	chain := c.chainMs(j)
 	slack := (j.rec.Terms.Stretch-1)*chain + float64(j.rec.Terms.Slack.Milliseconds())
 	if wait <= slack {
@@ -389,11 +389,12 @@
 }
 
 // backlogMs is the accepted work that has not begun, of this priority or
-// before it, in milli-core-milliseconds.
-func (c *Core) backlogMs(priority int) float64 {
+// before it, in milli-core-milliseconds. Jobs that are late anyway don't stand
+// before a new one.
+func (c *Core) backlogMs(now time.Duration, priority int) float64 {
 	sum := 0.0
 	for _, j := range c.open {
-		if j.rec.State.Ended() || j.rec.Terms.Priority > priority || lasting(&j.rec.Job) {
+		if j.rec.State.Ended() || j.rec.Terms.Priority > priority || lasting(&j.rec.Job) || c.hopeless(now, j) {
 			continue
 		}
 		w := c.remaining(j)
--- a/internal/executor/vacate.go
+++ b/internal/executor/vacate.go
@@ -100,8 +100,12 @@
 	return HostLoad{Endpoint: e.id, UsedMilli: e.used.CPUMilli, Tasks: len(e.tasks), Lasting: e.hasLasting()}
 }
 
+// hopelessShare is how much of the ready work of jobs that are late anyway
+// counts as need for instances: it has to be done, but not soon.
+const hopelessShare = 0.3
+
 // Summary returns the pool's state in figures.
-func (c *Core) Summary() Summary {
+func (c *Core) Summary(now time.Duration) Summary {
 	s := Summary{Pool: c.pool, Jobs: len(c.open)}
 	for _, e := range c.endpoints {
 		if !e.usable() {
@@ -120,6 +124,9 @@
 			continue
 		}
 		w := c.remaining(j)
+		if c.hopeless(now, j) {
+			w.ready *= hopelessShare
+		}
 		s.ReadyCoreMs += w.ready / 1000
 		s.BacklogCoreMs += (w.ready + w.running + w.later) / 1000
 		for _, o := range j.current {
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -430,7 +430,7 @@
 		}
 	}
 	r.core.Reach(now, in.ReachMilli)
-	result.Summary = r.core.Summary()
+	result.Summary = r.core.Summary(now)
 	result.ProofAgeMs = r.tenure.ProofAge().Milliseconds()
 	return result, clear
 }
