--- /dev/null
+++ b/internal/executor/dump.go
@@ -0,0 +1,68 @@
+package executor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// PoolDump is a pool's state for people.
+type PoolDump struct {
+	Summary   Summary        `json:"summary"`
+	Epoch     int64          `json:"epoch"`
+	Endpoints []EndpointDump `json:"endpoints"`
+	Jobs      []JobDump      `json:"jobs"`
+}
+
+// EndpointDump is an endpoint's state.
+type EndpointDump struct {
+	ID           string `json:"id"`
+	Addr         string `json:"addr"`
+	Free         Room   `json:"free"`
+	Tasks        int    `json:"tasks"`
+	Draining     bool   `json:"draining,omitempty"`
+	Vacating     bool   `json:"vacating,omitempty"`
+	Silent       int    `json:"unanswered,omitempty"`
+	QuarantineMs int64  `json:"quarantine_ms,omitempty"`
+	LookedAgoMs  int64  `json:"looked_ago_ms"`
+	LeaseEndsMs  int64  `json:"lease_ends_in_ms"`
+}
+
+// JobDump is an open job's state.
+type JobDump struct {
+	ID          string   `json:"id"`
+	Queue       string   `json:"queue"`
+	State       string   `json:"state"`
+	Running     int      `json:"running"`
+	ObjectiveMs int64    `json:"objective_in_ms"`
+	Waiting     []string `json:"waiting,omitempty"`
+}
+
+// dumpJobs bounds a dump.
+const dumpJobs = 500
+
+// Dump returns the pool's state.
+func (c *Core) Dump(now time.Duration) PoolDump {
+	d := PoolDump{Summary: c.Summary(now), Epoch: c.epoch}
+	for _, e := range c.endpoints {
+		d.Endpoints = append(d.Endpoints, EndpointDump{ID: e.id, Addr: e.addr, Free: e.free(), Tasks: len(e.tasks),
+			Draining: e.draining, Vacating: e.vacating, Silent: e.failedLook,
+			QuarantineMs: max(0, e.quarantine-now).Milliseconds(), LookedAgoMs: (now - e.looked).Milliseconds(),
+			LeaseEndsMs: (c.expiryOf(e) - now).Milliseconds()})
+	}
+	slices.SortFunc(d.Endpoints, func(a, b EndpointDump) int { return cmp.Compare(a.ID, b.ID) })
+	for _, j := range c.open[:min(dumpJobs, len(c.open))] {
+		d.Jobs = append(d.Jobs, c.dumpJob(now, j))
+	}
+	return d
+}
+
+func (c *Core) dumpJob(now time.Duration, j *job) JobDump {
+	state, _ := c.State(j.rec.Job.ID) // an unknown one is still being accepted
+	d := JobDump{ID: j.rec.Job.ID, Queue: j.rec.Queue, State: state.String(), Running: j.placed,
+		ObjectiveMs: (j.objective - now).Milliseconds()}
+	for _, t := range j.waitingTasks() {
+		d.Waiting = append(d.Waiting, t.name()+": endpoints "+c.WhyWaiting(now, t))
+	}
+	return d
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
 	"cyclamenwheel/internal/eventlog"
@@ -115,6 +116,11 @@
 	if err := n.link(ctx, boot, calls); err != nil {
 		return err
 	}
+	observed, err := n.observe()
+	if err != nil {
+		return err
+	}
+	defer observed()
 	var wg sync.WaitGroup
 	membership, leave := context.WithCancel(ctx)
 	wg.Go(func() { n.manager.Run(membership) })
@@ -128,6 +134,52 @@
 	return err
 }
 
+// observe serves operators: a dump of the state on request, profiles of health
+// and metrics on loopback, and metrics for collectors.
+func (n *Node) observe() (stop func(), err error) {
+	op, err := operator.New(operator.Options{
+		Process: operator.Process{ID: n.set.Node, Deployment: n.set.Deployment, Zone: n.set.Zone, Version: version.Version},
+		Listen:  n.set.Operator, Logger: n.log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	op.SetReady(n.notReady)
+	op.RegisterDump("duties", func() any { return n.manager.Status() })
+	op.RegisterDump("pools", func() any { return n.manager.Dump() })
+	op.RegisterDump("configuration", func() any { return n.ingress.Config() })
+	op.RegisterDump("peers", func() any { return n.peers.Status() })
+	if err := op.Start(); err != nil {
+		return nil, err
+	}
+	n.log.Info("operators served", "listen", op.Addr().String())
+	stop = func() {
+		if err := op.Close(); err != nil {
+			n.log.Warn("operators' server not closed", operator.Err(err))
+		}
+	}
+	if !n.set.Metrics.IsValid() {
+		return stop, nil
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	server, err := n.serve(n.set.Metrics.String(), mux)
+	if err != nil {
+		return stop, err
+	}
+	return func() { stop(); _ = server.Close() }, nil
+}
+
+func (n *Node) notReady() []string {
+	switch {
+	case n.stopping.Load():
+		return []string{"stopping"}
+	case n.ingress.Config() == nil:
+		return []string{"no configuration"}
+	}
+	return nil
+}
+
 const (
 	// endpointsGap gathers records of service discovery into one read.
 	endpointsGap = 80 * time.Millisecond
@@ -229,7 +281,7 @@
 // answerReady tells the balancer whether to send connections: not before a
 // configuration is known, and not while stopping.
 func (n *Node) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if n.stopping.Load() || n.ingress.Config() == nil {
+	if len(n.notReady()) > 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -18,6 +18,8 @@
 	PeerListen   netip.AddrPort
 	// Operator serves metrics and dumps.
 	Operator netip.AddrPort
+	// Metrics serves counters and histograms to collectors; invalid for none.
+	Metrics netip.AddrPort
 	// Store, Instances and Advice are the platform's services.
 	Store, Instances, Advice string
 	// Orders is how endpoints get their orders.
@@ -52,6 +54,7 @@
 		{Section: sectionCallers, Name: "ready", Kind: KindHostPort, Required: true, Doc: "TCP address at which the balancer asks for readiness."},
 		{Section: sectionPeer, Name: "listen", Kind: KindHostPort, Required: true, Doc: "UDP address for QUIC links between nodes."},
 		{Section: sectionOperator, Name: "listen", Kind: KindHostPort, Default: "127.0.0.1:0", Doc: "TCP address for operators, on loopback."},
+		{Section: sectionOperator, Name: "metrics", Kind: KindHostPort, Optional: true, Doc: "TCP address for collectors of metrics, plain HTTP at /metrics; none by default."},
 		{Section: sectionStore, Name: "address", Kind: KindHostPort, Required: true, Doc: "Address of the platform's store."},
 		{Section: sectionStore, Name: "instances", Kind: KindHostPort, Optional: true, Doc: "Address of the platform's instance list."},
 		{Section: sectionStore, Name: "advice", Kind: KindHostPort, Optional: true, Doc: "Address of the advice service, where queues have one."},
@@ -80,9 +83,10 @@
 		Deployment: v.String(sectionProcess, "deployment"),
 		Front:      v.Addr(sectionCallers, "listen"), Ready: v.Addr(sectionCallers, "ready"),
 		PeerListen: v.Addr(sectionPeer, "listen"), Operator: v.Addr(sectionOperator, "listen"),
-		Store:  v.Addr(sectionStore, "address").String(),
-		Orders: v.String(sectionStore, "orders"),
-		Memory: v.Bytes(sectionLimits, "memory"), Processor: v.Ratio(sectionLimits, "processor"),
+		Metrics: v.Addr(sectionOperator, "metrics"),
+		Store:   v.Addr(sectionStore, "address").String(),
+		Orders:  v.String(sectionStore, "orders"),
+		Memory:  v.Bytes(sectionLimits, "memory"), Processor: v.Ratio(sectionLimits, "processor"),
 		Bounds: NodeBounds{
 			Grace: v.Duration(sectionBounds, "grace"), StopTimeout: v.Duration(sectionBounds, "stop_timeout"),
 			KeepEnded: v.Duration(sectionBounds, "keep_ended"), Notice: v.Duration(sectionBounds, "notice"),
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -6,9 +6,12 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/jobs"
 	"cyclamenwheel/internal/planlease"
@@ -437,6 +440,7 @@
 
 func (r *Runner) logEvents() {
 	for _, e := range r.core.TakeEvents() {
+		metrics.GetOrCreateCounter(fmt.Sprintf("cyclamen_pool_events_total{event=%q}", e.Kind)).Inc()
 		r.log.Info(string(e.Kind), "epoch", r.epoch, "job", e.Job, "task", e.Task, "run", e.Run,
 			"instance", e.Endpoint, "reason", e.Reason, "age_ms", e.AgeMs)
 	}
