A stopping node ends instead of calling itself without end

Cause: the function that stops the operators' servers was stored in the named result that it called. The trial nodes now have that address, and the spec of the planned stop fails without the mend.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -153,21 +153,24 @@
 		return nil, err
 	}
 	n.log.Info("operators served", "listen", op.Addr().String())
-	stop = func() {
+	closeOperator := func() {
 		if err := op.Close(); err != nil {
 			n.log.Warn("operators' server not closed", operator.Err(err))
 		}
 	}
 	if !n.set.Metrics.IsValid() {
-		return stop, nil
+		return closeOperator, nil
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	server, err := n.serve(n.set.Metrics.String(), mux)
 	if err != nil {
-		return stop, err
+		return closeOperator, err
 	}
-	return func() { stop(); _ = server.Close() }, nil
+	return func() {
+		closeOperator()
+		_ = server.Close() // nobody is owed an answer of it any more
+	}, nil
 }
 
 func (n *Node) notReady() []string {
--- a/internal/standin/trial/cluster.go
+++ b/internal/standin/trial/cluster.go
@@ -79,8 +79,12 @@
 		return nil, err
 	}
 	n := &Node{Name: name, Front: front, ready: ready, settings: filepath.Join(c.dir, name+".ini"), log: filepath.Join(c.dir, name+".log")}
-	text := fmt.Sprintf("[process]\nnode = %s\nzone = z\n[callers]\nlisten = %s\nready = %s\n[peer]\nlisten = %s\n[store]\naddress = %s\ninstances = %s\n[bounds]\nmove = 300ms\nlease_ttl = 500ms\n",
-		name, front, ready, peer, c.Platform.Addr(), c.Platform.Addr())
+	metrics, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf("[process]\nnode = %s\nzone = z\n[callers]\nlisten = %s\nready = %s\n[peer]\nlisten = %s\n[store]\naddress = %s\ninstances = %s\n[operator]\nmetrics = %s\n[bounds]\nmove = 300ms\nlease_ttl = 500ms\n",
+		name, front, ready, peer, c.Platform.Addr(), c.Platform.Addr(), metrics)
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		return nil, &StartError{What: name, Cause: err}
 	}
