--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -406,6 +406,11 @@
 	// not, each job once.
 	OfferedCoreMs float64    `json:"offered_core_ms" cbor:"9,keyasint"`
 	Hosts         []HostLoad `json:"hosts" cbor:"10,keyasint"`
+	// LeastHosts is how many endpoints the lasting tasks need to be apart from
+	// each other as their steps ask, however small they are.
+	LeastHosts int `json:"least_hosts" cbor:"12,keyasint"`
+	// Starved counts steps of lasting tasks that find no endpoint.
+	Starved int `json:"starved" cbor:"13,keyasint"`
 }
 
 // HostLoad is how an endpoint in use is loaded.
--- a/internal/executor/vacate.go
+++ b/internal/executor/vacate.go
@@ -119,6 +119,7 @@
 	}
 	slices.SortFunc(s.Hosts, func(a, b HostLoad) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	s.OfferedCoreMs = c.offered
+	s.LeastHosts, s.Starved = c.leastHosts(), c.starved(now)
 	for _, j := range c.open {
 		if j.rec.State.Ended() || lasting(&j.rec.Job) {
 			continue
@@ -137,3 +138,51 @@
 	}
 	return s
 }
+
+// leastHosts is how many endpoints the steps of lasting tasks need at least:
+// those that serve and those that fill never share one.
+func (c *Core) leastHosts() int {
+	serving, filling := 0, 0
+	for _, j := range c.open {
+		if j.rec.State.Ended() {
+			continue
+		}
+		for i := range j.rec.Job.Steps {
+			st := &j.rec.Job.Steps[i]
+			if !st.LongRunning {
+				continue
+			}
+			need := 1
+			if st.MaxPerEndpoint > 0 {
+				need = (st.Count + st.MaxPerEndpoint - 1) / st.MaxPerEndpoint
+			}
+			if st.Fills {
+				filling = max(filling, need)
+			} else {
+				serving = max(serving, need)
+			}
+		}
+	}
+	return serving + filling
+}
+
+// starved counts steps of lasting tasks of which one waits and finds no
+// endpoint, though room in the pool's sum may be left.
+func (c *Core) starved(now time.Duration) int {
+	n := 0
+	for _, j := range c.open {
+		if j.rec.State.Ended() || !lasting(&j.rec.Job) {
+			continue
+		}
+		for _, t := range j.waitingTasks() {
+			found := false
+			for _, e := range c.endpoints {
+				found = found || c.obstacle(now, t, e) == obstacleNone
+			}
+			if !found {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/fleetops/fleetops_test.go
+++ b/internal/fleetops/fleetops_test.go
@@ -34,6 +34,7 @@
 	tasks map[string]int
 	// demand is the work offered to a pool, in core-ms, and its ready backlog.
 	offered, ready, running map[string]float64
+	leastHosts              map[string]int
 	ordered                 []fleetops.Operation
 	journal                 map[string][]byte
 	slow                    bool
@@ -103,7 +104,8 @@
 }
 
 func (f *fleet) summary(pool string) executor.Summary {
-	s := executor.Summary{Pool: pool, OfferedCoreMs: f.offered[pool], ReadyCoreMs: f.ready[pool], RunningCPUMilli: int(f.running[pool])}
+	s := executor.Summary{Pool: pool, OfferedCoreMs: f.offered[pool], ReadyCoreMs: f.ready[pool], RunningCPUMilli: int(f.running[pool]),
+		LeastHosts: f.leastHosts[pool]}
 	for _, i := range f.instances {
 		if i.Pool == pool && i.Up {
 			s.Endpoints++
@@ -188,6 +190,21 @@
 	})
 })
 
+var _ = Describe("lasting tasks that must be apart", func() {
+	// Five small tasks may share no endpoint. Their pool has processor room for
+	// them on one instance, and its other instances are switched off or lent: the
+	// tasks wait for ever while the sums say that all is well.
+	It("keep as many instances as they need", func() {
+		f := newFleet(map[string]int{"a": 8, "b": 8, spare: 2})
+		f.leastHosts = map[string]int{"a": 5}
+		for range 60 {
+			f.round("a", "b")
+		}
+		Expect(f.count("a")).To(BeNumerically(">=", 6))
+		Expect(f.count("b")).To(BeNumerically("<", 5))
+	})
+})
+
 var _ = Describe("a word from a displaced owner", func() {
 	// A pool changes its owner just before an instance of it is to be moved. The
 	// old owner does not know that it was displaced and calls the endpoint clear,
--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -44,6 +44,9 @@
 	// leastInstances stay in a pool beside those with lasting tasks, so that
 	// the first jobs of a turn find room.
 	leastInstances = 2
+	// mostStarved bounds the instances that are called at once for lasting tasks
+	// that find no endpoint.
+	mostStarved = 3
 	// shortBy is the share of an instance that must be missing to move one.
 	shortBy = 0.35
 )
@@ -177,6 +180,12 @@
 	work := max(rate, float64(sum.RunningCPUMilli-sum.LastingCPUMilli))
 	drain := sum.ReadyCoreMs * 1000 / float64(drainWithin.Milliseconds())
 	least := float64(sum.LastingCPUMilli) + leastInstances*unit
+	// Lasting tasks that must be apart need endpoints of their own, of whatever
+	// size, and one more to go to when one of these leaves.
+	least = max(least, float64(sum.LeastHosts+1)*unit)
+	if sum.Starved > 0 {
+		least = max(least, float64(sum.CapacityMilli)+float64(min(sum.Starved, mostStarved))*unit)
+	}
 	return max(least, float64(sum.LastingCPUMilli)+headroom*(work+drain))
 }
 
