Orders on instances wait for a list newer than the owner's word

Its endpoint had died and was called clear; another incarnation lived on the instance by then, which the list of 0.4 s before did not show. A spec fails without it.

--- a/internal/fleetops/decide.go
+++ b/internal/fleetops/decide.go
@@ -59,6 +59,7 @@
 // Decide goes on with what is under way and begins what is due.
 func (s *State) Decide(now time.Duration, wallMs int64) Actions {
 	var a Actions
+	s.wantsList = false
 	s.expire(now)
 	for _, name := range s.sortedOps() {
 		s.advance(now, s.ops[name], &a)
@@ -255,6 +256,13 @@
 			Hurry: s.hurry(now, wallMs, op), Ended: s.ended(op, i)})
 	}
 	clear := empty || op.cleared && now-op.clearAt < clearFresh
+	// The endpoint that was cleared may have died meanwhile, and another live on
+	// the instance: only a list asked for after the owner's word shows that the
+	// two still belong together.
+	if clear && !empty && s.listedAt < op.clearFrom {
+		s.wantsList = true
+		return
+	}
 	if !clear || op.ordering || op.orderedAt > 0 && now-op.orderedAt < orderRepeat || op.accepted > 0 && !i.Up {
 		return
 	}
@@ -324,6 +332,9 @@
 	}
 }
 
+// WantsList reports that an order waits for a fresh instance list.
+func (s *State) WantsList() bool { return s.wantsList }
+
 // Idle reports whether nothing is under way or due.
 func (s *State) Idle() bool {
 	for _, op := range s.ops {
--- a/internal/fleetops/fleetops_test.go
+++ b/internal/fleetops/fleetops_test.go
@@ -34,10 +34,12 @@
 	tasks map[string]int
 	// demand is the work offered to a pool, in core-ms, and its ready backlog.
 	offered, ready, running map[string]float64
-	leastHosts              map[string]int
-	ordered                 []fleetops.Operation
-	journal                 map[string][]byte
-	slow                    bool
+	// listLag keeps the instance list as it was read first.
+	listLag, listed time.Duration
+	leastHosts      map[string]int
+	ordered         []fleetops.Operation
+	journal         map[string][]byte
+	slow            bool
 	// proofAge is how old the owners' proofs are.
 	proofAge time.Duration
 }
@@ -86,7 +88,10 @@
 			i.Up, i.Endpoint = true, endpointOf(i.Pool, i.Name, f.now)
 		}
 	}
-	f.state.ObserveInstances(f.now, slices.Clone(f.instances), spare)
+	if f.listLag == 0 || f.listed == 0 {
+		f.state.ObserveInstances(f.now, slices.Clone(f.instances), spare)
+		f.listed = f.now
+	}
 	for _, pool := range pools {
 		f.state.ObservePool(f.now, pool, f.summary(pool))
 	}
@@ -96,7 +101,7 @@
 	}
 	f.state.Saved(f.now)
 	for _, c := range actions.Clears {
-		f.state.Cleared(f.now, f.now-f.proofAge, c.Instance, f.tasks[c.Endpoint])
+		f.state.Cleared(f.now+time.Millisecond, f.now-f.proofAge, c.Instance, f.tasks[c.Endpoint])
 	}
 	for _, o := range actions.Orders {
 		f.order(o.Operation)
@@ -205,6 +210,34 @@
 	})
 })
 
+var _ = Describe("an endpoint that dies while it is cleared", func() {
+	// The owner calls the endpoint clear because it has died with its tasks. By
+	// then another incarnation lives on the instance and runs new ones, which the
+	// list that the duty last read does not show.
+	It("leaves its successor on the instance alone until that is clear", func() {
+		f := newFleet(map[string]int{"a": 4})
+		f.state.ObserveWave(1, f.names("a")[:1], time.Second, 1, wall)
+		f.listLag = time.Hour // the list stays as it was first read
+		f.round("a")
+		f.instances[0].Endpoint = "reborn"
+		f.tasks["reborn"] = 1
+		for range 20 {
+			f.round("a")
+		}
+		Expect(f.maintained()).To(BeEmpty())
+		f.listLag = 0
+		for range 20 {
+			f.round("a")
+		}
+		Expect(f.maintained()).To(BeEmpty())
+		f.tasks["reborn"] = 0
+		for range 10 {
+			f.round("a")
+		}
+		Expect(f.maintained()).To(HaveLen(1))
+	})
+})
+
 var _ = Describe("a word from a displaced owner", func() {
 	// A pool changes its owner just before an instance of it is to be moved. The
 	// old owner does not know that it was displaced and calls the endpoint clear,
--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -78,6 +78,8 @@
 	opts   Options
 	state  *State
 	tenure *tenure.Tenure
+	// rounded is when the last round began.
+	rounded time.Duration
 	// balanced is when the pools' room and need were last logged.
 	balanced time.Duration
 	inbox    chan func(now time.Duration)
@@ -99,16 +101,28 @@
 		case <-ctx.Done():
 		case msg := <-r.inbox:
 			msg(planlease.Boottime())
-		case <-tick.C:
-			if err := r.round(ctx); err != nil {
-				opts.Logger.Warn("fleet duty lost", "epoch", r.tenure.Epoch, "error", err.Error())
-				return
+			if !r.early() {
+				continue
 			}
+		case <-tick.C:
+		}
+		if err := r.round(ctx); err != nil {
+			opts.Logger.Warn("fleet duty lost", "epoch", r.tenure.Epoch, "error", err.Error())
+			return
 		}
 	}
 	r.release()
 }
 
+// earlyGap is the least time between two rounds.
+const earlyGap = 30 * time.Millisecond
+
+// early reports whether a round is worth its while before the next tick: answers
+// have come, and operations wait for them.
+func (r *Runner) early() bool {
+	return !r.state.Idle() && planlease.Boottime()-r.rounded > earlyGap
+}
+
 // releaseTimeout bounds what a stopping process spends on its last record.
 const releaseTimeout = 400 * time.Millisecond
 
@@ -149,6 +163,7 @@
 // round decides, makes the decisions durable, and carries them out.
 func (r *Runner) round(ctx context.Context) error {
 	now := planlease.Boottime()
+	r.rounded = now
 	facts := r.opts.Facts()
 	for _, w := range facts.Waves {
 		r.state.ObserveWave(w.Number, w.Instances, w.Within, w.MaxAtOnce, time.Now().UnixMilli())
@@ -213,7 +228,8 @@
 		age = listBusy
 	}
 	asked := planlease.Boottime()
-	if r.listing || r.state.listedAt > 0 && asked-r.state.listedAt < age {
+	fresh := r.state.listedAt > 0 && asked-r.state.listedAt < age && !r.state.WantsList()
+	if r.listing || fresh {
 		return
 	}
 	r.listing = true
--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -70,7 +70,9 @@
 	recorded time.Duration
 	// clearAt is when the owner last said that nothing is left.
 	clearAt time.Duration
-	cleared bool
+	// clearFrom is when it first said so, without a contrary word since.
+	clearFrom time.Duration
+	cleared   bool
 }
 
 // Wave is a maintenance wave and how far it is.
@@ -116,9 +118,11 @@
 	instances map[string]Instance
 	// listedAt is when the instance list was asked for.
 	listedAt time.Duration
-	ops      map[string]*Operation
-	waves    map[int]*Wave
-	demand   map[string]*demand
+	// wantsList: an order waits for a list that is newer than its owner's word.
+	wantsList bool
+	ops       map[string]*Operation
+	waves     map[int]*Wave
+	demand    map[string]*demand
 
 	// reserved are instances that are kept for a wave's last part: moving from
 	// pool to pool they would never be free for it.
@@ -368,6 +372,9 @@
 	if op == nil || op.recorded == 0 || proven < op.recorded {
 		return
 	}
+	if left == 0 && !op.cleared {
+		op.clearFrom = now
+	}
 	op.cleared = left == 0
 	op.clearAt = now
 }
