--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -296,16 +296,17 @@
 	perBadRun = 0.5
 )
 
-// score prefers endpoints near the data, then those that work well. Tasks that
-// end by themselves go where most is free, so that one slow endpoint gets few
-// of them. Lasting tasks go where least is free: the endpoints without any can
-// then be moved or maintained without stopping them.
+// score prefers endpoints near the data, then those that work well, then those
+// with the least room left. Load: as a queue's turn ends, its tasks end one by
+// one; spread over all endpoints they keep each of them busy, and none is free
+// for the queue whose turn begins. Packed, most endpoints are empty at once.
+// Measured on the bench, worth of four days before and after: 0.66, 0.44, 0.67,
+// 0.51 and 0.69, 0.46, 0.71, 0.65.
 func (c *Core) score(t *task, e *endpoint) float64 {
 	s := t.step.spec
 	free := float64(e.free().CPUMilli) / float64(max(1, e.capacity.CPUMilli))
-	score := free
+	score := -free
 	if s.LongRunning {
-		score = -free
 		if e.hasLasting() {
 			score += besideLasting
 		}
