--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 KNOWN_RED := $(shell [ -f KNOWN-RED.txt ] && grep -v '^\#' KNOWN-RED.txt | cut -d: -f1 | paste -sd '|')
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)',)
 
-.PHONY: build test demo measure fuzz trial
+.PHONY: build test demo platform-demo soak measure fuzz trial
 
 build:
 	go build -o bin/ ./cmd/...
@@ -15,6 +15,18 @@
 demo: build
 	./scripts/demo.sh
 
+# Real nodes on the wire stand-in of the platform, through a maintenance wave, a
+# dead endpoint and a killed node. Ends with 0 only if nothing was lost or doubled.
+platform-demo: build
+	bin/cyclamen-trial demo --shape portlouis
+	bin/cyclamen-trial demo --shape kelaniya --nodes 7
+
+# The same under random faults; see docs/SOAK.md.
+SEED ?= 1
+SECONDS ?= 15
+soak: build
+	bin/cyclamen-trial soak --seed $(SEED) --seconds $(SECONDS) --nodes 5
+
 # Figures of the pages in docs: minutes in all, fixed seeds.
 measure: build
 	bin/cyclamen-measure load
