--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,8 @@
 	go test ./internal/manifest -run XXX -fuzz FuzzParse -fuzztime 10s
 	go test ./internal/fleetlog -run XXX -fuzz FuzzApply -fuzztime 10s
 	go test ./internal/peer -run XXX -fuzz Fuzz -fuzztime 10s
+	for f in FuzzDecodeJob FuzzDecodePage FuzzDecodeEntries FuzzDecodeLook; do \
+	  go test ./platform -run XXX -fuzz "^$$f\$$" -fuzztime 10s || exit 1; done
 
 # A trial deployment that runs until it is interrupted.
 trial: build
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -137,9 +137,6 @@
 	return len(r.Records) == 0 && len(r.Orders) == 0 && len(r.Replies) == 0 && len(r.acks) == 0
 }
 
-// maxBatchJobs bounds a batch to a fraction of the largest append.
-const maxBatchJobs = 200
-
 // Ready returns the changes since the last call.
 func (c *Core) Ready() Ready {
 	r := Ready{Orders: c.starts, Replies: c.replies, acks: c.acks}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cyclamenwheel/internal/pause"
 	"cyclamenwheel/platform"
 )
 
@@ -45,14 +46,14 @@
 		if err == nil {
 			f.regained()
 			retry = retryMin
-			sleep(ctx, gap)
+			pause.For(ctx, gap)
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		f.lost(err)
-		sleep(ctx, retry)
+		pause.For(ctx, retry)
 		retry = min(2*retry, retryMax)
 	}
 }
@@ -105,12 +106,3 @@
 	}
 	f.down = false
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/pause"
 	"cyclamenwheel/internal/planlease"
 	"cyclamenwheel/internal/tenure"
 	"cyclamenwheel/platform"
@@ -147,7 +148,7 @@
 			return true
 		}
 		r.opts.Logger.Warn("claim failed", "duty", "fleet", "error", err.Error())
-		sleep(ctx, claimRetry)
+		pause.For(ctx, claimRetry)
 	}
 	return false
 }
@@ -372,12 +373,3 @@
 		}
 	}()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -27,6 +27,7 @@
 	"cyclamenwheel/internal/fleetops"
 	"cyclamenwheel/internal/ingress"
 	"cyclamenwheel/internal/operator"
+	"cyclamenwheel/internal/pause"
 	"cyclamenwheel/internal/peer"
 	"cyclamenwheel/internal/routing"
 	"cyclamenwheel/internal/settings"
@@ -197,7 +198,7 @@
 func (n *Node) followEndpoints(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !n.manager.HoldsPools() {
-			sleep(ctx, dutyCheck)
+			pause.For(ctx, dutyCheck)
 			continue
 		}
 		following, stop := context.WithCancel(ctx)
@@ -210,7 +211,7 @@
 func (n *Node) stopWhenIdle(ctx context.Context, stop context.CancelFunc) {
 	idle := time.Duration(0)
 	for ctx.Err() == nil && idle < dutyLinger {
-		sleep(ctx, dutyCheck)
+		pause.For(ctx, dutyCheck)
 		idle += dutyCheck
 		if n.manager.HoldsPools() {
 			idle = 0
--- a/internal/host/trust.go
+++ b/internal/host/trust.go
@@ -8,6 +8,7 @@
 
 	"cyclamenwheel/internal/certs"
 	"cyclamenwheel/internal/operator"
+	"cyclamenwheel/internal/pause"
 	"cyclamenwheel/platform"
 )
 
@@ -36,7 +37,7 @@
 			return nil, err
 		}
 		log.Warn("no CA for the links between nodes yet", operator.Err(err))
-		sleep(ctx, trustRetry)
+		pause.For(ctx, trustRetry)
 	}
 }
 
@@ -62,12 +63,3 @@
 		{Key: keyCACert, Value: cert}, {Key: keyCAKey, Value: key}})
 	return ca, err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -11,10 +11,11 @@
 const (
 	// MaxSpecBytes is the longest Spec that callers may send.
 	MaxSpecBytes = 4000
-	// MaxSteps and MaxTasks bound what one job may cost the process that
-	// owns it: a task takes about 200 bytes of memory.
+	// MaxSteps and MaxTasks bound what one job may cost: all of its tasks'
+	// progress is one record of some 60 bytes a task, and the store takes
+	// records of 256 KB.
 	MaxSteps = 256
-	MaxTasks = 20000
+	MaxTasks = 3000
 	// MaxOccurrences bounds a recurring job; occurrences are expanded one at
 	// a time, so it is no bound on memory.
 	MaxOccurrences = 100000
@@ -142,7 +143,7 @@
 		tasks += j.Steps[i].Count
 	}
 	if tasks > MaxTasks {
-		return &MalformedError{"steps", "have more than 20000 tasks"}
+		return &MalformedError{"steps", "have more than 3000 tasks"}
 	}
 	return nil
 }
@@ -150,7 +151,7 @@
 func (s *Step) check(number int) error {
 	field := "steps[" + strconv.Itoa(number) + "]"
 	if s.Count < 1 || s.Count > MaxTasks {
-		return &MalformedError{field + ".count", "must be 1 to 20000"}
+		return &MalformedError{field + ".count", "must be 1 to 3000"}
 	}
 	if s.CPUMilli < 0 || s.MemoryMB < 0 || s.GPUs < 0 || s.MaxPerEndpoint < 0 || s.MayMiss < 0 {
 		return &MalformedError{field, "sizes must not be negative"}
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -13,6 +13,7 @@
 
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/fleetops"
+	"cyclamenwheel/internal/pause"
 	"cyclamenwheel/internal/planlease"
 	"cyclamenwheel/internal/rendezvous"
 	"cyclamenwheel/internal/tenure"
@@ -181,7 +182,7 @@
 		}
 		m.refreshMembers(ctx, age)
 		m.assign(ctx)
-		sleep(ctx, joinEvery)
+		pause.For(ctx, joinEvery)
 	}
 	m.leave()
 }
@@ -320,7 +321,7 @@
 			break
 		}
 		r.log.Warn("claim failed", "error", err.Error())
-		sleep(ctx, claimRetry)
+		pause.For(ctx, claimRetry)
 	}
 	if ctx.Err() != nil {
 		return
@@ -355,7 +356,7 @@
 		page, err := m.opts.Journal.Newest(ctx, fleetops.Topic)
 		if err != nil {
 			m.opts.Logger.Warn("operations on instances not read", "pool", pool, "error", err.Error())
-			sleep(ctx, claimRetry)
+			pause.For(ctx, claimRetry)
 			continue
 		}
 		records := make([]fleetops.Record, len(page.Records))
@@ -517,12 +518,3 @@
 	}
 	return n
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
