--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -40,12 +40,12 @@
 	}
 	j := &job{since: now, rec: jobRecord{Job: in, Queue: under.Queue, Terms: under.Terms, AcceptedMs: c.wallMs}}
 	refusal, refused := c.refuse(now, j)
-	c.countOffer(now, j, refused)
+	first := c.countOffer(now, j, refused)
 	if refused {
 		c.event(Event{Kind: EventRefused, Job: in.ID, Reason: refusal.Reason})
 		return VerdictRefused, refusal
 	}
-	j.objective = now + c.objectiveOf(j)
+	j.objective = first + c.objectiveOf(j)
 	c.jobs[in.ID] = j
 	c.open = append(c.open, j)
 	j.queued = true
@@ -286,8 +286,8 @@
 	// advice can still be followed.
 	retryCeiling = 3 * time.Second
 	// lendTime is how long it takes until lent instances work: a move of some
-	// 1.5 s, and a second to notice the need and to clear them.
-	lendTime = 2500 * time.Millisecond
+	// 1.5 s, and 0.3 s to notice the need.
+	lendTime = 1800 * time.Millisecond
 	// rememberRefused bounds how long a refused job's return is recognised.
 	rememberRefused = 15 * time.Second
 	// maxRefused bounds the memory that takes.
@@ -330,22 +330,28 @@
 }
 
 // countOffer adds a job's work to what was offered, once however often the job
-// comes back after a refusal.
-func (c *Core) countOffer(now time.Duration, j *job, refused bool) {
+// comes back after a refusal, and returns when it was first offered: callers
+// count its time from then.
+func (c *Core) countOffer(now time.Duration, j *job, refused bool) time.Duration {
 	id := j.rec.Job.ID
-	at, again := c.refusedAt[id]
+	first, again := c.refusedAt[id]
+	again = again && now-first < rememberRefused
+	if !again {
+		first = now
+	}
 	if refused && len(c.refusedAt) < maxRefused {
-		c.refusedAt[id] = now
+		c.refusedAt[id] = first
 	} else {
 		delete(c.refusedAt, id)
 	}
-	if again && now-at < rememberRefused || lasting(&j.rec.Job) {
-		return
+	if again || lasting(&j.rec.Job) {
+		return first
 	}
 	for i := range j.rec.Job.Steps {
 		st := &j.rec.Job.Steps[i]
 		c.offered += float64(st.Count) * float64(st.CPUMilli) / 1000 * c.taskMs(j, st)
 	}
+	return first
 }
 
 // forgetRefused drops refused jobs that have not come back.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -29,6 +29,7 @@
 	"cyclamenwheel/internal/operator"
 	"cyclamenwheel/internal/pause"
 	"cyclamenwheel/internal/peer"
+	"cyclamenwheel/internal/planlease"
 	"cyclamenwheel/internal/routing"
 	"cyclamenwheel/internal/settings"
 	"cyclamenwheel/internal/shards"
@@ -80,6 +81,13 @@
 	mu        sync.Mutex
 	endpoints map[string]platform.EndpointEntry
 	waves     map[int]platform.Wave
+	peersSeen map[string]seenPeer
+}
+
+// seenPeer is a member's address and when it was last one.
+type seenPeer struct {
+	addr string
+	at   time.Duration
 }
 
 // Run runs a node until it is told to stop.
@@ -95,7 +103,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	n := &Node{set: set, log: log, client: platform.NewClient(set.Store, set.Instances, set.Advice),
-		endpoints: map[string]platform.EndpointEntry{}, waves: map[int]platform.Wave{}}
+		endpoints: map[string]platform.EndpointEntry{}, waves: map[int]platform.Wave{}, peersSeen: map[string]seenPeer{}}
 	log.Info("starting", "version", version.Version, "settings", path)
 	return n.run(ctx, cancel)
 }
@@ -256,17 +264,39 @@
 		AskMembers: func(ctx context.Context, node string) (shards.MembersResult, error) {
 			return shards.AskMembers(ctx, n.peers, node)
 		},
-		OnPeers: func(peers map[string]string) {
-			if err := n.peers.SetPeers(peers); err != nil {
-				n.log.Warn("peer left out", operator.Err(err))
-			}
-		},
+		OnPeers: n.takePeers,
 	})
 	calls.Manager, calls.Peers = n.manager, n.peers
 	n.manager.Register(n.peers)
 	return n.peers.Start()
 }
 
+// peerLinger is how long a node that is no longer a member stays a peer: calls
+// that are on their way to it would otherwise be cut, and their callers left
+// without knowing what became of them.
+const peerLinger = 3 * time.Second
+
+// takePeers sets the peers to the members of now and of just before.
+func (n *Node) takePeers(members map[string]string) {
+	n.mu.Lock()
+	now := planlease.Boottime()
+	for node, addr := range members {
+		n.peersSeen[node] = seenPeer{addr, now}
+	}
+	peers := map[string]string{}
+	for node, p := range n.peersSeen {
+		if now-p.at > peerLinger {
+			delete(n.peersSeen, node)
+			continue
+		}
+		peers[node] = p.addr
+	}
+	n.mu.Unlock()
+	if err := n.peers.SetPeers(peers); err != nil {
+		n.log.Warn("peer left out", operator.Err(err))
+	}
+}
+
 func (n *Node) serve(addr string, h http.Handler) (*http.Server, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
