--- /dev/null
+++ b/internal/executor/kinds_test.go
@@ -0,0 +1,135 @@
+package executor_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/jobs"
+	"cyclamenwheel/internal/routing"
+)
+
+var _ = Describe("a gang", func() {
+	gang := func(count int) jobs.Step {
+		s := small(count)
+		s.Gang = true
+		return s
+	}
+
+	It("starts with all of its tasks, under one number", func() {
+		w := newWorld(1, 2)
+		o := w.takeOver()
+		w.run(200 * time.Millisecond)
+		j := jobOf(1, gang(6))
+		w.submit(o, j)
+		w.run(100 * time.Millisecond)
+		running := 0
+		for _, h := range w.hosts {
+			for _, r := range h.running {
+				Expect(r.number).To(Equal(1))
+				running++
+			}
+		}
+		Expect(running).To(Equal(6))
+		w.run(time.Second)
+		Expect(w.state(o, j)).To(Equal("completed"))
+	})
+
+	It("holds no room while a part of it finds none", func() {
+		w := newWorld(1, 2)
+		o := w.takeOver()
+		w.run(200 * time.Millisecond)
+		w.submit(o, jobOf(1, gang(9)))
+		j := jobOf(2, small(2))
+		w.submit(o, j)
+		w.run(2 * time.Second)
+		Expect(w.runs).NotTo(HaveKey(jobOf(1).ID + ".0.0.0"))
+		Expect(w.state(o, j)).To(Equal("completed"))
+	})
+
+	// One endpoint of a running gang dies. The other members would wait for the
+	// lost ones; all are stopped and begin again together under a new number.
+	It("begins again as a whole when a member is lost", func() {
+		w := newWorld(1, 3)
+		o := w.takeOver()
+		w.run(200 * time.Millisecond)
+		for _, h := range w.hosts {
+			h.took = 800 * time.Millisecond
+		}
+		j := jobOf(1, gang(6))
+		w.submit(o, j)
+		w.run(200 * time.Millisecond)
+		for _, h := range w.hosts {
+			if len(h.running) > 0 {
+				w.kill(h)
+				break
+			}
+		}
+		numbers := map[int]int{}
+		for range 60 {
+			w.run(50 * time.Millisecond)
+			for _, h := range w.hosts {
+				for _, r := range h.running {
+					numbers[r.number]++
+				}
+			}
+		}
+		Expect(numbers).To(HaveKey(2))
+		Expect(w.state(o, j)).To(Equal("completed"))
+		Expect(w.broken).To(BeEmpty())
+	})
+})
+
+var _ = Describe("a recurring job", func() {
+	It("runs each occurrence when it is due, also under a new owner", func() {
+		w := newWorld(1, 2)
+		o := w.takeOver()
+		w.run(200 * time.Millisecond)
+		j := jobOf(1, small(2))
+		j.Occurrences, j.StartAtMs, j.IntervalMs = 3, w.wall()+1000, 1000
+		Expect(w.submit(o, j)).To(Equal(executor.VerdictAccepted))
+		w.run(900 * time.Millisecond)
+		Expect(w.runs).To(BeEmpty())
+		w.run(700 * time.Millisecond)
+		Expect(w.runs).To(HaveLen(2))
+		Expect(w.runs).To(HaveKey(j.ID + ".0.0.1"))
+		o.stopped = true
+		o = w.takeOver()
+		w.run(700 * time.Millisecond)
+		Expect(w.runs).To(HaveLen(4))
+		Expect(w.state(o, j)).To(Equal("running"))
+		w.run(1500 * time.Millisecond)
+		Expect(w.runs).To(HaveKey(j.ID + ".2.0.0"))
+		Expect(w.state(o, j)).To(Equal("completed"))
+		Expect(w.broken).To(BeEmpty())
+	})
+})
+
+var _ = Describe("a queue with advice", func() {
+	It("starts tasks only where a ticket was given, and asks again when it runs out", func() {
+		w := newWorld(1, 3)
+		o := w.takeOver()
+		w.run(200 * time.Millisecond)
+		under := terms()
+		under.Advice = &routing.Advice{DecideMs: 10, PeriodMs: 1, ValidMs: 600}
+		j := jobOf(1, small(9))
+		o.core.Submit(w.now, j, executor.Accepting{Queue: "q", Terms: under}, 1)
+		asked := 0
+		for range 60 {
+			w.run(50 * time.Millisecond)
+			call, due := o.core.DueAdvice(w.now)
+			if !due {
+				continue
+			}
+			asked++
+			Expect(call.Step).To(Equal(j.ID + ".0.0"))
+			o.core.AdviceDone(w.now, call, map[string]string{"i-01": "ticket"}, 600*time.Millisecond, true)
+		}
+		Expect(asked).To(BeNumerically(">=", 2))
+		Expect(w.state(o, j)).To(Equal("completed"))
+		Expect(w.hosts["i-00"].highest).To(BeEmpty())
+		Expect(w.hosts["i-02"].highest).To(BeEmpty())
+	})
+})
