--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -66,7 +66,6 @@
 	pool   string
 	epoch  int64
 	limits Limits
-	guard  bool
 
 	jobs      map[string]*job
 	endpoints map[string]*endpoint
@@ -78,7 +77,6 @@
 	ended []*job
 
 	learned map[string]*workload
-	images  map[string]*workload
 
 	// offered is all work offered, in core-ms; refusedAt keeps a job that comes
 	// again from counting again.
@@ -112,7 +110,7 @@
 	return &Core{
 		pool: pool, epoch: epoch, limits: limits, claimedAt: now,
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, gone: map[string]bool{},
-		learned: map[string]*workload{}, images: map[string]*workload{},
+		learned:   map[string]*workload{},
 		refusedAt: map[string]time.Duration{}, dirty: map[*job]bool{}, acks: map[string]int64{},
 	}
 }
@@ -123,9 +121,6 @@
 // Fenced reports whether an endpoint has seen a newer epoch.
 func (c *Core) Fenced() bool { return c.fenced }
 
-// SetGuarded says whether the pool's endpoints turn away what does not fit.
-func (c *Core) SetGuarded(guarded bool) { c.guard = guarded }
-
 // SetWall passes the time of day, for due times and the age of ended jobs.
 func (c *Core) SetWall(ms int64) { c.wallMs = ms }
 
@@ -207,7 +202,6 @@
 	// an older fence, so that it can't begin once this owner has been heard.
 	restored bool
 	percent  int
-	load     int
 	// movedAt is when percent last changed.
 	movedAt time.Duration
 	// stopping is set once the run shall end; stopSent is its newest order.
@@ -216,9 +210,6 @@
 	// avoid is the endpoint of the last run that failed there.
 	avoid     string
 	notBefore time.Duration
-	pace      int
-	overSince time.Duration
-	paceSent  time.Duration
 }
 
 func (t *task) name() string {
@@ -259,7 +250,6 @@
 
 	badRuns    int
 	quarantine time.Duration
-	speed      float64
 }
 
 // Room is an amount of an endpoint's resources.
@@ -298,7 +288,7 @@
 	Draining                   bool
 }
 
-// workload is what was learnt of the runs of a queue or an image.
+// workload is what was learnt of the runs of a queue.
 type workload struct {
 	// meanMs is the mean time of runs that ended done.
 	meanMs float64
@@ -322,7 +312,6 @@
 const (
 	OrderStart OrderKind = iota
 	OrderStop
-	OrderPace
 )
 
 // Order is an order to an endpoint. The caller adds fence and lease.
@@ -335,7 +324,6 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string
-	Percent    int
 	task       *task
 }
 
@@ -372,7 +360,6 @@
 	EventFenced   EventKind = "fenced by a newer epoch"
 	EventRestored EventKind = "jobs restored"
 	EventVacating EventKind = "endpoint vacating"
-	EventPaced    EventKind = "task paced"
 	EventWaits    EventKind = "task waits"
 	EventAdvised  EventKind = "step advised"
 )
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -30,7 +30,7 @@
 func (c *Core) endpoint(id string) *endpoint {
 	e := c.endpoints[id]
 	if e == nil {
-		e = &endpoint{id: id, tasks: map[*task]bool{}, speed: 1}
+		e = &endpoint{id: id, tasks: map[*task]bool{}}
 		c.endpoints[id] = e
 	}
 	return e
@@ -240,10 +240,10 @@
 
 // ListedRun is a run that an endpoint lists as running.
 type ListedRun struct {
-	Task          string
-	Run           int
-	Checkpoint    string
-	Percent, Load int
+	Task       string
+	Run        int
+	Checkpoint string
+	Percent    int
 }
 
 // HowEnded says how a run ended.
@@ -372,7 +372,6 @@
 	if r.Percent != t.percent {
 		t.percent, t.movedAt = r.Percent, now
 	}
-	t.load = r.Load
 	if r.Checkpoint != "" {
 		t.checkpoint = r.Checkpoint
 	}
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -44,7 +44,7 @@
 	refusedPause = 300 * time.Millisecond
 )
 
-// TakeUrgent returns orders that need no record: stops, paces, and repeated
+// TakeUrgent returns orders that need no record: stops, and repeated
 // starts of a run whose record is durable.
 func (c *Core) TakeUrgent() []Order {
 	out := c.urgent
@@ -187,7 +187,7 @@
 )
 
 func (c *Core) hangs(t *task) bool {
-	if t.step.spec.LongRunning && t.percent >= fullPace {
+	if t.step.spec.LongRunning && t.percent >= atWork {
 		return false
 	}
 	expected := time.Duration(c.taskMs(t.step.job, t.step.spec)) * time.Millisecond
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -7,7 +7,8 @@
 	"cyclamenwheel/internal/jobs"
 )
 
-const fullPace = 100
+// atWork is the percentage of a task that is at work.
+const atWork = 100
 
 // usable reports whether tasks may be placed on the endpoint at all: it is in
 // service discovery, not leaving, and its state under this epoch is known.
@@ -44,9 +45,9 @@
 	}
 	t.step.job.placed--
 	t.host = nil
-	t.ordered, t.confirmed, t.stopSent, t.overSince, t.paceSent = 0, 0, 0, 0, 0
+	t.ordered, t.confirmed, t.stopSent = 0, 0, 0
 	t.answered, t.stopping, t.restored = false, false, false
-	t.percent, t.load, t.pace, t.ticket = 0, 0, fullPace, ""
+	t.percent, t.ticket = 0, ""
 }
 
 // Decide places what can be placed. Jobs come in the order of sortOpen; those
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -160,7 +160,7 @@
 		block := make([]task, spec.Count)
 		s.tasks = make([]*task, spec.Count)
 		for k := range block {
-			block[k] = task{step: s, index: k, pace: fullPace}
+			block[k] = task{step: s, index: k}
 			s.tasks[k] = &block[k]
 		}
 		o.steps = append(o.steps, s)
--- a/internal/executor/vacate.go
+++ b/internal/executor/vacate.go
@@ -89,7 +89,7 @@
 func (c *Core) away(_ time.Duration, s *stepRun, besides *task) int {
 	n := 0
 	for _, t := range s.tasks {
-		if t != besides && (t.phase != taskPlaced || t.stopping || t.percent < fullPace || t.host.failedLook > 0) {
+		if t != besides && (t.phase != taskPlaced || t.stopping || t.percent < atWork || t.host.failedLook > 0) {
 			n++
 		}
 	}
--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -40,7 +40,7 @@
 	// viewFresh is how old an owner's word may be to move instances by it.
 	viewFresh = 1500 * time.Millisecond
 	// idleFor is how long instances are too many before they are switched off.
-	idleFor = 1400 * time.Millisecond
+	idleFor = 2500 * time.Millisecond
 	// leastInstances stay in a pool beside those with lasting tasks, so that
 	// the first jobs of a turn find room.
 	leastInstances = 2
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -391,11 +391,11 @@
 	n.passEndpoints()
 }
 
-func poolsOf(c *routing.Config) map[string]bool {
-	pools := map[string]bool{}
+func poolsOf(c *routing.Config) []string {
+	var pools []string
 	for _, s := range c.Services {
 		if !s.Spare {
-			pools[s.Name] = s.Guarded
+			pools = append(pools, s.Name)
 		}
 	}
 	return pools
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -36,10 +36,7 @@
 	Grace       time.Duration
 	StopTimeout time.Duration
 	KeepEnded   time.Duration
-	Notice      time.Duration
 	LeaseTTL    time.Duration
-	Pace        time.Duration
-	Harm        time.Duration
 	Move        time.Duration
 }
 
@@ -62,10 +59,7 @@
 		{Section: sectionBounds, Name: "grace", Kind: KindDuration, Default: "6s", Unit: "s", Min: second, Max: 600 * second, Doc: "Time between the signal to stop and the kill."},
 		{Section: sectionBounds, Name: "stop_timeout", Kind: KindDuration, Default: "900ms", Unit: "ms", Min: 1, Max: 600 * second, Doc: "Longest time that an endpoint takes to stop a task."},
 		{Section: sectionBounds, Name: "keep_ended", Kind: KindDuration, Default: "120s", Unit: "s", Min: second, Max: 86400 * second, Doc: "How long the state of an ended job can be asked for."},
-		{Section: sectionBounds, Name: "notice", Kind: KindDuration, Default: "4500ms", Unit: "ms", Min: 0, Max: 600 * second, Doc: "How long a lasting task counts as missing after it was away."},
 		{Section: sectionBounds, Name: "lease_ttl", Kind: KindDuration, Default: "3s", Unit: "ms", Min: 0, Max: 600 * second, Doc: "How long the platform remembers who ordered an instance last."},
-		{Section: sectionBounds, Name: "pace", Kind: KindDuration, Default: "100ms", Unit: "ms", Min: 0, Max: 600 * second, Doc: "Time until a changed pace takes effect."},
-		{Section: sectionBounds, Name: "harm", Kind: KindDuration, Default: "4s", Unit: "ms", Min: 0, Max: 600 * second, Doc: "How long a serving task may be over its target because of tasks beside it."},
 		{Section: sectionBounds, Name: "move", Kind: KindDuration, Default: "1500ms", Unit: "ms, s", Min: 0, Max: 600 * second, Doc: "How long an instance takes to move to another pool."},
 		{Section: sectionLimits, Name: "memory", Kind: KindBytes, Default: "256MiB", Unit: "MiB", Min: 16 << 20, Max: maxMemory, Doc: "Memory above which the process is killed."},
 		{Section: sectionLimits, Name: "processor", Kind: KindRatio, Default: "1", Unit: "cores", Doc: "This instance's share of a core."},
@@ -89,9 +83,9 @@
 		Memory:  v.Bytes(sectionLimits, "memory"), Processor: v.Ratio(sectionLimits, "processor"),
 		Bounds: NodeBounds{
 			Grace: v.Duration(sectionBounds, "grace"), StopTimeout: v.Duration(sectionBounds, "stop_timeout"),
-			KeepEnded: v.Duration(sectionBounds, "keep_ended"), Notice: v.Duration(sectionBounds, "notice"),
-			LeaseTTL: v.Duration(sectionBounds, "lease_ttl"), Pace: v.Duration(sectionBounds, "pace"),
-			Harm: v.Duration(sectionBounds, "harm"), Move: v.Duration(sectionBounds, "move"),
+			KeepEnded: v.Duration(sectionBounds, "keep_ended"),
+			LeaseTTL:  v.Duration(sectionBounds, "lease_ttl"),
+			Move:      v.Duration(sectionBounds, "move"),
 		},
 	}
 	if a := v.Addr(sectionStore, "instances"); a.IsValid() {
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -99,7 +99,6 @@
 	mu        sync.Mutex
 	pools     []string
 	endpoints map[string][]executor.EndpointInfo
-	guarded   map[string]bool
 	running   map[string]*held
 	// owners are who has each duty by the members last read, at membersAt.
 	owners    map[string]Owner
@@ -122,19 +121,18 @@
 // NewManager returns a manager that owns nothing.
 func NewManager(opts Options) *Manager {
 	return &Manager{opts: opts, running: map[string]*held{}, owners: map[string]Owner{},
-		endpoints: map[string][]executor.EndpointInfo{}, guarded: map[string]bool{}}
+		endpoints: map[string][]executor.EndpointInfo{}}
 }
 
-// SetPools says which pools there are and whether their endpoints guard their
-// room.
-func (m *Manager) SetPools(guarded map[string]bool) {
+// SetPools says which pools there are.
+func (m *Manager) SetPools(names []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	pools := slices.Sorted(maps.Keys(guarded))
+	pools := slices.Sorted(slices.Values(names))
 	if !slices.Equal(pools, m.pools) {
 		m.membersAt = 0 // spread the duties anew
 	}
-	m.pools, m.guarded = pools, guarded
+	m.pools = pools
 }
 
 // SetEndpoints passes service discovery on to the owners here, by pool.
@@ -329,7 +327,6 @@
 	leaving := m.operations(ctx, r.pool)
 	m.mu.Lock()
 	h.ready = true
-	r.core.SetGuarded(m.guarded[r.pool])
 	r.core.ObserveEndpoints(r.now(), m.endpoints[r.pool])
 	r.honour(leaving)
 	m.mu.Unlock()
--- a/internal/shards/orders.go
+++ b/internal/shards/orders.go
@@ -28,11 +28,8 @@
 }
 
 func (r *Runner) carryOut(to platform.EndpointRef, o executor.Order, lease time.Duration) (time.Duration, error) {
-	switch o.Kind {
-	case executor.OrderStop:
+	if o.Kind == executor.OrderStop {
 		return r.endpoints.Stop(r.ctx, to, o.Task, o.Run, r.epoch)
-	case executor.OrderPace:
-		return r.endpoints.Pace(r.ctx, to, o.Task, o.Run, o.Percent, r.epoch)
 	}
 	return r.endpoints.Start(r.ctx, to, platform.StartOrder{Task: o.Task, Run: o.Run, Spec: o.Spec, Fence: r.epoch,
 		LeaseUntil: lease, Checkpoint: o.Checkpoint, Ticket: o.Ticket})
@@ -111,7 +108,7 @@
 	out := executor.Listed{Clock: in.Clock}
 	for _, run := range in.Running {
 		out.Running = append(out.Running, executor.ListedRun{Task: run.Task, Run: run.Run, Checkpoint: run.Checkpoint,
-			Percent: run.Percent, Load: run.Load})
+			Percent: run.Percent})
 	}
 	for _, end := range in.Ended {
 		how, known := endedHow[end.How]
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -44,7 +44,6 @@
 type Endpoints interface {
 	Start(ctx context.Context, to platform.EndpointRef, o platform.StartOrder) (time.Duration, error)
 	Stop(ctx context.Context, to platform.EndpointRef, task string, run int, fence int64) (time.Duration, error)
-	Pace(ctx context.Context, to platform.EndpointRef, task string, run, percent int, fence int64) (time.Duration, error)
 	Renew(ctx context.Context, to platform.EndpointRef, r platform.Renewal) (platform.Look, error)
 	Advise(ctx context.Context, step string, endpoints []string, timeout time.Duration) (platform.Advice, error)
 }
