--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -20,6 +20,7 @@
 	kindPending = "queue.pending"
 	kindVacate  = "pool.vacate"
 	kindMembers = "group.members"
+	kindLeft    = "group.left"
 )
 
 // callTimeout bounds a call to a pool's owner. An owner answers within some
@@ -87,6 +88,18 @@
 	return peer.Call[MembersCall, MembersResult](ctx, peers, node, kindMembers, MembersCall{})
 }
 
+// LeftCall tells a peer that the caller has left the group.
+type LeftCall struct{}
+
+// LeftResult acknowledges a LeftCall.
+type LeftResult struct{}
+
+// SayLeft tells a peer that this member has left the group.
+func SayLeft(ctx context.Context, peers *peer.Node, node string) {
+	// A peer that does not hear it sees it at its next join.
+	_, _ = peer.Call[LeftCall, LeftResult](ctx, peers, node, kindLeft, LeftCall{})
+}
+
 // Register makes this process answer its peers' calls.
 func (m *Manager) Register(n *peer.Node) {
 	peer.Handle(n, kindSubmit, func(ctx context.Context, _ peer.Identity, in SubmitCall) (Result, error) {
@@ -101,6 +114,10 @@
 	peer.Handle(n, kindPending, func(ctx context.Context, _ peer.Identity, in QueueCall) (Result, error) {
 		return m.localCall(in.Pool, func(r *Runner) Result { return r.pending(ctx, in.Queue) }), nil
 	})
+	peer.Handle(n, kindLeft, func(context.Context, peer.Identity, LeftCall) (LeftResult, error) {
+		m.left()
+		return LeftResult{}, nil
+	})
 	peer.Handle(n, kindMembers, func(context.Context, peer.Identity, MembersCall) (MembersResult, error) {
 		return m.lastRows(), nil
 	})
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -28,9 +28,9 @@
 	groupTopic = "owners"
 	// memberTTL is how long a silent member keeps what it holds; it decides
 	// how long a pool stands still after its owner was killed.
-	memberTTL = 1200 * time.Millisecond
+	memberTTL = 1000 * time.Millisecond
 	// joinEvery leaves room for two lost joins within memberTTL.
-	joinEvery = 350 * time.Millisecond
+	joinEvery = 250 * time.Millisecond
 	// membersEvery is how often the members are read while the group's
 	// generation stays; a call that finds no owner reads them at once, at most
 	// each membersMin.
@@ -64,6 +64,8 @@
 	Fleet func(context.Context)
 	// AskMembers asks a peer for the members that it read last.
 	AskMembers func(ctx context.Context, node string) (MembersResult, error)
+	// SayLeft tells a peer that this member has left; it need not arrive.
+	SayLeft func(ctx context.Context, node string)
 	// OnPeers is told the addresses of all owners by node.
 	OnPeers func(map[string]string)
 }
@@ -107,7 +109,9 @@
 	rows    map[int]string
 	rowsAt  time.Duration
 	leaving bool
-	wg      sync.WaitGroup
+	// kick wakes Run to read the members at once.
+	kick chan struct{}
+	wg   sync.WaitGroup
 }
 
 // held is a duty that this process owns or is about to.
@@ -120,7 +124,7 @@
 
 // NewManager returns a manager that owns nothing.
 func NewManager(opts Options) *Manager {
-	return &Manager{opts: opts, running: map[string]*held{}, owners: map[string]Owner{},
+	return &Manager{opts: opts, kick: make(chan struct{}, 1), running: map[string]*held{}, owners: map[string]Owner{},
 		endpoints: map[string][]executor.EndpointInfo{}}
 }
 
@@ -163,7 +167,7 @@
 // Run stays in the group until ctx ends, then gives everything back.
 func (m *Manager) Run(ctx context.Context) {
 	var generation int64
-	failing, created := false, false
+	failing, created, kicked := false, false, false
 	for ctx.Err() == nil {
 		err := m.createTopic(ctx, &created)
 		var got platform.Assignment
@@ -171,6 +175,9 @@
 			got, err = m.opts.Membership.Join(ctx, group, m.opts.Member, groupTopic, memberTTL, generation)
 		}
 		age := membersEvery
+		if kicked {
+			age = 0
+		}
 		if err == nil && got.Generation != generation {
 			generation, age = got.Generation, 0
 		}
@@ -180,11 +187,48 @@
 		}
 		m.refreshMembers(ctx, age)
 		m.assign(ctx)
-		pause.For(ctx, joinEvery)
+		kicked = m.awaitJoin(ctx)
 	}
 	m.leave()
 }
 
+// awaitJoin waits until the next join is due. It reports whether a member that
+// left said so, and the members should be read at once.
+func (m *Manager) awaitJoin(ctx context.Context) (kicked bool) {
+	t := time.NewTimer(joinEvery)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-m.kick:
+		return true
+	}
+	return false
+}
+
+// left takes in that a member has left the group.
+func (m *Manager) left() {
+	select {
+	case m.kick <- struct{}{}:
+	default: // one is enough
+	}
+}
+
+// sayLeft tells the peers that this member has left, so that its duties don't
+// wait for their next joins.
+func (m *Manager) sayLeft(ctx context.Context) {
+	m.mu.Lock()
+	_, known := membersOf(m.rows)
+	m.mu.Unlock()
+	var wg sync.WaitGroup
+	for node := range known {
+		if node != m.opts.Node {
+			wg.Go(func() { m.opts.SayLeft(ctx, node) })
+		}
+	}
+	wg.Wait()
+}
+
 // createTopic makes the group's topic: a topic has partitions to deal out once
 // something was appended to it, if only nothing.
 func (m *Manager) createTopic(ctx context.Context, created *bool) error {
@@ -272,7 +316,9 @@
 	defer cancel()
 	if err := m.opts.Membership.Leave(ctx, group, m.opts.Member); err != nil {
 		m.opts.Logger.Warn("group not left", "error", err.Error())
+		return
 	}
+	m.sayLeft(ctx)
 }
 
 // assign begins and ends duties to match what is this node's.
