--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -30,14 +30,17 @@
 // Writer passes lines on to another writer in the background.
 type Writer struct {
 	lines chan []byte
-	done  chan struct{}
-	once  sync.Once
-	lost  *metrics.Counter
+	// stop ends the background goroutine; lines stays open, as others may
+	// still write while the process ends.
+	stop chan struct{}
+	done chan struct{}
+	once sync.Once
+	lost *metrics.Counter
 }
 
 // NewWriter starts the background goroutine that writes to out.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{lines: make(chan []byte, bufferLines), done: make(chan struct{}),
+	w := &Writer{lines: make(chan []byte, bufferLines), stop: make(chan struct{}), done: make(chan struct{}),
 		lost: metrics.GetOrCreateCounter(`cyclamen_log_lines_left_out_total{why="buffer full"}`)}
 	go w.loop(out)
 	return w
@@ -57,25 +60,39 @@
 
 func (w *Writer) loop(out io.Writer) {
 	defer close(w.done)
-	for line := range w.lines {
-		batch := append([]byte(nil), line...)
-		time.Sleep(flushEvery)
-		for more := true; more && len(batch) < writeBytes; {
-			select {
-			case next, open := <-w.lines:
-				batch = append(batch, next...)
-				more = open
-			default:
-				more = false
+	for {
+		select {
+		case line := <-w.lines:
+			time.Sleep(flushEvery)
+			w.write(out, line)
+		case <-w.stop:
+			w.write(out, nil)
+			return
+		}
+	}
+}
+
+// write writes a line and those that wait behind it.
+func (w *Writer) write(out io.Writer, line []byte) {
+	batch := append([]byte(nil), line...)
+	for {
+		select {
+		case next := <-w.lines:
+			batch = append(batch, next...)
+			if len(batch) >= writeBytes {
+				_, _ = out.Write(batch) // nowhere is left to report it
+				batch = batch[:0]
 			}
+		default:
+			_, _ = out.Write(batch)
+			return
 		}
-		_, _ = out.Write(batch) // nowhere is left to report it
 	}
 }
 
-// Close writes what is buffered, waiting at most limit.
+// Close writes what is buffered, waiting at most limit. Later lines are lost.
 func (w *Writer) Close(limit time.Duration) {
-	w.once.Do(func() { close(w.lines) })
+	w.once.Do(func() { close(w.stop) })
 	select {
 	case <-w.done:
 	case <-time.After(limit):
