--- /dev/null
+++ b/internal/executor/ends.go
@@ -0,0 +1,159 @@
+package executor
+
+import "time"
+
+func (c *Core) loseAll(e *endpoint, reason string) {
+	lost := make([]*task, 0, len(e.tasks))
+	for t := range e.tasks {
+		lost = append(lost, t)
+	}
+	for _, t := range lost {
+		c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: reason})
+		c.again(t)
+	}
+}
+
+// again puts a task whose run is known to have ended, or never to begin, back
+// among those that wait.
+func (c *Core) again(t *task) {
+	s := t.step
+	c.release(t)
+	c.touch(s.job)
+	if s.gangDone {
+		t.phase = taskDone
+		s.left--
+		if s.left == 0 {
+			c.stepDone(s)
+		}
+	} else {
+		t.phase = taskWaiting
+		s.waiting++
+		c.breakGang(s)
+	}
+	c.settle(s.job)
+}
+
+// breakGang stops the other members of a gang of which one is not there: they
+// would wait for it until their endpoints give them up.
+func (c *Core) breakGang(s *stepRun) {
+	if !s.spec.Gang {
+		return
+	}
+	for _, t := range s.tasks {
+		if t.phase == taskPlaced {
+			c.stopFor(t, "gang incomplete")
+		}
+	}
+}
+
+// takeEnd takes in an end that an endpoint lists.
+func (c *Core) takeEnd(now time.Duration, e *endpoint, end ListedEnd) {
+	if end.Number <= e.seen {
+		return
+	}
+	e.seen = end.Number
+	t := c.find(e, end.Task, end.Run)
+	if t == nil {
+		return
+	}
+	j := t.step.job
+	c.event(Event{Kind: EventTaskEnd, Job: j.rec.Job.ID, Task: end.Task, Run: end.Run, Endpoint: e.id, Reason: end.How.String()})
+	if end.Checkpoint != "" {
+		t.checkpoint = end.Checkpoint
+	}
+	c.judge(now, e, t, end.How)
+	switch {
+	case end.How == EndedDone && !t.step.spec.LongRunning:
+		c.done(now, t)
+	case end.How == EndedFailed:
+		c.failed(now, t, e)
+	default:
+		c.again(t)
+	}
+}
+
+// done takes in that a task has ended well. One such end of a gang's member
+// stands for all of them.
+func (c *Core) done(now time.Duration, t *task) {
+	s, j := t.step, t.step.job
+	if t.confirmed > 0 {
+		c.learn(j.rec.Queue, now-t.confirmed)
+	}
+	c.release(t)
+	t.phase = taskDone
+	s.left--
+	c.touch(j)
+	if s.spec.Gang {
+		c.doneGang(s)
+	}
+	if s.left == 0 {
+		c.stepDone(s)
+	}
+	c.settle(j)
+}
+
+// doneGang marks the members whose ends are still to be listed. Each of them
+// ends done as well; their runs stay counted on their endpoints until then.
+func (c *Core) doneGang(s *stepRun) {
+	s.gangDone = true
+	for _, t := range s.tasks {
+		if t.phase == taskWaiting {
+			t.phase = taskDone
+			s.waiting--
+			s.left--
+		}
+	}
+}
+
+func (c *Core) learn(queue string, took time.Duration) {
+	w := c.learned[queue]
+	if w == nil {
+		w = &workload{}
+		c.learned[queue] = w
+	}
+	w.add(float64(took.Milliseconds()))
+}
+
+func (c *Core) stepDone(s *stepRun) {
+	o, j := s.occ, s.job
+	o.left--
+	for _, other := range o.steps {
+		for _, a := range uniqueInts(other.spec.After) {
+			if a == s.index {
+				other.waitsFor--
+			}
+		}
+	}
+	if o.left > 0 {
+		return
+	}
+	c.closeOccurrence(j, o.number)
+	if j.firstOpen >= j.occurrences() && !j.rec.State.Ended() {
+		c.end(j, JobCompleted, "all tasks done")
+	}
+}
+
+// Backoff of tasks whose runs fail. A task that fails at once would otherwise
+// be started some ten times a second.
+const (
+	failBackoff    = 150 * time.Millisecond
+	failBackoffMax = 1200 * time.Millisecond
+)
+
+// failed takes in that a run has failed, and fails the job after as many as
+// its queue allows. Tasks that last have no such limit.
+func (c *Core) failed(now time.Duration, t *task, e *endpoint) {
+	s, j := t.step, t.step.job
+	t.avoid = e.id
+	count := &t.failures
+	if s.spec.Gang {
+		count = &s.failures
+	}
+	*count++
+	failures := *count
+	t.notBefore = now + min(failBackoff<<min(failures-1, 8), failBackoffMax)
+	c.again(t)
+	if !s.spec.LongRunning && failures >= j.rec.Terms.Attempts && !j.rec.State.Ended() {
+		c.end(j, JobFailed, "a task has failed as often as allowed")
+	}
+}
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -168,7 +168,7 @@
 		clear(w.hosts["i-00"].running)
 		w.addHost("i-01")
 		w.run(100 * time.Millisecond)
-		o.core.Gone(w.now, "i-00")
+		o.core.Gone("i-00")
 		w.run(time.Second)
 		Expect(w.state(o, j)).To(Equal("completed"))
 		Expect(w.broken).To(BeEmpty())
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -269,7 +269,7 @@
 		t.phase = taskDone
 	case taskPlaced:
 		e := c.endpoint(r.Endpoint)
-		c.occupy(t, e, now)
+		c.occupy(t, e)
 		t.restored = true
 		t.stopping = j.rec.State.Ended()
 	}
--- /dev/null
+++ b/internal/executor/leases.go
@@ -0,0 +1,73 @@
+package executor
+
+import "time"
+
+// grant returns the end of a lease to ask for now, on the endpoint's clock, or
+// zero before its clock is known.
+func (c *Core) grant(e *endpoint, now time.Duration) time.Duration {
+	if e.clockAt == 0 {
+		return 0
+	}
+	// An endpoint that does not answer may still hear: renewing its leases
+	// would put off the moment at which its tasks can begin elsewhere for ever.
+	if e.failedLook > 0 && e.granted > 0 {
+		return e.granted
+	}
+	until := e.clock + (now - e.clockAt) + c.limits.Lease
+	e.granted = max(e.granted, until)
+	return until
+}
+
+// GrantFor returns the lease for an order that is about to leave. ok is false
+// where the endpoint or the task's run is no longer there.
+func (c *Core) GrantFor(now time.Duration, o Order) (until time.Duration, ok bool) {
+	e := c.endpoints[o.Endpoint]
+	if e == nil || o.task == nil || o.task.host != e || o.task.run != o.Run {
+		return 0, false
+	}
+	if o.Kind == OrderStart {
+		if o.task.stopping {
+			return 0, false
+		}
+		o.task.ordered, o.task.answered = now, false
+	}
+	return c.grant(e, now), true
+}
+
+// expiryOf is when all leases on an endpoint have surely run out. Its clock
+// may be slow, so that a second of its time lasts a little longer here. For an
+// endpoint that has not answered this owner, a predecessor may have renewed
+// for as long as it was allowed to believe in itself.
+func (c *Core) expiryOf(e *endpoint) time.Duration {
+	stretch := func(d time.Duration) time.Duration {
+		return time.Duration(float64(max(0, d))/(1-clockDrift)) + expiryMargin
+	}
+	if !e.lookedEver {
+		return c.claimedAt + c.limits.ProofAge + stretch(c.limits.Lease)
+	}
+	return e.clockAt + stretch(e.granted-e.clock)
+}
+
+// expire takes back the tasks of endpoints whose leases have all run out.
+func (c *Core) expire(now time.Duration) {
+	for id, e := range c.endpoints {
+		if len(e.tasks) == 0 || now < c.expiryOf(e) {
+			continue
+		}
+		c.loseAll(e, "lease ran out")
+		if !e.listed {
+			delete(c.endpoints, id)
+		}
+	}
+}
+
+// noteClock takes in an endpoint's clock. The answer was made at some moment
+// before now, so the estimate is never ahead of the endpoint.
+func (e *endpoint) noteClock(now, clock time.Duration) {
+	if clock <= 0 {
+		return
+	}
+	if e.clockAt == 0 || clock >= e.clock {
+		e.clock, e.clockAt = clock, now
+	}
+}
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -61,7 +61,7 @@
 }
 
 // Gone takes in that an incarnation has ended, and everything on it with it.
-func (c *Core) Gone(now time.Duration, id string) {
+func (c *Core) Gone(id string) {
 	e := c.endpoints[id]
 	if c.gone[id] {
 		return
@@ -71,54 +71,10 @@
 		return
 	}
 	c.event(Event{Kind: EventGone, Endpoint: id, Run: len(e.tasks)})
-	c.loseAll(now, e, "incarnation ended")
+	c.loseAll(e, "incarnation ended")
 	delete(c.endpoints, id)
 }
 
-func (c *Core) loseAll(now time.Duration, e *endpoint, reason string) {
-	lost := make([]*task, 0, len(e.tasks))
-	for t := range e.tasks {
-		lost = append(lost, t)
-	}
-	for _, t := range lost {
-		c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: reason})
-		c.again(now, t)
-	}
-}
-
-// again puts a task whose run is known to have ended, or never to begin, back
-// among those that wait.
-func (c *Core) again(_ time.Duration, t *task) {
-	s := t.step
-	c.release(t)
-	c.touch(s.job)
-	if s.gangDone {
-		t.phase = taskDone
-		s.left--
-		if s.left == 0 {
-			c.stepDone(s)
-		}
-	} else {
-		t.phase = taskWaiting
-		s.waiting++
-		c.breakGang(s)
-	}
-	c.settle(s.job)
-}
-
-// breakGang stops the other members of a gang of which one is not there: they
-// would wait for it until their endpoints give them up.
-func (c *Core) breakGang(s *stepRun) {
-	if !s.spec.Gang {
-		return
-	}
-	for _, t := range s.tasks {
-		if t.phase == taskPlaced {
-			c.stopFor(t, "gang incomplete")
-		}
-	}
-}
-
 // Look is a renewal to send.
 type Look struct {
 	Endpoint     string
@@ -161,76 +117,6 @@
 	return lookWait
 }
 
-// grant returns the end of a lease to ask for now, on the endpoint's clock, or
-// zero before its clock is known.
-func (c *Core) grant(e *endpoint, now time.Duration) time.Duration {
-	if e.clockAt == 0 {
-		return 0
-	}
-	// An endpoint that does not answer may still hear: renewing its leases
-	// would put off the moment at which its tasks can begin elsewhere for ever.
-	if e.failedLook > 0 && e.granted > 0 {
-		return e.granted
-	}
-	until := e.clock + (now - e.clockAt) + c.limits.Lease
-	e.granted = max(e.granted, until)
-	return until
-}
-
-// GrantFor returns the lease for an order that is about to leave. ok is false
-// where the endpoint or the task's run is no longer there.
-func (c *Core) GrantFor(now time.Duration, o Order) (until time.Duration, ok bool) {
-	e := c.endpoints[o.Endpoint]
-	if e == nil || o.task == nil || o.task.host != e || o.task.run != o.Run {
-		return 0, false
-	}
-	if o.Kind == OrderStart {
-		if o.task.stopping {
-			return 0, false
-		}
-		o.task.ordered, o.task.answered = now, false
-	}
-	return c.grant(e, now), true
-}
-
-// expiryOf is when all leases on an endpoint have surely run out. Its clock
-// may be slow, so that a second of its time lasts a little longer here. For an
-// endpoint that has not answered this owner, a predecessor may have renewed
-// for as long as it was allowed to believe in itself.
-func (c *Core) expiryOf(e *endpoint) time.Duration {
-	stretch := func(d time.Duration) time.Duration {
-		return time.Duration(float64(max(0, d))/(1-clockDrift)) + expiryMargin
-	}
-	if !e.lookedEver {
-		return c.claimedAt + c.limits.ProofAge + stretch(c.limits.Lease)
-	}
-	return e.clockAt + stretch(e.granted-e.clock)
-}
-
-// expire takes back the tasks of endpoints whose leases have all run out.
-func (c *Core) expire(now time.Duration) {
-	for id, e := range c.endpoints {
-		if len(e.tasks) == 0 || now < c.expiryOf(e) {
-			continue
-		}
-		c.loseAll(now, e, "lease ran out")
-		if !e.listed {
-			delete(c.endpoints, id)
-		}
-	}
-}
-
-// noteClock takes in an endpoint's clock. The answer was made at some moment
-// before now, so the estimate is never ahead of the endpoint.
-func (e *endpoint) noteClock(now, clock time.Duration) {
-	if clock <= 0 {
-		return
-	}
-	if e.clockAt == 0 || clock >= e.clock {
-		e.clock, e.clockAt = clock, now
-	}
-}
-
 // Listed is what an endpoint listed in answer to a renewal.
 type Listed struct {
 	Clock   time.Duration
@@ -293,7 +179,7 @@
 	e.lookOut = false
 	switch result {
 	case LookGone:
-		c.Gone(now, id)
+		c.Gone(id)
 	case LookFenced:
 		c.fenced = true
 		c.event(Event{Kind: EventFenced, Endpoint: id})
@@ -389,7 +275,7 @@
 			// An end is listed until it is acknowledged, and it is
 			// acknowledged only once recorded: the endpoint has forgotten it.
 			c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: "no longer listed"})
-			c.again(now, t)
+			c.again(t)
 			continue
 		}
 		c.settleUnsure(now, sent, t)
@@ -403,7 +289,7 @@
 func (c *Core) settleUnsure(now, sent time.Duration, t *task) {
 	if t.restored {
 		c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: t.host.id, Reason: "never began"})
-		c.again(now, t)
+		c.again(t)
 		return
 	}
 	// Before the first order has left there is nothing to repeat, and the
@@ -416,115 +302,3 @@
 	}
 	c.urgent = append(c.urgent, c.startOrder(t))
 }
-
-// takeEnd takes in an end that an endpoint lists.
-func (c *Core) takeEnd(now time.Duration, e *endpoint, end ListedEnd) {
-	if end.Number <= e.seen {
-		return
-	}
-	e.seen = end.Number
-	t := c.find(e, end.Task, end.Run)
-	if t == nil {
-		return
-	}
-	j := t.step.job
-	c.event(Event{Kind: EventTaskEnd, Job: j.rec.Job.ID, Task: end.Task, Run: end.Run, Endpoint: e.id, Reason: end.How.String()})
-	if end.Checkpoint != "" {
-		t.checkpoint = end.Checkpoint
-	}
-	c.judge(now, e, t, end.How)
-	switch {
-	case end.How == EndedDone && !t.step.spec.LongRunning:
-		c.done(now, t)
-	case end.How == EndedFailed:
-		c.failed(now, t, e)
-	default:
-		c.again(now, t)
-	}
-}
-
-// done takes in that a task has ended well. One such end of a gang's member
-// stands for all of them.
-func (c *Core) done(now time.Duration, t *task) {
-	s, j := t.step, t.step.job
-	if t.confirmed > 0 {
-		c.learn(j.rec.Queue, now-t.confirmed)
-	}
-	c.release(t)
-	t.phase = taskDone
-	s.left--
-	c.touch(j)
-	if s.spec.Gang {
-		c.doneGang(s)
-	}
-	if s.left == 0 {
-		c.stepDone(s)
-	}
-	c.settle(j)
-}
-
-// doneGang marks the members whose ends are still to be listed. Each of them
-// ends done as well; their runs stay counted on their endpoints until then.
-func (c *Core) doneGang(s *stepRun) {
-	s.gangDone = true
-	for _, t := range s.tasks {
-		if t.phase == taskWaiting {
-			t.phase = taskDone
-			s.waiting--
-			s.left--
-		}
-	}
-}
-
-func (c *Core) learn(queue string, took time.Duration) {
-	w := c.learned[queue]
-	if w == nil {
-		w = &workload{}
-		c.learned[queue] = w
-	}
-	w.add(float64(took.Milliseconds()))
-}
-
-func (c *Core) stepDone(s *stepRun) {
-	o, j := s.occ, s.job
-	o.left--
-	for _, other := range o.steps {
-		for _, a := range uniqueInts(other.spec.After) {
-			if a == s.index {
-				other.waitsFor--
-			}
-		}
-	}
-	if o.left > 0 {
-		return
-	}
-	c.closeOccurrence(j, o.number)
-	if j.firstOpen >= j.occurrences() && !j.rec.State.Ended() {
-		c.end(j, JobCompleted, "all tasks done")
-	}
-}
-
-// Backoff of tasks whose runs fail. A task that fails at once would otherwise
-// be started some ten times a second.
-const (
-	failBackoff    = 150 * time.Millisecond
-	failBackoffMax = 1200 * time.Millisecond
-)
-
-// failed takes in that a run has failed, and fails the job after as many as
-// its queue allows. Tasks that last have no such limit.
-func (c *Core) failed(now time.Duration, t *task, e *endpoint) {
-	s, j := t.step, t.step.job
-	t.avoid = e.id
-	count := &t.failures
-	if s.spec.Gang {
-		count = &s.failures
-	}
-	*count++
-	failures := *count
-	t.notBefore = now + min(failBackoff<<min(failures-1, 8), failBackoffMax)
-	c.again(now, t)
-	if !s.spec.LongRunning && failures >= j.rec.Terms.Attempts && !j.rec.State.Ended() {
-		c.end(j, JobFailed, "a task has failed as often as allowed")
-	}
-}
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -65,7 +65,7 @@
 		c.event(Event{Kind: EventFenced, Endpoint: o.Endpoint})
 		return
 	case OrderGone:
-		c.Gone(now, o.Endpoint)
+		c.Gone(o.Endpoint)
 		return
 	}
 	t := o.task
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -25,7 +25,7 @@
 
 func (e *endpoint) free() Room { return e.capacity.minus(e.used) }
 
-func (c *Core) occupy(t *task, e *endpoint, _ time.Duration) {
+func (c *Core) occupy(t *task, e *endpoint) {
 	t.phase = taskPlaced
 	t.host = e
 	e.tasks[t] = true
@@ -209,7 +209,7 @@
 			undo()
 			return false
 		}
-		c.occupy(t, e, now)
+		c.occupy(t, e)
 		chosen = append(chosen, e)
 	}
 	undo()
@@ -221,7 +221,7 @@
 
 // place intends a start. The order leaves once the intent is durable.
 func (c *Core) place(now time.Duration, t *task, e *endpoint, run int) {
-	c.occupy(t, e, now)
+	c.occupy(t, e)
 	t.run = run
 	t.ticket, _ = t.step.ticketFor(now, e.id)
 	t.step.waiting--
--- a/internal/executor/vacate.go
+++ b/internal/executor/vacate.go
@@ -59,7 +59,7 @@
 		if !s.spec.LongRunning || t.stopping {
 			continue
 		}
-		if s.spec.MayMiss > 0 && c.away(now, s, t) >= s.spec.MayMiss {
+		if s.spec.MayMiss > 0 && c.away(s, t) >= s.spec.MayMiss {
 			continue
 		}
 		c.stopFor(t, "instance leaves")
@@ -86,7 +86,7 @@
 }
 
 // away counts the tasks of a step, besides one, that are not surely at work.
-func (c *Core) away(_ time.Duration, s *stepRun, besides *task) int {
+func (c *Core) away(s *stepRun, besides *task) int {
 	n := 0
 	for _, t := range s.tasks {
 		if t != besides && (t.phase != taskPlaced || t.stopping || t.percent < atWork || t.host.failedLook > 0) {
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -3,11 +3,7 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
-	"math"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -15,7 +11,6 @@
 	"cyclamenwheel/internal/fleetops"
 	"cyclamenwheel/internal/pause"
 	"cyclamenwheel/internal/planlease"
-	"cyclamenwheel/internal/rendezvous"
 	"cyclamenwheel/internal/tenure"
 	"cyclamenwheel/platform"
 )
@@ -70,30 +65,6 @@
 	OnPeers func(map[string]string)
 }
 
-// MemberName is a process's name in the group; processor is its share of a
-// core.
-func MemberName(node, addr, boot string, processor float64) string {
-	return strings.Join([]string{node, addr, boot, strconv.FormatFloat(processor, 'g', -1, 64)}, memberSeparator)
-}
-
-// Owner is where a pool's owner is reached.
-type Owner struct{ Node, Addr string }
-
-// member is a process in the group.
-type member struct {
-	Owner
-	processor float64
-}
-
-func parseMember(name string) (member, bool) {
-	parts := strings.Split(name, memberSeparator)
-	if len(parts) != 4 {
-		return member{}, false
-	}
-	processor, err := strconv.ParseFloat(parts[3], 64)
-	return member{Owner{Node: parts[0], Addr: parts[1]}, processor}, err == nil
-}
-
 // Manager keeps this process in the group and runs the pools that it is given.
 type Manager struct {
 	opts Options
@@ -206,29 +177,6 @@
 	return false
 }
 
-// left takes in that a member has left the group.
-func (m *Manager) left() {
-	select {
-	case m.kick <- struct{}{}:
-	default: // one is enough
-	}
-}
-
-// sayLeft tells the peers that this member has left, so that its duties don't
-// wait for their next joins.
-func (m *Manager) sayLeft(ctx context.Context) {
-	m.mu.Lock()
-	_, known := membersOf(m.rows)
-	m.mu.Unlock()
-	var wg sync.WaitGroup
-	for node := range known {
-		if node != m.opts.Node {
-			wg.Go(func() { m.opts.SayLeft(ctx, node) })
-		}
-	}
-	wg.Wait()
-}
-
 // createTopic makes the group's topic: a topic has partitions to deal out once
 // something was appended to it, if only nothing.
 func (m *Manager) createTopic(ctx context.Context, created *bool) error {
@@ -252,54 +200,6 @@
 // are never empty.
 const fleetDuty = ""
 
-// spread returns who has which duty. Each goes to the member that ranks highest
-// for it and is not full yet, so that a member that comes or goes moves little
-// beside its own, and nobody gets more than its part. Nodes that know other
-// members or pools may place a duty differently for a moment; its epoch keeps
-// that safe.
-func spread(pools []string, members []member) map[string]Owner {
-	names := append([]string{fleetDuty}, pools...)
-	owners := map[string]Owner{}
-	if len(members) == 0 {
-		return owners
-	}
-	weights, byNode := map[string]float64{}, map[string]member{}
-	for _, b := range strong(members) {
-		weights[b.Node], byNode[b.Node] = b.processor, b
-	}
-	most := int(math.Ceil(dutySlack * float64(len(names)) / float64(len(byNode))))
-	load := map[string]int{}
-	for _, name := range names {
-		for _, node := range rendezvous.Weighted([]byte("duty "+name), weights) {
-			if load[node] < most {
-				load[node]++
-				owners[name] = byNode[node].Owner
-				break
-			}
-		}
-	}
-	return owners
-}
-
-// strongShare is the share of the largest processor that a member needs to get
-// a duty. Load: nodes differ by a factor of four, and a pool at its peak keeps
-// one of the small ones busy with its renewals alone, so that callers wait in
-// vain for its answers.
-const strongShare = 0.6
-
-// strong returns the members that may have duties.
-func strong(members []member) []member {
-	most := 0.0
-	for _, b := range members {
-		most = max(most, b.processor)
-	}
-	return slices.DeleteFunc(slices.Clone(members), func(b member) bool { return b.processor < strongShare*most })
-}
-
-// dutySlack is how far above the mean a member's number of duties may be: with
-// none, one member that comes or goes moves the duties of many.
-const dutySlack = 1.5
-
 // leaveTimeout bounds what a stopping process spends on giving back.
 const leaveTimeout = time.Second
 
@@ -447,117 +347,3 @@
 	defer m.mu.Unlock()
 	return slices.Clone(m.pools)
 }
-
-// refreshMembers reads the members where the last reading is older than age.
-func (m *Manager) refreshMembers(ctx context.Context, age time.Duration) {
-	now := planlease.Boottime()
-	m.mu.Lock()
-	due := m.membersAt == 0 || now-m.membersAt >= age
-	if due {
-		m.membersAt = now
-	}
-	pools := m.pools
-	m.mu.Unlock()
-	if !due {
-		return
-	}
-	rows, err := m.opts.Membership.Owners(ctx, group)
-	if err != nil {
-		var ok bool
-		if rows, ok = m.askPeers(ctx); !ok {
-			m.opts.Logger.Debug("members not read", "error", err.Error())
-			return
-		}
-	} else {
-		m.keepRows(rows)
-	}
-	members, peers := membersOf(rows)
-	owners := map[string]Owner{}
-	if len(pools) > 0 {
-		owners = spread(pools, members)
-	}
-	m.mu.Lock()
-	if !maps.Equal(m.owners, owners) {
-		m.opts.Logger.Info("duties spread", "members", len(members), "mine", countOf(owners, m.opts.Node))
-	}
-	m.owners = owners
-	m.mu.Unlock()
-	m.opts.OnPeers(peers)
-}
-
-// keepRows remembers a reading of the store for peers that can't read it.
-func (m *Manager) keepRows(rows map[int]string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.rows, m.rowsAt = rows, planlease.Boottime()
-}
-
-const (
-	// rowsFresh is how old a peer's reading may be to be believed.
-	rowsFresh = 3 * time.Second
-	// askLimit and askTimeout bound what a node spends on asking peers.
-	askLimit   = 3
-	askTimeout = 250 * time.Millisecond
-)
-
-// askPeers learns the members from peers. A store that turns some nodes away
-// while it serves the others leaves these nodes' callers without answers
-// otherwise: they go on asking owners that have changed.
-func (m *Manager) askPeers(ctx context.Context) (map[int]string, bool) {
-	m.mu.Lock()
-	_, known := membersOf(m.rows)
-	m.mu.Unlock()
-	asked := 0
-	for node := range known { // in random order
-		if node == m.opts.Node || asked == askLimit {
-			continue
-		}
-		asked++
-		if rows, ok := m.askPeer(ctx, node); ok {
-			return rows, true
-		}
-	}
-	return nil, false
-}
-
-func (m *Manager) askPeer(ctx context.Context, node string) (map[int]string, bool) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	got, err := m.opts.AskMembers(ctx, node)
-	if err != nil || time.Duration(got.AgeMs)*time.Millisecond > rowsFresh || len(got.Rows) == 0 {
-		return nil, false
-	}
-	m.opts.Logger.Info("members learnt from a peer", "peer", node, "age_ms", got.AgeMs, "members", len(got.Rows))
-	return got.Rows, true
-}
-
-// lastRows answers a peer that can't read the store.
-func (m *Manager) lastRows() MembersResult {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.rowsAt == 0 {
-		return MembersResult{AgeMs: math.MaxInt32}
-	}
-	return MembersResult{Rows: m.rows, AgeMs: (planlease.Boottime() - m.rowsAt).Milliseconds()}
-}
-
-func membersOf(rows map[int]string) (members []member, peers map[string]string) {
-	peers = map[string]string{}
-	for _, name := range slices.Compact(slices.Sorted(maps.Values(rows))) {
-		if b, ok := parseMember(name); ok {
-			members = append(members, b)
-			peers[b.Node] = b.Addr
-		}
-	}
-	return members, peers
-}
-
-func countOf(owners map[string]Owner, node string) int {
-	n := 0
-	for _, o := range owners {
-		if o.Node == node {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -423,7 +423,7 @@
 	result = VacateResult{Owned: true, Left: map[string]int{}}
 	for _, item := range in.Items {
 		if item.Ended {
-			r.core.Gone(now, item.Endpoint)
+			r.core.Gone(item.Endpoint)
 			continue
 		}
 		if left, known := r.core.Vacate(now, item.Endpoint, item.Hurry); known {
