A late word on a dead endpoint does not clear its successor

The answer about an endpoint that had died came after the list had shown its successor, and counted for that. The spec fails without the check.

--- a/internal/fleetops/fleetops_test.go
+++ b/internal/fleetops/fleetops_test.go
@@ -101,7 +101,7 @@
 	}
 	f.state.Saved(f.now)
 	for _, c := range actions.Clears {
-		f.state.Cleared(f.now+time.Millisecond, f.now-f.proofAge, c.Instance, f.tasks[c.Endpoint])
+		f.state.Cleared(f.now+time.Millisecond, f.now-f.proofAge, c.Instance, c.Endpoint, f.tasks[c.Endpoint])
 	}
 	for _, o := range actions.Orders {
 		f.order(o.Operation)
@@ -238,6 +238,25 @@
 	})
 })
 
+var _ = Describe("a late word on an endpoint that has died", func() {
+	// The owner is asked about an endpoint, which dies; the list shows the next
+	// incarnation, which runs tasks; then the answer about the first one comes.
+	It("does not clear the incarnation that lives now", func() {
+		f := newFleet(map[string]int{"a": 4})
+		f.state.ObserveWave(1, f.names("a")[:1], time.Second, 1, wall)
+		first := f.instances[0].Endpoint
+		f.tasks[first] = 1
+		f.round("a")
+		f.instances[0].Endpoint = "reborn"
+		f.tasks["reborn"] = 1
+		for range 20 {
+			f.round("a")
+			f.state.Cleared(f.now+time.Millisecond, f.now, f.instances[0].Name, first, 0)
+		}
+		Expect(f.maintained()).To(BeEmpty())
+	})
+})
+
 var _ = Describe("a word from a displaced owner", func() {
 	// A pool changes its owner just before an instance of it is to be moved. The
 	// old owner does not know that it was displaced and calls the endpoint clear,
--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -295,7 +295,7 @@
 				r.state.ObservePool(now, pool, answer.Summary)
 				for _, item := range items {
 					if n, known := answer.Left[item.Endpoint]; known {
-						r.state.Cleared(asked, asked-answer.ProofAge, item.Instance, n)
+						r.state.Cleared(asked, asked-answer.ProofAge, item.Instance, item.Endpoint, n)
 					}
 				}
 			})
--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -366,10 +366,11 @@
 // proven is a time at which the owner was still the newest. An owner that was
 // displaced before the operation was recorded does not know it, and its
 // successor, which has not read the record either, places tasks on the endpoint
-// that it calls clear: only an owner proven later than the record counts.
-func (s *State) Cleared(now, proven time.Duration, instance string, left int) {
+// that it calls clear: only an owner proven later than the record counts. A word
+// on an incarnation that has died meanwhile says nothing about its successor.
+func (s *State) Cleared(now, proven time.Duration, instance, endpoint string, left int) {
 	op := s.ops[instance]
-	if op == nil || op.recorded == 0 || proven < op.recorded {
+	if op == nil || op.Endpoint != endpoint || op.recorded == 0 || proven < op.recorded {
 		return
 	}
 	if left == 0 && !op.cleared {
