--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -301,8 +301,8 @@
 // with the least room left. Load: as a queue's turn ends, its tasks end one by
 // one; spread over all endpoints they keep each of them busy, and none is free
 // for the queue whose turn begins. Packed, most endpoints are empty at once.
-// Measured on the bench, worth of four days before and after: 0.66, 0.44, 0.67,
-// 0.51 and 0.69, 0.46, 0.71, 0.65.
+// Gain: 0.02 to 0.14 of what a day is worth, one run each of four days of both
+// users' load, beside choosing the endpoint with the most room.
 func (c *Core) score(t *task, e *endpoint) float64 {
 	s := t.step.spec
 	free := float64(e.free().CPUMilli) / float64(max(1, e.capacity.CPUMilli))
--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -19,6 +19,10 @@
 // instances first, then those that others do not need. What no pool needs for a
 // while is switched off. A move costs as much as a second of an instance in a
 // pool, so a wrong one is cheap and a missed one is not.
+//
+// Gain: 0.98 of the work offered by turns is served, beside 0.50 where instances
+// stay, with 232 moves of 44 instances in 32 s (the replay in this package's
+// tests, as core-seconds served of those offered).
 const (
 	// drainWithin is how fast a backlog should drain: about the slack of a
 	// job's objective.
