Jobs count as waiting until an endpoint is known to run one

A spec shows it and fails without the change. The property test's world now keeps what happened to each task and tells it with a failure.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -130,7 +130,9 @@
 	// durable is the state whose record has been written; only it is shown.
 	durable  JobState
 	accepted bool
-	started  bool
+	// started: a start was intended; begun: an endpoint was known to have one.
+	started bool
+	begun   bool
 	// since is when this owner first saw the job.
 	since time.Duration
 	// objective is when the job is late, on the clock of since.
--- a/internal/executor/ends.go
+++ b/internal/executor/ends.go
@@ -57,6 +57,7 @@
 		return
 	}
 	j := t.step.job
+	j.begun = true
 	c.event(Event{Kind: EventTaskEnd, Job: j.rec.Job.ID, Task: end.Task, Run: end.Run, Endpoint: e.id, Reason: end.How.String()})
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -150,6 +150,33 @@
 	})
 })
 
+var _ = Describe("jobs that wait", func() {
+	// All endpoints have died unseen. Starts are intended and ordered, and go
+	// unanswered; the operator asks how many jobs wait and is told none.
+	It("count as waiting until an endpoint is known to run one", func() {
+		w := newWorld(1, 2)
+		o := w.takeOver()
+		w.run(200 * time.Millisecond)
+		for _, h := range w.hosts {
+			h.silent = true
+		}
+		j := jobOf(1, small(2))
+		w.submit(o, j)
+		w.run(200 * time.Millisecond)
+		Expect(o.core.Pending("q")).To(Equal(1))
+		Expect(w.state(o, j)).To(Equal("queued"))
+		o.stopped = true
+		o = w.takeOver()
+		w.run(200 * time.Millisecond)
+		Expect(o.core.Pending("q")).To(Equal(1))
+		for _, h := range w.hosts {
+			h.silent = false
+		}
+		w.run(time.Second)
+		Expect(o.core.Pending("q")).To(Equal(0))
+	})
+})
+
 var _ = Describe("an endpoint whose instance was moved", func() {
 	// Callers' tasks wait for a lease to run out on an endpoint that is no more:
 	// the platform has ended it, service discovery lists it for seconds, and
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -39,6 +39,8 @@
 	FirstOpen int            `cbor:"1,keyasint,omitempty"`
 	Tasks     []taskRecord   `cbor:"2,keyasint,omitempty"`
 	Gangs     map[string]int `cbor:"3,keyasint,omitempty"`
+	// Begun reports that some task was known to run.
+	Begun bool `cbor:"5,keyasint,omitempty"`
 	// Ended are occurrences above FirstOpen that have ended.
 	Ended []int `cbor:"4,keyasint,omitempty"`
 }
@@ -78,7 +80,7 @@
 }
 
 func (j *job) progress() progressRecord {
-	p := progressRecord{FirstOpen: j.firstOpen}
+	p := progressRecord{FirstOpen: j.firstOpen, Begun: j.begun}
 	for _, o := range j.current {
 		if o.left == 0 {
 			p.Ended = append(p.Ended, o.number)
@@ -225,7 +227,7 @@
 		return
 	}
 	j.objective = now + c.objectiveOf(j)
-	j.firstOpen, j.next = p.FirstOpen, p.FirstOpen
+	j.firstOpen, j.next, j.begun = p.FirstOpen, p.FirstOpen, p.Begun
 	highest := p.FirstOpen - 1
 	for _, n := range p.Ended {
 		highest = max(highest, n)
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -252,9 +252,7 @@
 }
 
 func (c *Core) seeRunning(now time.Duration, t *task, r ListedRun) {
-	if t.confirmed == 0 {
-		t.confirmed = now
-	}
+	c.confirm(now, t)
 	if r.Percent != t.percent {
 		t.percent, t.movedAt = r.Percent, now
 	}
@@ -263,6 +261,14 @@
 	}
 }
 
+// confirm takes in that an endpoint has a task's run.
+func (c *Core) confirm(now time.Duration, t *task) {
+	if t.confirmed == 0 {
+		t.confirmed = now
+	}
+	t.step.job.begun = true
+}
+
 // settleUnlisted deals with runs that the endpoint neither runs nor has ended.
 // Only a renewal sent after the start was answered, or after it went without
 // an answer for long enough, says anything about it.
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -84,9 +84,7 @@
 	switch result {
 	case OrderDone:
 		t.answered = true
-		if t.confirmed == 0 {
-			t.confirmed = now
-		}
+		c.confirm(now, t)
 		e.nextLook = min(e.nextLook, now+lookGap)
 	case OrderUnanswered:
 		e.nextLook = min(e.nextLook, now+unsureWait)
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -87,18 +87,19 @@
 	if j.durable.Ended() {
 		return j.durable, true
 	}
-	if j.started {
+	if j.begun {
 		return JobRunning, true
 	}
 	return JobQueued, true
 }
 
-// Pending is the number of accepted jobs of a queue of which no task has
-// begun.
+// Pending is the number of accepted jobs of a queue of which no task has begun.
+// A start that is only intended does not count: its endpoint may be dead, and the
+// caller is told that nothing waits while everything does.
 func (c *Core) Pending(queue string) int {
 	n := 0
 	for _, j := range c.open {
-		if j.rec.Queue == queue && j.accepted && !j.started && !j.rec.State.Ended() {
+		if j.rec.Queue == queue && j.accepted && !j.begun && !j.rec.State.Ended() {
 			n++
 		}
 	}
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"cyclamenwheel/internal/executor"
@@ -25,6 +26,8 @@
 	// loseOrders and loseAnswers are shares of orders; lateOrders of those
 	// lost are carried out later.
 	loseOrders, loseAnswers, lateOrders float64
+	// trace is what happened to tasks, told of those that break something.
+	trace []traced
 	// broken lists what an observer of the endpoints saw go wrong.
 	broken []string
 	// runs is what has run of each task, by name.
@@ -58,6 +61,31 @@
 	listed   executor.Listed
 }
 
+// traced is something that happened to a task.
+type traced struct {
+	at         time.Duration
+	what, task string
+	host       string
+	run        int
+	epoch      int64
+	result     executor.OrderResult
+}
+
+func (w *world) note(what, task, host string, run int, epoch int64, result executor.OrderResult) {
+	w.trace = append(w.trace, traced{w.now, what, task, host, run, epoch, result})
+}
+
+// story is all that happened to a task.
+func (w *world) story(task string) string {
+	var b strings.Builder
+	for _, t := range w.trace {
+		if t.task == task || t.task == "" {
+			fmt.Fprintf(&b, "%v %s %s run %d epoch %d %v\n", t.at, t.what, t.host, t.run, t.epoch, t.result)
+		}
+	}
+	return b.String()
+}
+
 type run struct {
 	task    string
 	number  int
@@ -137,6 +165,7 @@
 // takeOver lets a new owner claim the pool, as the shards package does.
 func (w *world) takeOver() *owner {
 	w.journal.epoch++
+	w.note("takeover", "", "", 0, w.journal.epoch, 0)
 	o := &owner{epoch: w.journal.epoch, proof: w.now}
 	o.core = executor.New("pool", o.epoch, w.limits, w.now)
 	o.core.SetWall(w.wall())
@@ -185,7 +214,11 @@
 	c.ObserveEndpoints(w.now, w.listing())
 	c.Tick(w.now)
 	c.Decide(w.now)
-	c.TakeEvents()
+	for _, e := range c.TakeEvents() {
+		if e.Task != "" || e.Kind == executor.EventGone {
+			w.note(string(e.Kind)+" ("+e.Reason+")", e.Task, e.Endpoint, e.Run, o.epoch, 0)
+		}
+	}
 	if c.Fenced() {
 		o.stopped = true
 		return
@@ -240,6 +273,7 @@
 		return
 	}
 	result := w.carryOut(h, order, o.epoch, lease)
+	w.note(fmt.Sprintf("order %d", order.Kind), order.Task, h.id, order.Run, o.epoch, result)
 	if w.rng.Float64() < w.loseAnswers {
 		o.core.OrderDone(w.now, order, executor.OrderUnanswered, 0)
 		return
@@ -281,10 +315,10 @@
 func (w *world) start(h *host, order executor.Order) {
 	past := w.history(order.Task)
 	if past.running > 0 {
-		w.broken = append(w.broken, fmt.Sprintf("%v: %s runs twice", w.now, order.Task))
+		w.broken = append(w.broken, fmt.Sprintf("%v: %s runs twice\n%s", w.now, order.Task, w.story(order.Task)))
 	}
 	if past.done {
-		w.broken = append(w.broken, fmt.Sprintf("%v: %s starts after it was done", w.now, order.Task))
+		w.broken = append(w.broken, fmt.Sprintf("%v: %s starts after it was done\n%s", w.now, order.Task, w.story(order.Task)))
 	}
 	past.running++
 	n, _ := jobs.ParseTaskName(order.Task)
@@ -382,7 +416,8 @@
 	w.late = nil
 	for _, l := range due {
 		if h := w.hosts[l.order.Endpoint]; l.at <= w.now && h != nil && !h.silent {
-			w.carryOut(h, l.order, l.epoch, l.lease)
+			result := w.carryOut(h, l.order, l.epoch, l.lease)
+			w.note(fmt.Sprintf("late order %d", l.order.Kind), l.order.Task, h.id, l.order.Run, l.epoch, result)
 		} else if l.at > w.now {
 			w.late = append(w.late, l)
 		}
@@ -401,6 +436,7 @@
 
 func (w *world) end(h *host, name string, r *run, how executor.HowEnded) {
 	delete(h.running, name)
+	w.note("end "+how.String(), name, h.id, r.number, h.fence, 0)
 	h.highest[name] = max(h.highest[name], r.number)
 	h.number++
 	h.ended = append(h.ended, executor.ListedEnd{Number: h.number, Task: name, Run: r.number, How: how})
@@ -414,6 +450,7 @@
 // kill ends an incarnation and everything on it.
 func (w *world) kill(h *host) {
 	h.dead = true
+	w.note("endpoint killed", "", h.id, 0, 0, 0)
 	for name := range h.running {
 		w.history(name).running--
 	}
