--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -150,6 +150,24 @@
 	})
 })
 
+var _ = Describe("leases", func() {
+	// An endpoint with a slow clock has been idle for a while when a task is
+	// started on it; its owner dies at that moment. The successor, which can't
+	// reach it, waits for one lease: one that is longer leaves the task running
+	// beside its second run.
+	It("are no longer than a lease on a slow clock that was read long ago", func() {
+		w := newWorld(1, 1)
+		h := w.hosts["i-00"]
+		h.skew = 0.98
+		o := w.takeOver()
+		w.run(15 * time.Second)
+		w.submit(o, jobOf(1, small(1)))
+		w.run(30 * time.Millisecond)
+		Expect(h.running).To(HaveLen(1))
+		Expect(h.lease - h.clock(w.now)).To(BeNumerically("<=", w.limits.Lease))
+	})
+})
+
 var _ = Describe("jobs that wait", func() {
 	// All endpoints have died unseen. Starts are intended and ordered, and go
 	// unanswered; the operator asks how many jobs wait and is told none.
--- a/internal/executor/leases.go
+++ b/internal/executor/leases.go
@@ -13,7 +13,10 @@
 	if e.failedLook > 0 && e.granted > 0 {
 		return e.granted
 	}
-	until := e.clock + (now - e.clockAt) + c.limits.Lease
+	// The endpoint's clock may be slow and its last reading old: taken for
+	// ahead, the lease would outlast what a successor waits for.
+	passed := time.Duration(float64(now-e.clockAt) * (1 - clockDrift))
+	until := e.clock + passed + c.limits.Lease
 	e.granted = max(e.granted, until)
 	return until
 }
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -18,6 +18,9 @@
 	lookRetry = 120 * time.Millisecond
 	// unsureWait is the gap before asking after a start without an answer.
 	unsureWait = 80 * time.Millisecond
+	// clockFresh is how old the reading of an idle endpoint's clock may be: each
+	// second of it takes 20 ms from the next lease.
+	clockFresh = 20 * time.Second
 	// stopRepeat is how long an endpoint has to list a stopped run's end
 	// before it is told again.
 	stopRepeat = 400 * time.Millisecond
@@ -88,7 +91,7 @@
 func (c *Core) DueLooks(now time.Duration) []Look {
 	var due []Look
 	for _, e := range c.endpoints {
-		if e.lookOut || now < e.nextLook || e.addr == "" || !c.needsLook(e) {
+		if e.lookOut || now < e.nextLook || e.addr == "" || !c.needsLook(now, e) {
 			continue
 		}
 		e.lookOut, e.lookSent = true, now
@@ -98,8 +101,8 @@
 	return due
 }
 
-func (c *Core) needsLook(e *endpoint) bool {
-	if !e.lookedEver {
+func (c *Core) needsLook(now time.Duration, e *endpoint) bool {
+	if !e.lookedEver || now-e.looked > clockFresh {
 		return true
 	}
 	return len(e.tasks) > 0 || e.strangers > 0 || e.seen > e.acknowledged || e.failedLook > 0
