One record type and encoder for both duties; one function a call, for peers and callers here

fleetops had its own copies of the executor's record, its error and its encoder, and the translation of the store's records stood three times; cancel, state and pending were written once for peers and once for callers of this node.

--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -70,8 +70,9 @@
 // Unwrap returns the decoder's failure.
 func (e *MalformedRecordError) Unwrap() error { return e.Cause }
 
-// encode panics only on types that can't be encoded, which tests find.
-func encode(v any) []byte {
+// Encode returns the value of a record. It panics only on types that can't be
+// encoded, which tests find.
+func Encode(v any) []byte {
 	data, err := cbor.Marshal(v)
 	if err != nil {
 		panic(err)
@@ -166,13 +167,13 @@
 		if rec.State.Ended() && j.placed == 0 {
 			rec.Job = jobs.Job{ID: id}
 		}
-		out = append(out, Record{Key: keyJob + id, Value: encode(rec)})
+		out = append(out, Record{Key: keyJob + id, Value: Encode(rec)})
 	}
 	if j.rec.State.Ended() && j.placed == 0 {
 		return append(out, Record{Key: keyProgress + id})
 	}
 	if j.started || j.placed > 0 {
-		out = append(out, Record{Key: keyProgress + id, Value: encode(j.progress())})
+		out = append(out, Record{Key: keyProgress + id, Value: Encode(j.progress())})
 	}
 	return out
 }
--- a/internal/fleetops/fleetops_test.go
+++ b/internal/fleetops/fleetops_test.go
@@ -291,9 +291,9 @@
 		ordered := f.ordered[0].Instance
 		f.slow, f.ordered = false, nil
 		f.state = fleetops.NewState(limits("b"))
-		var records []fleetops.Record
+		var records []executor.Record
 		for key, value := range f.journal {
-			records = append(records, fleetops.Record{Key: key, Value: value})
+			records = append(records, executor.Record{Key: key, Value: value})
 		}
 		Expect(f.state.Restore(records, f.now)).To(Succeed())
 		f.state.ObserveWave(1, f.names("a"), 4*time.Second, 2, wall)
@@ -323,9 +323,9 @@
 		f.journal[last.Key] = last.Value
 		f.slow, f.ordered = false, nil
 		f.state = fleetops.NewState(limits("b"))
-		var records []fleetops.Record
+		var records []executor.Record
 		for key, value := range f.journal {
-			records = append(records, fleetops.Record{Key: key, Value: value})
+			records = append(records, executor.Record{Key: key, Value: value})
 		}
 		Expect(f.state.Restore(records, f.now)).To(Succeed())
 		f.state.ObserveWave(1, f.names("a")[:1], time.Second, 1, wall)
--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -142,7 +142,7 @@
 		if err == nil {
 			r.tenure = held
 			r.state = NewState(r.opts.Limits)
-			err = r.state.Restore(recordsOf(records), planlease.Boottime())
+			err = r.state.Restore(RecordsOf(records), planlease.Boottime())
 		}
 		if err == nil {
 			return true
@@ -153,10 +153,11 @@
 	return false
 }
 
-func recordsOf(in []platform.Record) []Record {
-	out := make([]Record, len(in))
+// RecordsOf returns the store's records as the pure packages take them.
+func RecordsOf(in []platform.Record) []executor.Record {
+	out := make([]executor.Record, len(in))
 	for i, p := range in {
-		out[i] = Record{Key: p.Key, Value: p.Value}
+		out[i] = executor.Record{Key: p.Key, Value: p.Value}
 	}
 	return out
 }
--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -169,12 +169,6 @@
 	keyRelease   = "r"
 )
 
-// Record is a record of the duty's journal; an empty value removes the key.
-type Record struct {
-	Key   string
-	Value []byte
-}
-
 // release is written by a holder that gives the duty up in order: it gives no
 // more orders, and these are the ages in ms of its last ones.
 type release struct {
@@ -182,29 +176,18 @@
 }
 
 // Release returns the record with which a holder gives the duty up.
-func (s *State) Release(now time.Duration) Record {
+func (s *State) Release(now time.Duration) executor.Record {
 	r := release{AgesMs: map[string]int64{}}
 	for name, op := range s.ops {
 		if op.orderedAt > 0 {
 			r.AgesMs[name] = (now - op.orderedAt).Milliseconds()
 		}
 	}
-	return Record{Key: keyRelease, Value: encode(r)}
+	return executor.Record{Key: keyRelease, Value: executor.Encode(r)}
 }
 
-// MalformedRecordError says that a record can't be read.
-type MalformedRecordError struct {
-	Key   string
-	Cause error
-}
-
-func (e *MalformedRecordError) Error() string { return "record " + e.Key + ": " + e.Cause.Error() }
-
-// Unwrap returns the decoder's failure.
-func (e *MalformedRecordError) Unwrap() error { return e.Cause }
-
 // Restore takes in the records of the duty's journal.
-func (s *State) Restore(records []Record, now time.Duration) error {
+func (s *State) Restore(records []executor.Record, now time.Duration) error {
 	var released *release
 	for _, r := range records {
 		var err error
@@ -229,7 +212,7 @@
 			}
 		}
 		if err != nil {
-			return &MalformedRecordError{Key: r.Key, Cause: err}
+			return &executor.MalformedRecordError{Key: r.Key, Cause: err}
 		}
 	}
 	if released != nil {
@@ -275,7 +258,7 @@
 
 // OperationsOf reads the endpoints of a pool that operations are about to
 // clear, from the records of the duty's journal.
-func OperationsOf(records []Record, pool string) []string {
+func OperationsOf(records []executor.Record, pool string) []string {
 	var endpoints []string
 	for _, r := range records {
 		var op Operation
@@ -289,22 +272,13 @@
 	return endpoints
 }
 
-// encode panics only on types that can't be encoded, which tests find.
-func encode(v any) []byte {
-	data, err := cbor.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return data
-}
-
 // TakeRecords returns the records that have changed.
-func (s *State) TakeRecords() []Record {
-	var out []Record
+func (s *State) TakeRecords() []executor.Record {
+	var out []executor.Record
 	for name := range s.dirtyOps {
-		r := Record{Key: keyOperation + name}
+		r := executor.Record{Key: keyOperation + name}
 		if op := s.ops[name]; op != nil {
-			r.Value = encode(op)
+			r.Value = executor.Encode(op)
 		}
 		out = append(out, r)
 	}
@@ -315,15 +289,15 @@
 			w.Done = append(w.Done, name)
 		}
 		slices.Sort(w.Done)
-		out = append(out, Record{Key: keyWave + strconv.Itoa(n), Value: encode(w)})
+		out = append(out, executor.Record{Key: keyWave + strconv.Itoa(n), Value: executor.Encode(w)})
 	}
 	if len(out) > 0 && s.released {
 		s.released = false
-		out = append(out, Record{Key: keyRelease})
+		out = append(out, executor.Record{Key: keyRelease})
 	}
 	clear(s.dirtyOps)
 	clear(s.dirtyWaves)
-	slices.SortFunc(out, func(a, b Record) int { return slices.Compare([]byte(a.Key), []byte(b.Key)) })
+	slices.SortFunc(out, func(a, b executor.Record) int { return slices.Compare([]byte(a.Key), []byte(b.Key)) })
 	return out
 }
 
--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -106,13 +106,13 @@
 		return m.localSubmit(ctx, in), nil
 	})
 	peer.Handle(n, kindCancel, func(ctx context.Context, _ peer.Identity, in JobCall) (Result, error) {
-		return m.localCall(in.Pool, func(r *Runner) Result { return r.cancelJob(ctx, in.ID) }), nil
+		return m.localCancel(ctx, in), nil
 	})
 	peer.Handle(n, kindState, func(ctx context.Context, _ peer.Identity, in JobCall) (Result, error) {
-		return m.localCall(in.Pool, func(r *Runner) Result { return r.state(ctx, in.ID) }), nil
+		return m.localState(ctx, in), nil
 	})
 	peer.Handle(n, kindPending, func(ctx context.Context, _ peer.Identity, in QueueCall) (Result, error) {
-		return m.localCall(in.Pool, func(r *Runner) Result { return r.pending(ctx, in.Queue) }), nil
+		return m.localPending(ctx, in), nil
 	})
 	peer.Handle(n, kindLeft, func(context.Context, peer.Identity, LeftCall) (LeftResult, error) {
 		m.left()
@@ -143,6 +143,18 @@
 	return m.localCall(in.Pool, func(r *Runner) Result { return r.submit(ctx, in.Job, in.Under) })
 }
 
+func (m *Manager) localCancel(ctx context.Context, in JobCall) Result {
+	return m.localCall(in.Pool, func(r *Runner) Result { return r.cancelJob(ctx, in.ID) })
+}
+
+func (m *Manager) localState(ctx context.Context, in JobCall) Result {
+	return m.localCall(in.Pool, func(r *Runner) Result { return r.state(ctx, in.ID) })
+}
+
+func (m *Manager) localPending(ctx context.Context, in QueueCall) Result {
+	return m.localCall(in.Pool, func(r *Runner) Result { return r.pending(ctx, in.Queue) })
+}
+
 func (m *Manager) localVacate(ctx context.Context, in VacateCall) VacateResult {
 	r := m.local(in.Pool)
 	if r == nil {
@@ -202,26 +214,17 @@
 
 // Cancel cancels a job.
 func (c *Calls) Cancel(ctx context.Context, in JobCall) Result {
-	here := func(ctx context.Context) Result {
-		return c.Manager.localCall(in.Pool, func(r *Runner) Result { return r.cancelJob(ctx, in.ID) })
-	}
-	return c.call(ctx, in.Pool, kindCancel, here, in)
+	return c.call(ctx, in.Pool, kindCancel, func(ctx context.Context) Result { return c.Manager.localCancel(ctx, in) }, in)
 }
 
 // State returns a job's state.
 func (c *Calls) State(ctx context.Context, in JobCall) Result {
-	here := func(ctx context.Context) Result {
-		return c.Manager.localCall(in.Pool, func(r *Runner) Result { return r.state(ctx, in.ID) })
-	}
-	return c.call(ctx, in.Pool, kindState, here, in)
+	return c.call(ctx, in.Pool, kindState, func(ctx context.Context) Result { return c.Manager.localState(ctx, in) }, in)
 }
 
 // Pending returns how many jobs of a queue have not begun.
 func (c *Calls) Pending(ctx context.Context, in QueueCall) Result {
-	here := func(ctx context.Context) Result {
-		return c.Manager.localCall(in.Pool, func(r *Runner) Result { return r.pending(ctx, in.Queue) })
-	}
-	return c.call(ctx, in.Pool, kindPending, here, in)
+	return c.call(ctx, in.Pool, kindPending, func(ctx context.Context) Result { return c.Manager.localPending(ctx, in) }, in)
 }
 
 // Vacate asks a pool's owner to clear endpoints. Owned is false where no owner
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -302,11 +302,7 @@
 			pause.For(ctx, claimRetry)
 			continue
 		}
-		records := make([]fleetops.Record, len(page.Records))
-		for i, p := range page.Records {
-			records[i] = fleetops.Record{Key: p.Key, Value: p.Value}
-		}
-		return fleetops.OperationsOf(records, pool)
+		return fleetops.OperationsOf(fleetops.RecordsOf(page.Records), pool)
 	}
 	return nil
 }
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/fleetops"
 	"cyclamenwheel/internal/jobs"
 	"cyclamenwheel/internal/planlease"
 	"cyclamenwheel/internal/tenure"
@@ -131,11 +132,7 @@
 	r.tenure, r.epoch = held, held.Epoch
 	r.core = executor.New(r.pool, r.epoch, r.limits, r.now())
 	r.core.SetWall(r.wall().UnixMilli())
-	restored := make([]executor.Record, len(records))
-	for i, rec := range records {
-		restored[i] = executor.Record{Key: rec.Key, Value: rec.Value}
-	}
-	return r.core.Restore(restored, r.now())
+	return r.core.Restore(fleetops.RecordsOf(records), r.now())
 }
 
 // honour keeps endpoints clear that are about to leave the pool.
