Starts whose proof was too old are kept until it is renewed

Cause: the runner dropped a durable batch's orders if the process was suspended for longer than the proof's age between the append and its answer. The core repeats only orders that have left, so these tasks stayed placed and never began, until the pool changed its owner. Found by reading.

The new test failed before (no start in 10 s) and passes now. It also showed a race on the runner's context, written again as the runner began to run; claim alone sets it now.

--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -256,7 +256,6 @@
 // own claims a pool and runs it until it is lost.
 func (m *Manager) own(ctx context.Context, name string, h *held) {
 	r := h.runner
-	r.ctx = ctx
 	for ctx.Err() == nil {
 		began := planlease.Boottime()
 		err := r.claim(ctx)
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -105,6 +105,9 @@
 	stuckSince time.Duration
 	// proofs wait for an append that is sent after them.
 	proofs []func()
+	// unsent are orders whose records are durable, kept while the proof of the
+	// epoch is too old to send anything.
+	unsent []executor.Order
 	over   bool
 }
 
@@ -123,8 +126,10 @@
 // TopicOf is the topic of a pool's records.
 func TopicOf(pool string) string { return topicPrefix + pool }
 
-// claim takes the pool over and restores its jobs.
+// claim takes the pool over and restores its jobs. The runner lives as long as
+// ctx.
 func (r *Runner) claim(ctx context.Context) error {
+	r.ctx = ctx
 	held, records, err := tenure.Claim(ctx, r.journal, r.topic, r.owner, r.log)
 	if err != nil {
 		return err
@@ -144,7 +149,6 @@
 
 // run owns the pool until ctx ends or a newer epoch shows.
 func (r *Runner) run(ctx context.Context) {
-	r.ctx = ctx
 	tick := time.NewTimer(0)
 	defer tick.Stop()
 	last := r.now() - roundGap
@@ -205,6 +209,7 @@
 		for _, o := range r.core.TakeUrgent() {
 			r.send(now, o)
 		}
+		r.sendUnsent(now)
 	}
 	if call, due := r.core.DueAdvice(now); due {
 		r.advise(call)
@@ -267,11 +272,20 @@
 	for _, reply := range ready.Replies {
 		r.reply(reply.Token, Result{Outcome: OutcomeDone})
 	}
-	now := r.now()
-	if !r.proven() {
-		return // the orders are sent when their endpoints don't list the runs
+	r.unsent = append(r.unsent, ready.Orders...)
+	if r.proven() {
+		r.sendUnsent(r.now())
 	}
-	for _, o := range ready.Orders {
+}
+
+// sendUnsent sends the orders whose records are durable. A process that was
+// suspended between an append and its answer finds its proof too old to send
+// them; dropped there, their tasks would be placed and never begin, since an
+// order that has not left is never repeated.
+func (r *Runner) sendUnsent(now time.Duration) {
+	orders := r.unsent
+	r.unsent = nil
+	for _, o := range orders {
 		r.send(now, o)
 	}
 }
--- /dev/null
+++ b/internal/shards/runner_test.go
@@ -0,0 +1,128 @@
+package shards
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/jobs"
+	"cyclamenwheel/internal/routing"
+	"cyclamenwheel/platform"
+)
+
+// memoryJournal is a store with one topic that answers after delay.
+type memoryJournal struct {
+	mu      sync.Mutex
+	records []platform.Record
+	delay   time.Duration
+}
+
+func (j *memoryJournal) setDelay(d time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.delay = d
+}
+
+func (j *memoryJournal) Append(_ context.Context, _ string, _ int64, _ platform.Writer, records []platform.Record) (int64, error) {
+	j.mu.Lock()
+	offset, delay := int64(len(j.records)), j.delay
+	j.records = append(j.records, records...)
+	j.mu.Unlock()
+	time.Sleep(delay)
+	return offset, nil
+}
+
+func (j *memoryJournal) Newest(context.Context, string) (platform.Page, error) {
+	return j.Read(context.Background(), "", 0, 0)
+}
+
+func (j *memoryJournal) Read(_ context.Context, _ string, from int64, _ time.Duration) (platform.Page, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return platform.Page{Records: append([]platform.Record(nil), j.records[from:]...), Next: int64(len(j.records))}, nil
+}
+
+// obedientEndpoint starts what it is told to and lists it as running.
+type obedientEndpoint struct {
+	Endpoints
+	mu      sync.Mutex
+	started map[string]int
+}
+
+func (e *obedientEndpoint) Start(_ context.Context, _ platform.EndpointRef, o platform.StartOrder) (time.Duration, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.started[o.Task] = o.Run
+	return time.Second, nil
+}
+
+func (e *obedientEndpoint) Renew(context.Context, platform.EndpointRef, platform.Renewal) (platform.Look, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	look := platform.Look{Clock: time.Second}
+	for task, run := range e.started {
+		look.Running = append(look.Running, platform.TaskRun{Task: task, Run: run})
+	}
+	return look, nil
+}
+
+func (e *obedientEndpoint) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.started)
+}
+
+func newTestRunner(journal *memoryJournal, endpoints Endpoints, limits executor.Limits) *Runner {
+	m := NewManager(Options{Node: "n-1", Member: "n-1", Journal: journal, Endpoints: endpoints, Limits: limits,
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	return newRunner(m, "pool")
+}
+
+// A caller's job is accepted and none of its tasks ever begins. The owner is
+// suspended just as the store confirms the tasks' starts: on waking, its proof
+// of the epoch is too old to send them, and by the time that it has a new one
+// the starts are forgotten, as an order that never left is not repeated either.
+func TestStartsOfAnOldProofAreSentOnceItIsRenewed(t *testing.T) {
+	g := NewWithT(t)
+	journal := &memoryJournal{}
+	endpoint := &obedientEndpoint{started: map[string]int{}}
+	limits := executor.Limits{Lease: 3 * time.Second, ProofAge: 200 * time.Millisecond, KeepEnded: time.Minute, StopTimeout: time.Second}
+	r := newTestRunner(journal, endpoint, limits)
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Expect(r.claim(ctx)).To(Succeed())
+	r.core.ObserveEndpoints(r.now(), []executor.EndpointInfo{{ID: "i-1", Addr: "i-1", Capacity: executor.Room{CPUMilli: 4000, MemoryMB: 4000}}})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.run(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+
+	journal.setDelay(2 * limits.ProofAge)
+	job := jobs.Job{ID: "00000000000000aa", Steps: []jobs.Step{{Count: 2, CPUMilli: 500, MemoryMB: 10, EstimateMs: 100}}}
+	under := executor.Accepting{Queue: "q", Terms: routing.Terms{Attempts: 3, Stretch: 2, Slack: 5 * time.Second}}
+	g.Eventually(func() Outcome { return r.submit(ctx, job, under).Outcome }, 10*time.Second).Should(Equal(OutcomeDone))
+	g.Eventually(func() int { // until the starts are durable under an old proof
+		journal.mu.Lock()
+		defer journal.mu.Unlock()
+		n := 0
+		for _, record := range journal.records {
+			if record.Key == "p"+job.ID {
+				n++
+			}
+		}
+		return n
+	}, 10*time.Second).Should(BeNumerically(">", 0))
+	time.Sleep(2 * limits.ProofAge) // the answer to that append
+	journal.setDelay(0)
+	g.Eventually(endpoint.count, 10*time.Second).Should(Equal(2))
+}
