A pool's demand outlives the change of its owner

Cause: a new owner counts the work offered from zero, and the duty over instances took that for a pool that nobody asks any more. The rate seen so far is kept now; only the base of the count is new.

The spec failed before (0 of 12 instances left after 0.9 s).

--- a/internal/fleetops/fleetops_test.go
+++ b/internal/fleetops/fleetops_test.go
@@ -248,6 +248,27 @@
 	})
 })
 
+var _ = Describe("a pool that changes its owner in a turn of demand", func() {
+	// Callers ask for all that the pool has as its owner dies. Its successor counts
+	// the work offered from zero, and while callers find it, little runs: taken for
+	// the end of the turn, the pool loses its instances to others just then.
+	It("keeps its instances", func() {
+		f := newFleet(map[string]int{"a": 12, "b": 2, spare: 2})
+		for range 20 {
+			f.offered["a"] += 10 * unit * tick.Seconds()
+			f.running["a"] = 10 * unit
+			f.round("a", "b")
+		}
+		Expect(f.count("a")).To(BeNumerically(">=", 12))
+		f.offered["a"], f.running["a"], f.ready["b"] = 0, 3*unit, 20*unit
+		for range 6 {
+			f.round("a", "b")
+			f.offered["a"] += 10 * unit * tick.Seconds()
+		}
+		Expect(f.count("a")).To(BeNumerically(">=", 11))
+	})
+})
+
 var _ = Describe("a lasting task that finds no endpoint", func() {
 	// Users of a lasting task see it away for a whole turn of demand of another
 	// pool: that one asks for more than the fleet has and is first in line for each
--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -68,10 +68,16 @@
 
 func (s *State) observeDemand(now time.Duration, pool string, sum executor.Summary) {
 	d := s.demand[pool]
-	if d == nil || sum.OfferedCoreMs < d.offered {
+	if d == nil {
 		s.demand[pool] = &demand{at: now, offered: sum.OfferedCoreMs}
 		return
 	}
+	if sum.OfferedCoreMs < d.offered {
+		// A new owner counts from zero. Callers go on as before: taken for a
+		// turn that has ended, its pool would be stripped of its instances.
+		d.at, d.offered = now, sum.OfferedCoreMs
+		return
+	}
 	elapsed := now - d.at
 	if elapsed <= 0 {
 		return
