Only nodes that may get duties join the owners' group

Cause: 33 nodes share a group of 24 partitions.

Weak nodes stay outside and read the members each second; they step in when no member is left. At a start the members are read before joining, and weak nodes wait a little longer.

--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -31,6 +31,13 @@
 	// each membersMin.
 	membersEvery = 2 * time.Second
 	membersMin   = 120 * time.Millisecond
+	// outsiderEvery is how often a process outside the group reads the members:
+	// it decides how soon it steps in when all of them have gone.
+	outsiderEvery = time.Second
+	// firstJoinSpread is how much later a node with next to no processor joins an
+	// empty group than one with a whole core: about two calls of the store, and
+	// short beside the time that a duty takes to be claimed.
+	firstJoinSpread = 250 * time.Millisecond
 	// claimRetry spaces attempts at a claim.
 	claimRetry = 150 * time.Millisecond
 	// memberSeparator stands between the parts of a member's name.
@@ -80,6 +87,8 @@
 	rows    map[int]string
 	rowsAt  time.Duration
 	leaving bool
+	// members are those last read; nil before the first reading.
+	members []member
 	// kick wakes Run to read the members at once.
 	kick chan struct{}
 	wg   sync.WaitGroup
@@ -135,27 +144,17 @@
 	return out
 }
 
-// Run stays in the group until ctx ends, then gives everything back.
+// Run stays in the group while that needs this process, until ctx ends; then it
+// gives everything back.
 func (m *Manager) Run(ctx context.Context) {
-	var generation int64
-	failing, created, kicked := false, false, false
+	var s stay
+	kicked := false
+	m.lookFirst(ctx)
 	for ctx.Err() == nil {
-		err := m.createTopic(ctx, &created)
-		var got platform.Assignment
-		if err == nil {
-			got, err = m.opts.Membership.Join(ctx, group, m.opts.Member, groupTopic, memberTTL, generation)
-		}
-		age := membersEvery
+		age := m.stayOrGo(ctx, &s)
 		if kicked {
 			age = 0
 		}
-		if err == nil && got.Generation != generation {
-			generation, age = got.Generation, 0
-		}
-		if failing != (err != nil) {
-			failing = err != nil
-			m.logMembership(err)
-		}
 		m.refreshMembers(ctx, age)
 		m.assign(ctx)
 		kicked = m.awaitJoin(ctx)
@@ -163,6 +162,70 @@
 	m.leave()
 }
 
+// lookFirst reads the members before this process joins them. Load: all nodes
+// start together, after all have lost power. Where nobody is a member yet, weak
+// nodes wait a little longer than strong ones and find these there: joined all at
+// once they would hide one another, and each duty change hands twice within a
+// second.
+func (m *Manager) lookFirst(ctx context.Context) {
+	m.refreshMembers(ctx, 0)
+	self, ok := parseMember(m.opts.Member)
+	m.mu.Lock()
+	alone := len(m.members) == 0
+	m.mu.Unlock()
+	if ok && alone {
+		pause.For(ctx, time.Duration((1-min(1, self.processor))*float64(firstJoinSpread)))
+		m.refreshMembers(ctx, 0)
+	}
+}
+
+// stay is how this process stands with the group.
+type stay struct {
+	generation int64
+	// joined: the group counts this process, or may.
+	joined bool
+	// created: the group's topic is known to exist; failing: the newest call on
+	// the group went wrong.
+	created, failing bool
+}
+
+// stayOrGo joins the group or leaves it, as it needs this process or not. It
+// returns how old the reading of the members may be.
+func (m *Manager) stayOrGo(ctx context.Context, s *stay) time.Duration {
+	if !m.needed(s.joined) {
+		if s.joined {
+			s.joined = !m.goFromGroup(ctx)
+		}
+		return outsiderEvery
+	}
+	err := m.createTopic(ctx, &s.created)
+	var got platform.Assignment
+	if err == nil {
+		s.joined = true
+		got, err = m.opts.Membership.Join(ctx, group, m.opts.Member, groupTopic, memberTTL, s.generation)
+	}
+	if s.failing != (err != nil) {
+		s.failing = err != nil
+		m.logMembership(err)
+	}
+	if err == nil && got.Generation != s.generation {
+		s.generation = got.Generation
+		return 0
+	}
+	return membersEvery
+}
+
+// goFromGroup leaves the group and reports whether that is certain.
+func (m *Manager) goFromGroup(ctx context.Context) bool {
+	err := m.opts.Membership.Leave(ctx, group, m.opts.Member)
+	if err != nil {
+		m.opts.Logger.Warn("group not left", "error", err.Error())
+		return false
+	}
+	m.opts.Logger.Info("group left", "reason", "others are better fit for the duties")
+	return true
+}
+
 // awaitJoin waits until the next join is due. It reports whether a member that
 // left said so, and the members should be read at once.
 func (m *Manager) awaitJoin(ctx context.Context) (kicked bool) {
--- a/internal/shards/members.go
+++ b/internal/shards/members.go
@@ -105,6 +105,41 @@
 	return slices.DeleteFunc(slices.Clone(members), func(b member) bool { return b.processor < strongShare*most })
 }
 
+// mostMembers is how many members are enough: several for each of some five
+// duties, and fewer than the group has partitions (24), so that each of them
+// holds one and is seen.
+const mostMembers = 16
+
+// needed reports whether the group needs this process.
+func (m *Manager) needed(joined bool) bool {
+	self, ok := parseMember(m.opts.Member)
+	if !ok {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return wanted(self, joined, m.members)
+}
+
+// wanted reports whether a process should be in the group, by the members last
+// read. Load: of 33 nodes and more, two are restarted each second. The group deals
+// its partitions anew with each of them, a member without a partition is not
+// seen, and the duties move among those that come into sight and go out of it:
+// one pool had three owners within 2.3 s, and each change stops its pool for a
+// moment. So nodes too weak for any duty stay outside, and so do those that come
+// when there are enough. With no members read, everybody joins.
+func wanted(self member, joined bool, members []member) bool {
+	seen, most := false, self.processor
+	for _, b := range members {
+		seen = seen || b.Node == self.Node
+		most = max(most, b.processor)
+	}
+	if self.processor < strongShare*most {
+		return false
+	}
+	return joined && seen || len(strong(members)) < mostMembers
+}
+
 // dutySlack is how far above the mean a member's number of duties may be: with
 // none, one member that comes or goes moves the duties of many.
 const dutySlack = 1.5
@@ -142,6 +177,7 @@
 		m.opts.Logger.Info("duties spread", "members", len(members), "mine", countOf(owners, m.opts.Node))
 	}
 	m.owners = owners
+	m.members = members
 	m.mu.Unlock()
 	m.opts.OnPeers(peers)
 }
--- a/internal/shards/members_test.go
+++ b/internal/shards/members_test.go
@@ -61,3 +61,39 @@
 		g.Expect(ok).To(BeFalse(), wrong)
 	}
 }
+
+// Nodes restart one after the other. Those that will never get a duty would have
+// the group dealt anew each time, and duties would move among the others.
+func TestWeakNodesStayOutOfTheGroup(t *testing.T) {
+	g := NewWithT(t)
+	members := membersWith(0.8, 0.8, 0.19)
+	weak := member{Owner{Node: "weak"}, 0.19}
+	g.Expect(wanted(weak, false, members)).To(BeFalse())
+	g.Expect(wanted(members[2], true, members)).To(BeFalse())
+	g.Expect(wanted(members[0], true, members)).To(BeTrue())
+}
+
+// All strong nodes lose power. The weak ones see no members once these have
+// lapsed, and have to step in.
+func TestWeakNodesJoinWhenAllMembersHaveGone(t *testing.T) {
+	g := NewWithT(t)
+	weak := membersWith(0.19, 0.19)
+	g.Expect(wanted(weak[0], false, nil)).To(BeTrue())
+	g.Expect(wanted(weak[0], true, weak)).To(BeTrue())
+	g.Expect(wanted(weak[0], false, weak[1:])).To(BeTrue())
+}
+
+// Hundreds of equal nodes start at once and all join. Those that hold no
+// partition are seen by nobody and go; those that are seen stay.
+func TestEnoughMembersStay(t *testing.T) {
+	g := NewWithT(t)
+	processors := make([]float64, mostMembers+4)
+	for i := range processors {
+		processors[i] = 0.4
+	}
+	members := membersWith(processors...)
+	unseen := member{Owner{Node: "unseen"}, 0.4}
+	g.Expect(wanted(unseen, true, members)).To(BeFalse())
+	g.Expect(wanted(members[len(members)-1], true, members)).To(BeTrue())
+	g.Expect(wanted(unseen, false, members[:mostMembers-1])).To(BeTrue())
+}
