Slow endpoints are found by the progress of their runs; predictions rest on whole runs only

An endpoint is judged by the progress that it lists, on its own clock, against the others of its pool. A slow one gets one task at a time, and what would take twice as long there as anew elsewhere is stopped and started elsewhere.

Runs restored are not learnt from any more.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -206,6 +206,10 @@
 	percent  int
 	// movedAt is when percent last changed.
 	movedAt time.Duration
+	// listedAt is when it was last listed, on the endpoint's clock.
+	listedAt time.Duration
+	// rescues counts the runs that were stopped as their endpoint was slow.
+	rescues int
 	// stopping is set once the run shall end; stopSent is its newest order.
 	stopping bool
 	stopSent time.Duration
@@ -254,6 +258,7 @@
 
 	badRuns    int
 	quarantine time.Duration
+	speed      speed
 
 	// keptFor is a lasting task for whose room the endpoint takes no others,
 	// until keptUntil at the latest.
@@ -372,6 +377,8 @@
 	EventWaits    EventKind = "task waits"
 	EventAdvised  EventKind = "step advised"
 	EventKept     EventKind = "endpoint kept for a task"
+	EventSlow     EventKind = "endpoint slow"
+	EventFine     EventKind = "endpoint no longer slow"
 )
 
 func (c *Core) event(e Event) { c.events = append(c.events, e) }
--- a/internal/executor/ends.go
+++ b/internal/executor/ends.go
@@ -77,7 +77,10 @@
 // stands for all of them.
 func (c *Core) done(now time.Duration, t *task) {
 	s, j := t.step, t.step.job
-	if t.confirmed > 0 {
+	// A restored run began before this owner saw it: learnt as that short, the
+	// queue's jobs would seem in time when they are not, and sound endpoints
+	// slow. What a slow endpoint takes says nothing of the queue either.
+	if t.confirmed > 0 && !t.restored && !t.host.speed.slow {
 		c.learn(j.rec.Queue, now-t.confirmed)
 	}
 	c.release(t)
--- a/internal/executor/explain.go
+++ b/internal/executor/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -90,10 +91,11 @@
 	obstacleStrangers = "with unknown runs"
 	obstacleQuiet     = "quarantined"
 	obstacleKept      = "kept for a lasting task"
+	obstacleSlow      = "slow"
 )
 
 var obstacles = []string{obstacleNone, obstacleRoom, obstacleLabel, obstacleSpread, obstacleSharing, obstacleTicket, obstacleUnlisted,
-	obstacleDraining, obstacleVacating, obstacleUnknown, obstacleSilent, obstacleStrangers, obstacleQuiet, obstacleKept}
+	obstacleDraining, obstacleVacating, obstacleUnknown, obstacleSilent, obstacleStrangers, obstacleQuiet, obstacleKept, obstacleSlow}
 
 // obstacle returns what keeps a task from an endpoint.
 func (c *Core) obstacle(now time.Duration, t *task, e *endpoint) string {
@@ -103,6 +105,9 @@
 	if e.keptFor != nil && e.keptFor != t {
 		return obstacleKept
 	}
+	if e.speed.slow && e.probed() && !t.step.spec.LongRunning {
+		return obstacleSlow
+	}
 	if !e.free().holds(needs(t.step.spec)) {
 		return obstacleRoom
 	}
@@ -146,3 +151,8 @@
 	}
 	return obstacleNone
 }
+
+// percentOf writes a share for the log.
+func percentOf(share float64) string {
+	return strconv.Itoa(int(100*share)) + "% of the usual speed"
+}
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -218,7 +218,7 @@
 			continue
 		}
 		running[t] = true
-		c.seeRunning(now, t, r)
+		c.seeRunning(now, in.Clock, t, r)
 	}
 	e.strangers = strangers
 	for _, end := range in.Ended {
@@ -261,8 +261,9 @@
 	c.urgent = append(c.urgent, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Task: r.Task, Run: r.Run})
 }
 
-func (c *Core) seeRunning(now time.Duration, t *task, r ListedRun) {
+func (c *Core) seeRunning(now, clock time.Duration, t *task, r ListedRun) {
 	c.confirm(now, t)
+	c.noteProgress(clock, t, r.Percent)
 	if r.Percent != t.percent {
 		t.percent, t.movedAt = r.Percent, now
 	}
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -148,6 +148,7 @@
 // Tick orders stops that are due, again where the run is still listed, and
 // deals with runs that stand still.
 func (c *Core) Tick(now time.Duration) {
+	c.judgeSpeeds()
 	for _, e := range c.endpoints {
 		if e.vacating && now > e.vacateUntil && !e.draining {
 			e.vacating = false
@@ -169,6 +170,7 @@
 		t.avoid = e.id
 		c.event(Event{Kind: EventStop, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: "stands still"})
 	}
+	c.rescue(e, t)
 	if !t.stopping || e.addr == "" || t.stopSent > 0 && now-t.stopSent < stopRepeat {
 		return
 	}
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -45,7 +45,7 @@
 	t.host = nil
 	t.ordered, t.confirmed, t.stopSent = 0, 0, 0
 	t.answered, t.stopping, t.restored = false, false, false
-	t.percent, t.ticket = 0, ""
+	t.percent, t.listedAt, t.ticket = 0, 0, ""
 }
 
 // Decide places what can be placed. Jobs come in the order of sortOpen; those
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -260,8 +260,8 @@
 // taskMs predicts a task's run. Callers' estimates are off by a factor of two
 // and more, while the runs of one queue are alike: experience goes first.
 func (c *Core) taskMs(j *job, s *jobs.Step) float64 {
-	if w := c.learned[j.rec.Queue]; w != nil && w.runs >= fewRuns {
-		return w.meanMs
+	if c.knownWork(j) {
+		return c.learned[j.rec.Queue].meanMs
 	}
 	if s.EstimateMs > 0 {
 		return float64(s.EstimateMs)
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -89,6 +89,7 @@
 type run struct {
 	task    string
 	number  int
+	began   time.Duration
 	ends    time.Duration
 	outcome executor.HowEnded
 	needs   executor.Room
@@ -344,7 +345,7 @@
 	}
 	past.running++
 	n, _ := jobs.ParseTaskName(order.Task)
-	r := &run{task: order.Task, number: order.Run, ends: w.now + h.took, needs: executor.Room{CPUMilli: 1000, MemoryMB: 10}}
+	r := &run{task: order.Task, number: order.Run, began: w.now, ends: w.now + h.took, needs: executor.Room{CPUMilli: 1000, MemoryMB: 10}}
 	if h.failsAll || n.Step == poisonStep {
 		r.outcome = executor.EndedFailed
 	}
@@ -408,7 +409,7 @@
 	for _, r := range h.running {
 		percent := 50
 		if !r.hung {
-			percent = int(w.now/step) % 100
+			percent = min(99, int(100*(w.now-r.began)/max(step, r.ends-r.began)))
 		}
 		if h.percent > 0 {
 			percent = h.percent
