Pools' owners hear of incarnations that operations have ended

Ends are told until the owner has answered, and its successor reads them with the operations. The spec failed before.

--- a/internal/fleetops/decide.go
+++ b/internal/fleetops/decide.go
@@ -75,9 +75,22 @@
 	for _, name := range s.sortedOps() {
 		s.carryOn(now, wallMs, s.ops[name], &a)
 	}
+	s.tellEnds(&a)
 	return a
 }
 
+// tellEnds lets the pools' owners know of incarnations that operations have ended.
+// Service discovery lists them for some seconds more, longer than their owner was
+// asked to leave them alone: a task placed there waits for a lease to run out that
+// nobody holds, and its job is late by three to four seconds.
+func (s *State) tellEnds(a *Actions) {
+	for name, op := range s.ops {
+		if op.Phase == PhaseOver && op.Ended && !op.told && op.Endpoint != "" && s.pools[op.From] != nil {
+			a.Clears = append(a.Clears, Clear{Instance: name, Pool: op.From, Endpoint: op.Endpoint, Ended: true})
+		}
+	}
+}
+
 func (s *State) sortedOps() []string {
 	names := make([]string, 0, len(s.ops))
 	for name, op := range s.ops {
@@ -129,6 +142,7 @@
 	if op.Kind == KindMaintain {
 		s.markDone(op.Wave, op.Instance)
 	}
+	op.Ended = i.Endpoint != op.Endpoint
 	s.finish(now, op)
 	a.Events = append(a.Events, Event{What: "operation completed", Instance: op.Instance, Reason: op.Kind.String(), Wave: op.Wave, Pool: i.Pool})
 }
--- a/internal/fleetops/fleetops_test.go
+++ b/internal/fleetops/fleetops_test.go
@@ -37,7 +37,9 @@
 	// listLag keeps the instance list as it was read first.
 	listLag, listed time.Duration
 	leastHosts      map[string]int
-	starved         map[string]int
+	// ends are incarnations whose ends the owners were told of.
+	ends    map[string]bool
+	starved map[string]int
 	// lasting endpoints are cleared one at a time, each within clearing; cleared
 	// is when the last one was.
 	lasting map[string]bool
@@ -51,7 +53,7 @@
 
 func newFleet(pools map[string]int) *fleet {
 	f := &fleet{now: time.Second, state: fleetops.NewState(limits("a")), back: map[string]time.Duration{}, tasks: map[string]int{},
-		offered: map[string]float64{}, ready: map[string]float64{}, running: map[string]float64{}, journal: map[string][]byte{}}
+		offered: map[string]float64{}, ready: map[string]float64{}, running: map[string]float64{}, journal: map[string][]byte{}, ends: map[string]bool{}}
 	var names []string
 	for pool := range pools {
 		names = append(names, pool)
@@ -107,6 +109,10 @@
 	f.state.Saved(f.now)
 	f.clearLasting(actions.Clears)
 	for _, c := range actions.Clears {
+		if c.Ended {
+			f.ends[c.Endpoint] = true
+			f.state.EndTold(c.Instance, c.Endpoint)
+		}
 		f.state.Cleared(f.now+time.Millisecond, f.now-f.proofAge, c.Instance, c.Endpoint, f.tasks[c.Endpoint])
 	}
 	for _, o := range actions.Orders {
@@ -286,6 +292,40 @@
 	})
 })
 
+var _ = Describe("an incarnation that an operation has ended", func() {
+	// Callers' tasks are placed on an endpoint that is no more and are late by a
+	// whole lease: the operation went through between two readings of the list,
+	// service discovery shows the endpoint for seconds after it, and its owner's
+	// promise to leave it alone has run out.
+	It("is made known to its pool's owner, and to the owner's successor", func() {
+		f := newFleet(map[string]int{"a": 4})
+		name, endpoint := f.instances[0].Name, f.instances[0].Endpoint
+		f.state.ObserveWave(1, []string{name}, 10*time.Second, 1, wall)
+		for range 10 {
+			if f.down() == 0 && len(f.maintained()) == 0 {
+				f.round("a")
+			}
+		}
+		Expect(f.maintained()).To(ConsistOf(name))
+		f.listLag = time.Hour // the list is not read while the instance is away
+		for range 12 {
+			f.round("a")
+		}
+		Expect(f.down()).To(BeZero())
+		Expect(f.ends).To(BeEmpty())
+		f.listLag = 0
+		f.round("a")
+		Expect(f.ends).To(HaveKey(endpoint))
+		var records []executor.Record
+		for key, value := range f.journal {
+			records = append(records, executor.Record{Key: key, Value: value})
+		}
+		leaving, ended := fleetops.OperationsOf(records, "a")
+		Expect(leaving).To(BeEmpty())
+		Expect(ended).To(ConsistOf(endpoint))
+	})
+})
+
 var _ = Describe("an endpoint that dies while it is cleared", func() {
 	// The owner calls the endpoint clear because it has died with its tasks. By
 	// then another incarnation lives on the instance and runs new ones, which the
--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -304,6 +304,10 @@
 				}
 				r.state.ObservePool(now, pool, answer.Summary)
 				for _, item := range items {
+					if item.Ended {
+						r.state.EndTold(item.Instance, item.Endpoint)
+						continue
+					}
 					if n, known := answer.Left[item.Endpoint]; known {
 						r.state.Cleared(asked, asked-answer.ProofAge, item.Instance, item.Endpoint, n)
 					}
--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -58,7 +58,11 @@
 	Phase    Phase  `cbor:"7,keyasint,omitempty"`
 	// Holder gave the order, if any was given.
 	Holder string `cbor:"8,keyasint,omitempty"`
+	// Ended says that the platform has ended the incarnation.
+	Ended bool `cbor:"9,keyasint,omitempty"`
 
+	// told: the pool's owner has heard that.
+	told  bool
 	since time.Duration
 	// lasting: tasks that last were on the instance as the operation began.
 	lasting bool
@@ -258,20 +262,29 @@
 // proof of the epoch, and the time that the call may take.
 const orderSilence = proofMax + time.Second
 
-// OperationsOf reads the endpoints of a pool that operations are about to
-// clear, from the records of the duty's journal.
-func OperationsOf(records []executor.Record, pool string) []string {
-	var endpoints []string
+// OperationsOf reads the endpoints of a pool that operations are about to clear,
+// and those that they have ended of late, from the records of the duty's journal.
+func OperationsOf(records []executor.Record, pool string) (leaving, ended []string) {
 	for _, r := range records {
 		var op Operation
-		if r.Key == "" || r.Key[:1] != keyOperation || cbor.Unmarshal(r.Value, &op) != nil {
+		if r.Key == "" || r.Key[:1] != keyOperation || cbor.Unmarshal(r.Value, &op) != nil || op.From != pool || op.Endpoint == "" {
 			continue
 		}
-		if op.From == pool && op.Endpoint != "" && op.Phase != PhaseOver {
-			endpoints = append(endpoints, op.Endpoint)
+		switch {
+		case op.Ended:
+			ended = append(ended, op.Endpoint)
+		case op.Phase != PhaseOver:
+			leaving = append(leaving, op.Endpoint)
 		}
 	}
-	return endpoints
+	return leaving, ended
+}
+
+// EndTold takes in that a pool's owner knows of an incarnation's end.
+func (s *State) EndTold(instance, endpoint string) {
+	if op := s.ops[instance]; op != nil && op.Endpoint == endpoint {
+		op.told = true
+	}
 }
 
 // TakeRecords returns the records that have changed.
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -332,9 +332,12 @@
 	if ctx.Err() != nil {
 		return
 	}
-	leaving := m.operations(ctx, r.pool)
+	leaving, ended := m.operations(ctx, r.pool)
 	m.mu.Lock()
 	h.ready = true
+	for _, id := range ended {
+		r.core.Gone(id)
+	}
 	r.core.ObserveEndpoints(r.now(), m.endpoints[r.pool])
 	r.honour(leaving)
 	m.mu.Unlock()
@@ -354,9 +357,9 @@
 }
 
 // operations returns the endpoints of a pool that the duty over instances is
-// about to clear. A new owner that did not know of them would place tasks on an
+// about to clear, and those that it has ended of late. A new owner that did not know of them would place tasks on an
 // instance that its predecessor has declared clear, so it waits for the answer.
-func (m *Manager) operations(ctx context.Context, pool string) []string {
+func (m *Manager) operations(ctx context.Context, pool string) (leaving, ended []string) {
 	for ctx.Err() == nil {
 		page, err := m.opts.Journal.Newest(ctx, fleetops.Topic)
 		if err != nil {
@@ -366,7 +369,7 @@
 		}
 		return fleetops.OperationsOf(fleetops.RecordsOf(page.Records), pool)
 	}
-	return nil
+	return nil, nil
 }
 
 // local returns the runner of a pool that this process owns.
