A predecessor's leases are not taken for run out by an owner that is busy

The endpoint's first answer made its clock known and no lease: 100 ms later its tasks counted as lapsed, unless the first renewal had left by then. A busy owner of 250 endpoints was slower.

The first answer now stands for a lease of full length: the fence is raised with it, so that no predecessor can grant more.

--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -97,6 +97,30 @@
 		Expect(w.broken).To(BeEmpty())
 	})
 
+	// A caller's task runs twice at once. The new owner of a full pool has heard its
+	// endpoints and is busy for a moment before it renews their leases; these are
+	// its predecessor's and go on, and must not count as run out.
+	It("does not give up what runs under its predecessor's leases", func() {
+		w := newWorld(1, 3)
+		o := w.takeOver()
+		w.run(100 * time.Millisecond)
+		for _, h := range w.hosts {
+			h.took = 2 * time.Second
+		}
+		j := jobOf(1, small(6))
+		w.submit(o, j)
+		w.run(300 * time.Millisecond)
+		o.stopped = true
+		next := w.takeOver()
+		w.run(2 * step)
+		next.busy = true
+		w.run(400 * time.Millisecond)
+		next.busy = false
+		w.run(3 * time.Second)
+		Expect(w.broken).To(BeEmpty())
+		Expect(w.state(next, j)).To(Equal("completed"))
+	})
+
 	// The endpoint of a running task falls silent just as the owner dies. It
 	// may run on for as long as the old owner could have renewed its lease, so
 	// that a second run before that would be a run too many.
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -203,6 +203,13 @@
 
 func (c *Core) takeIn(now, sent time.Duration, e *endpoint, in Listed) {
 	e.noteClock(now, in.Clock)
+	if !e.lookedEver {
+		// What a predecessor granted goes on, for a lease at most: it can grant
+		// nothing more now that the fence is raised. Taken for no lease at all,
+		// it would have run out before this owner's first renewal leaves, and
+		// the tasks would begin elsewhere beside the runs that go on here.
+		e.granted = max(e.granted, e.clock+c.limits.Lease)
+	}
 	e.nextLook = now + lookGap
 	if !e.lookedEver || e.failedLook > 0 {
 		e.nextLook = now // nothing was renewed
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -135,6 +135,8 @@
 	stopped bool
 	// cut owners reach no journal.
 	cut bool
+	// busy owners take answers in and get to nothing else.
+	busy bool
 	// proof is when the journal last took something.
 	proof time.Duration
 }
@@ -235,7 +237,7 @@
 		w.endpoints()
 		w.deliver()
 		for _, o := range w.owners {
-			if !o.stopped {
+			if !o.stopped && !o.busy {
 				w.round(o)
 			}
 		}
