--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -14,7 +14,6 @@
 
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/fleetops"
-	"cyclamenwheel/internal/jobs"
 	"cyclamenwheel/internal/planlease"
 	"cyclamenwheel/internal/tenure"
 	"cyclamenwheel/platform"
@@ -52,36 +51,6 @@
 	Advise(ctx context.Context, step string, endpoints []string, timeout time.Duration) (platform.Advice, error)
 }
 
-// Outcome is what a call on a pool came to.
-type Outcome uint8
-
-// Outcomes.
-const (
-	// OutcomeDone: accepted, cancelled or found.
-	OutcomeDone Outcome = iota
-	// OutcomeRefused: not accepted; it never runs unless handed in again.
-	OutcomeRefused
-	// OutcomeUnavailable: nobody could take it now; nothing has happened.
-	OutcomeUnavailable
-	// OutcomeUnknown: it may have been done.
-	OutcomeUnknown
-	// OutcomeAbsent: there is no such job.
-	OutcomeAbsent
-)
-
-var outcomeNames = [...]string{"done", "refused", "unavailable", "unknown", "absent"}
-
-func (o Outcome) String() string { return outcomeNames[o] }
-
-// Result is the answer to a call on a pool.
-type Result struct {
-	Outcome      Outcome           `cbor:"1,keyasint"`
-	State        executor.JobState `cbor:"2,keyasint,omitempty"`
-	Pending      int               `cbor:"3,keyasint,omitempty"`
-	RetryAfterMs int64             `cbor:"4,keyasint,omitempty"`
-	Reason       string            `cbor:"5,keyasint,omitempty"`
-}
-
 // Runner owns one pool under one epoch.
 type Runner struct {
 	pool      string
@@ -120,12 +89,6 @@
 	over   bool
 }
 
-// appendOutcome is what became of a batch. proofs waited for it.
-type appendOutcome struct {
-	err    error
-	proofs []func()
-}
-
 func newRunner(m *Manager, pool string) *Runner {
 	return &Runner{
 		pool: pool, topic: TopicOf(pool), owner: m.opts.Member, journal: m.opts.Journal, endpoints: m.opts.Endpoints,
@@ -247,106 +210,6 @@
 
 func (r *Runner) proven() bool { return r.tenure.ProofAge() < r.limits.ProofAge }
 
-// flush appends what has changed, or proves the epoch where nothing has for a
-// while.
-func (r *Runner) flush(now time.Duration) {
-	if r.appending != nil || now-r.stuckSince < appendGap {
-		return
-	}
-	ready := r.core.Ready()
-	proven := r.tenure.ProofAge() < proofEvery && len(r.proofs) == 0
-	if ready.Empty() && proven {
-		return
-	}
-	if len(ready.Records) == 0 && proven {
-		r.release(ready)
-		return
-	}
-	r.appending, r.stuckSince = &ready, now
-	proofs := r.proofs
-	r.proofs = nil
-	go r.append(ready, proofs)
-}
-
-func (r *Runner) append(ready executor.Ready, proofs []func()) {
-	records := make([]platform.Record, len(ready.Records))
-	for i, rec := range ready.Records {
-		records[i] = platform.Record{Key: rec.Key, Value: rec.Value}
-	}
-	r.appended <- appendOutcome{r.tenure.Append(r.appendCtx, records), proofs}
-}
-
-func (r *Runner) takeAppend(outcome appendOutcome) {
-	if outcome.err != nil {
-		r.log.Warn("pool lost", "epoch", r.epoch, "error", outcome.err.Error())
-		r.over = true
-		return
-	}
-	for _, proof := range outcome.proofs {
-		proof()
-	}
-	ready := *r.appending
-	r.appending = nil
-	r.release(ready)
-}
-
-// handOver appends the last record of an owner that gives its pool up in order,
-// once the batch on its way is through. No order leaves after that: the successor
-// counts on it. Without the record it waits for longer, and that is all.
-func (r *Runner) handOver() {
-	ctx, cancel := context.WithTimeout(r.appendCtx, handOverLimit)
-	defer cancel()
-	if r.appending != nil && !r.over {
-		select {
-		case outcome := <-r.appended:
-			r.takeAppend(outcome)
-		case <-ctx.Done():
-			return
-		}
-	}
-	if r.over || !r.proven() {
-		return
-	}
-	last := r.core.HandOver(r.now())
-	err := r.tenure.Append(ctx, []platform.Record{{Key: last.Key, Value: last.Value}})
-	if err != nil {
-		r.log.Warn("pool not handed over", "epoch", r.epoch, "error", err.Error())
-		return
-	}
-	r.log.Info("pool handed over", "epoch", r.epoch, "bytes", len(last.Value))
-}
-
-// release carries out what a durable batch allows.
-func (r *Runner) release(ready executor.Ready) {
-	r.core.Advance(ready)
-	for _, reply := range ready.Replies {
-		r.reply(reply.Token, Result{Outcome: OutcomeDone})
-	}
-	r.unsent = append(r.unsent, ready.Orders...)
-	if r.proven() && r.ctx.Err() == nil {
-		r.sendUnsent(r.now())
-	}
-}
-
-// sendUnsent sends the orders whose records are durable. A process that was
-// suspended between an append and its answer finds its proof too old to send
-// them; dropped there, their tasks would be placed and never begin, since an
-// order that has not left is never repeated.
-func (r *Runner) sendUnsent(now time.Duration) {
-	orders := r.unsent
-	r.unsent = nil
-	for _, o := range orders {
-		r.send(now, o)
-	}
-}
-
-func (r *Runner) reply(token uint64, result Result) {
-	if ch, ok := r.waiting[token]; ok {
-		ch <- result
-		delete(r.waiting, token)
-	}
-}
-
 // abandon answers everybody who waits. What was on its way to the store may
 // have arrived; the rest has not happened.
 func (r *Runner) abandon() {
@@ -371,134 +234,6 @@
 	}
 }
 
-// ask runs f on the control goroutine and returns its answer, now or later.
-func (r *Runner) ask(ctx context.Context, f func(now time.Duration, token uint64) (Result, bool)) Result {
-	ch := make(chan Result, 1)
-	ok := r.post(func(now time.Duration) {
-		r.nextToken++
-		token := r.nextToken
-		r.waiting[token] = ch
-		if result, done := f(now, token); done {
-			r.reply(token, result)
-		}
-	})
-	if !ok {
-		return Result{Outcome: OutcomeUnavailable, Reason: "the pool's owner changes"}
-	}
-	select {
-	case result := <-ch:
-		return result
-	case <-r.done:
-		return Result{Outcome: OutcomeUnknown, Reason: "the pool's owner changes"}
-	case <-ctx.Done():
-		return Result{Outcome: OutcomeUnknown, Reason: "no answer in time"}
-	}
-}
-
-// submit hands a job to the pool.
-func (r *Runner) submit(ctx context.Context, job jobs.Job, under executor.Accepting) Result {
-	return r.ask(ctx, func(now time.Duration, token uint64) (Result, bool) {
-		if r.stuck(now) {
-			return Result{Outcome: OutcomeUnavailable, Reason: "the store does not answer", RetryAfterMs: retryStoreMs}, true
-		}
-		if ctx.Err() != nil {
-			return Result{Outcome: OutcomeUnavailable, Reason: "came too late"}, true
-		}
-		verdict, refusal := r.core.Submit(now, job, under, token)
-		switch verdict {
-		case executor.VerdictKnown:
-			return Result{Outcome: OutcomeDone}, true
-		case executor.VerdictRefused:
-			return Result{Outcome: OutcomeRefused, Reason: refusal.Reason, RetryAfterMs: refusal.RetryAfter.Milliseconds()}, true
-		}
-		return Result{}, false
-	})
-}
-
-// retryStoreMs is when to come back while the store does not answer: its
-// outages last some seconds.
-const retryStoreMs = 1000
-
-func (r *Runner) stuck(now time.Duration) bool {
-	return r.appending != nil && now-r.stuckSince > stuckAfter || !r.proven()
-}
-
-func (r *Runner) cancelJob(ctx context.Context, id string) Result {
-	return r.ask(ctx, func(now time.Duration, token uint64) (Result, bool) {
-		known, durable := r.core.Cancel(now, id, token)
-		if !known {
-			return Result{Outcome: OutcomeAbsent}, true
-		}
-		return Result{Outcome: OutcomeDone}, durable
-	})
-}
-
-func (r *Runner) state(ctx context.Context, id string) Result {
-	return r.ask(ctx, func(now time.Duration, _ uint64) (Result, bool) {
-		if !r.proven() {
-			return Result{Outcome: OutcomeUnavailable, Reason: "the store does not answer", RetryAfterMs: retryStoreMs}, true
-		}
-		state, known := r.core.State(id)
-		if !known {
-			return Result{Outcome: OutcomeAbsent}, true
-		}
-		return Result{Outcome: OutcomeDone, State: state}, true
-	})
-}
-
-func (r *Runner) pending(ctx context.Context, queue string) Result {
-	return r.ask(ctx, func(time.Duration, uint64) (Result, bool) {
-		return Result{Outcome: OutcomeDone, Pending: r.core.Pending(queue)}, true
-	})
-}
-
-// vacate clears endpoints. That one is clear is said only once an append sent
-// afterwards has succeeded: an owner that was displaced unawares would otherwise
-// speak for endpoints on which its successor runs tasks.
-func (r *Runner) vacate(ctx context.Context, in VacateCall) VacateResult {
-	done := make(chan VacateResult, 1)
-	ok := r.post(func(now time.Duration) {
-		result, clear := r.vacateNow(now, in)
-		if !clear {
-			done <- result
-			return
-		}
-		r.proofs = append(r.proofs, func() {
-			result.ProofAgeMs = r.tenure.ProofAge().Milliseconds()
-			done <- result
-		})
-	})
-	if !ok {
-		return VacateResult{}
-	}
-	select {
-	case result := <-done:
-		return result
-	case <-ctx.Done():
-	case <-r.ctx.Done():
-	}
-	return VacateResult{}
-}
-
-func (r *Runner) vacateNow(now time.Duration, in VacateCall) (result VacateResult, clear bool) {
-	result = VacateResult{Owned: true, Left: map[string]int{}}
-	for _, item := range in.Items {
-		if item.Ended {
-			r.core.Gone(item.Endpoint)
-			continue
-		}
-		if left, known := r.core.Vacate(now, item.Endpoint, item.Hurry); known {
-			result.Left[item.Endpoint] = left
-			clear = clear || left == 0
-		}
-	}
-	r.core.LeavesSoon(now, in.Due)
-	r.core.Reach(now, in.ReachMilli)
-	result.Summary = r.core.Summary(now)
-	result.ProofAgeMs = r.tenure.ProofAge().Milliseconds()
-	return result, clear
-}
-
 func (r *Runner) logEvents() {
 	for _, e := range r.core.TakeEvents() {
 		metrics.GetOrCreateCounter(fmt.Sprintf("cyclamen_pool_events_total{event=%q}", e.Kind)).Inc()
