--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -357,8 +357,9 @@
 }
 
 // operations returns the endpoints of a pool that the duty over instances is
-// about to clear, and those that it has ended of late. A new owner that did not know of them would place tasks on an
-// instance that its predecessor has declared clear, so it waits for the answer.
+// about to clear, and those that it has ended of late. A new owner that did not
+// know of them would place tasks on an instance that its predecessor has declared
+// clear, or that is no more, so it waits for the answer.
 func (m *Manager) operations(ctx context.Context, pool string) (leaving, ended []string) {
 	for ctx.Err() == nil {
 		page, err := m.opts.Journal.Newest(ctx, fleetops.Topic)
--- a/internal/shards/runner_test.go
+++ b/internal/shards/runner_test.go
@@ -91,10 +91,19 @@
 	return len(e.started)
 }
 
-func newTestRunner(journal *memoryJournal, endpoints Endpoints, limits executor.Limits) *Runner {
+// startRunner lets a runner own a pool with one endpoint, until ctx ends.
+func startRunner(ctx context.Context, g *WithT, journal *memoryJournal, endpoints Endpoints, limits executor.Limits) (r *Runner, ended chan struct{}) {
 	m := NewManager(Options{Node: "n-1", Member: "n-1", Journal: journal, Endpoints: endpoints, Limits: limits,
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
-	return newRunner(m, "pool")
+	r = newRunner(m, "pool")
+	g.Expect(r.claim(ctx)).To(Succeed())
+	r.core.ObserveEndpoints(r.now(), []executor.EndpointInfo{{ID: "i-1", Addr: "i-1", Capacity: executor.Room{CPUMilli: 4000, MemoryMB: 4000}}})
+	ended = make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.run(ctx)
+	}()
+	return r, ended
 }
 
 // A caller's job is accepted and none of its tasks ever begins. The owner is
@@ -106,15 +115,8 @@
 	journal := &memoryJournal{}
 	endpoint := &obedientEndpoint{started: map[string]int{}}
 	limits := executor.Limits{Lease: 3 * time.Second, ProofAge: 200 * time.Millisecond, KeepEnded: time.Minute, StopTimeout: time.Second}
-	r := newTestRunner(journal, endpoint, limits)
 	ctx, cancel := context.WithCancel(context.Background())
-	g.Expect(r.claim(ctx)).To(Succeed())
-	r.core.ObserveEndpoints(r.now(), []executor.EndpointInfo{{ID: "i-1", Addr: "i-1", Capacity: executor.Room{CPUMilli: 4000, MemoryMB: 4000}}})
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		r.run(ctx)
-	}()
+	r, ended := startRunner(ctx, g, journal, endpoint, limits)
 	defer func() {
 		cancel()
 		<-ended
@@ -139,15 +141,8 @@
 	journal := &memoryJournal{}
 	endpoint := &obedientEndpoint{started: map[string]int{}}
 	limits := executor.Limits{Lease: 3 * time.Second, ProofAge: 4 * time.Second, KeepEnded: time.Minute, StopTimeout: time.Second}
-	r := newTestRunner(journal, endpoint, limits)
 	ctx, cancel := context.WithCancel(context.Background())
-	g.Expect(r.claim(ctx)).To(Succeed())
-	r.core.ObserveEndpoints(r.now(), []executor.EndpointInfo{{ID: "i-1", Addr: "i-1", Capacity: executor.Room{CPUMilli: 4000, MemoryMB: 4000}}})
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		r.run(ctx)
-	}()
+	r, ended := startRunner(ctx, g, journal, endpoint, limits)
 	journal.setDelay(100 * time.Millisecond)
 	job := jobs.Job{ID: "00000000000000ab", Steps: []jobs.Step{{Count: 1, CPUMilli: 500, MemoryMB: 10, EstimateMs: 100}}}
 	answer := make(chan Result, 1)
