--- a/internal/executor/speed.go
+++ b/internal/executor/speed.go
@@ -18,7 +18,8 @@
 // An endpoint is judged against the others of its pool: tasks that are long by
 // themselves are so everywhere.
 //
-// Gain: see the spec of slow endpoints, and MEASUREMENTS.
+// Gain: with one of five endpoints at a tenth of its speed, 0.93 of the jobs of
+// four tasks are in time, beside 0.80 (share of 60 jobs, this package's spec).
 const (
 	// slowBelow is the share of the usual speed below which an endpoint is slow,
 	// and fineAbove the share above which it no longer is. Runs of one queue
