A new owner neither repeats an occurrence that has ended nor waits twice for one predecessor

An occurrence that ended before an earlier one was rebuilt with all its tasks waiting: it was closed, and the recount of the steps opened it again, so that its tasks started after their ends were acknowledged. A closed occurrence has no steps any more, which mends it for every loop over them. And a step that names a predecessor twice waited for two of them after a change of owner, and for one before: the recount counts each once now, as the beginning does.

--- a/internal/executor/ends.go
+++ b/internal/executor/ends.go
@@ -1,6 +1,9 @@
 package executor
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 func (c *Core) loseAll(e *endpoint, reason string) {
 	lost := make([]*task, 0, len(e.tasks))
@@ -122,10 +125,8 @@
 	o, j := s.occ, s.job
 	o.left--
 	for _, other := range o.steps {
-		for _, a := range uniqueInts(other.spec.After) {
-			if a == s.index {
-				other.waitsFor--
-			}
+		if slices.Contains(other.spec.After, s.index) {
+			other.waitsFor--
 		}
 	}
 	if o.left > 0 {
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -303,7 +303,7 @@
 	}
 	for _, other := range o.steps {
 		other.waitsFor = 0
-		for _, a := range other.spec.After {
+		for _, a := range uniqueInts(other.spec.After) {
 			if o.steps[a].left > 0 {
 				other.waitsFor++
 			}
--- a/internal/executor/kinds_test.go
+++ b/internal/executor/kinds_test.go
@@ -105,6 +105,50 @@
 		Expect(w.state(o, j)).To(Equal("completed"))
 		Expect(w.broken).To(BeEmpty())
 	})
+
+	// A recurring job's second occurrence ends before its first, whose tasks take
+	// long. Its owner dies, and the successor must not run the second one again.
+	It("does not run an occurrence again that ended before an earlier one", func() {
+		w := newWorld(1, 2)
+		o := w.takeOver()
+		w.run(200 * time.Millisecond)
+		for _, h := range w.hosts {
+			h.took = 3 * time.Second
+		}
+		j := jobOf(1, small(1))
+		j.Occurrences, j.StartAtMs, j.IntervalMs = 2, w.wall()+100, 500
+		w.submit(o, j)
+		w.run(400 * time.Millisecond)
+		for _, h := range w.hosts {
+			h.took = 300 * time.Millisecond
+		}
+		w.run(1200 * time.Millisecond)
+		Expect(w.runs[j.ID+".1.0.0"].done).To(BeTrue())
+		Expect(w.runs[j.ID+".0.0.0"].running).To(Equal(1))
+		o.stopped = true
+		o = w.takeOver()
+		w.run(4 * time.Second)
+		Expect(w.broken).To(BeEmpty())
+		Expect(w.state(o, j)).To(Equal("completed"))
+	})
+})
+
+var _ = Describe("a step that names a predecessor twice", func() {
+	// A caller's job stands still for good: its owner has died between the two
+	// steps, and the successor waits for two predecessors where there is one.
+	It("begins once that has ended, also under a new owner", func() {
+		w := newWorld(1, 2)
+		o := w.takeOver()
+		w.run(100 * time.Millisecond)
+		j := jobOf(1, small(2), small(2, 0, 0))
+		w.submit(o, j)
+		w.run(100 * time.Millisecond)
+		o.stopped = true
+		o = w.takeOver()
+		w.run(2 * time.Second)
+		Expect(w.state(o, j)).To(Equal("completed"))
+		Expect(w.broken).To(BeEmpty())
+	})
 })
 
 var _ = Describe("a queue with advice", func() {
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -189,11 +189,12 @@
 
 func (j *job) occurrences() int { return max(1, j.rec.Job.Occurrences) }
 
-// closeOccurrence marks an occurrence as ended and forgets the lowest ones.
+// closeOccurrence marks an occurrence as ended, which leaves it without steps,
+// and forgets the lowest ones.
 func (c *Core) closeOccurrence(j *job, number int) {
 	for _, o := range j.current {
 		if o.number == number {
-			o.left = 0
+			o.left, o.steps = 0, nil
 		}
 	}
 	for len(j.current) > 0 && j.current[0].left == 0 {
