--- a/internal/executor/explain.go
+++ b/internal/executor/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -41,17 +42,9 @@
 // waitingTasks returns one task of each step whose turn has come.
 func (j *job) waitingTasks() []*task {
 	var out []*task
-	for _, o := range j.current {
-		for _, s := range o.steps {
-			if s.waitsFor > 0 || o.left == 0 {
-				continue
-			}
-			for _, t := range s.tasks {
-				if t.phase == taskWaiting {
-					out = append(out, t)
-					break
-				}
-			}
+	for s := range j.readySteps() {
+		if first := slices.IndexFunc(s.tasks, func(t *task) bool { return t.phase == taskWaiting }); first >= 0 {
+			out = append(out, s.tasks[first])
 		}
 	}
 	return out
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -86,15 +87,24 @@
 	}
 }
 
-// waits reports whether any task of the job waits and its turn has come.
-func (j *job) waits() bool {
-	for _, o := range j.current {
-		for _, s := range o.steps {
-			if s.waiting > 0 && s.waitsFor == 0 {
-				return true
+// readySteps are the job's steps with tasks that wait and whose turn has come.
+func (j *job) readySteps() iter.Seq[*stepRun] {
+	return func(yield func(*stepRun) bool) {
+		for _, o := range j.current {
+			for _, s := range o.steps {
+				if s.waiting > 0 && s.waitsFor == 0 && !yield(s) {
+					return
+				}
 			}
 		}
 	}
+}
+
+// waits reports whether the job has such a step.
+func (j *job) waits() bool {
+	for range j.readySteps() {
+		return true
+	}
 	return false
 }
 
@@ -128,17 +138,12 @@
 }
 
 func (c *Core) placeJob(now time.Duration, j *job, hosts []*endpoint) {
-	for _, o := range j.current {
-		for _, s := range o.steps {
-			if s.waiting == 0 || s.waitsFor > 0 || o.left == 0 {
-				continue
-			}
-			if s.spec.Gang {
-				c.placeGang(now, s, hosts)
-				continue
-			}
-			c.placeStep(now, s, hosts)
+	for s := range j.readySteps() {
+		if s.spec.Gang {
+			c.placeGang(now, s, hosts)
+			continue
 		}
+		c.placeStep(now, s, hosts)
 	}
 }
 
--- a/internal/executor/reserve.go
+++ b/internal/executor/reserve.go
@@ -68,18 +68,16 @@
 func (c *Core) lastingWaiting(now time.Duration) []*task {
 	var out []*task
 	for _, j := range c.open {
-		if j.rec.State.Ended() || !lasting(&j.rec.Job) || !j.waits() {
+		if j.rec.State.Ended() {
 			continue
 		}
-		for _, o := range j.current {
-			for _, s := range o.steps {
-				if s.waiting == 0 || s.waitsFor > 0 || !s.spec.LongRunning {
-					continue
-				}
-				for _, t := range s.tasks {
-					if t.phase == taskWaiting && now >= t.notBefore {
-						out = append(out, t)
-					}
+		for s := range j.readySteps() {
+			if !s.spec.LongRunning {
+				continue
+			}
+			for _, t := range s.tasks {
+				if t.phase == taskWaiting && now >= t.notBefore {
+					out = append(out, t)
 				}
 			}
 		}
