The duty over instances looks things up once: names, hosts, balances

An endpoint's load was searched for in three ways (a map built for each instance given away, and two scans of the list for each instance of a wave); it is indexed as its pool's word comes in. The instances' names were sorted for each instance given away, and are once for each reading of the list. All pools' balances were worked out once for each pool that is asked, and are once a round. Behaviour unchanged.

--- a/internal/fleetops/decide.go
+++ b/internal/fleetops/decide.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"cyclamenwheel/internal/executor"
 )
 
 const (
@@ -240,11 +238,7 @@
 // last word.
 func (s *State) holdsLasting(i Instance) bool {
 	view := s.pools[i.Pool]
-	if view == nil {
-		return false
-	}
-	at := slices.IndexFunc(view.Summary.Hosts, func(h executor.HostLoad) bool { return h.Endpoint == i.Endpoint })
-	return at >= 0 && view.Summary.Hosts[at].Lasting
+	return view != nil && view.hosts[i.Endpoint].Lasting
 }
 
 // dispensable reports whether an instance's pool can do without it.
@@ -283,16 +277,12 @@
 	}
 	sum := view.Summary
 	cost := (float64(sum.RunningCPUMilli) + sum.BacklogCoreMs) / float64(max(1, sum.CapacityMilli))
-	for _, h := range sum.Hosts {
-		if h.Endpoint != i.Endpoint {
-			continue
-		}
-		if h.Tasks == 0 {
-			cost *= costIdle
-		}
-		if h.Lasting {
-			cost += costLasting
-		}
+	h, known := view.hosts[i.Endpoint]
+	if known && h.Tasks == 0 {
+		cost *= costIdle
+	}
+	if h.Lasting {
+		cost += costLasting
 	}
 	return cost
 }
--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -246,7 +246,7 @@
 // donor returns the instance that is cheapest to give to a pool, and the place
 // of the pool that gives it among balances, or -1 for the spare pool.
 func (s *State) donor(unit float64, balances []balance, to balance) (*Instance, int) {
-	for _, name := range s.sortedInstances() {
+	for _, name := range s.names {
 		i := s.instances[name]
 		if i.Pool == s.spare && s.movable(i, to.pool) {
 			return &i, -1
@@ -280,15 +280,6 @@
 	return giver
 }
 
-func (s *State) sortedInstances() []string {
-	names := make([]string, 0, len(s.instances))
-	for name := range s.instances {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // movable reports whether nothing else is done with an instance, and it may
 // serve the pool.
 func (s *State) movable(i Instance, to string) bool {
@@ -302,15 +293,12 @@
 // leastLoaded returns the instance of a pool with the least to wait for, at most
 // most milli-cores in use and none with lasting tasks.
 func (s *State) leastLoaded(pool, to string, most float64) *Instance {
-	byEndpoint := map[string]executor.HostLoad{}
-	for _, h := range s.pools[pool].Summary.Hosts {
-		byEndpoint[h.Endpoint] = h
-	}
+	hosts := s.pools[pool].hosts
 	var best *Instance
 	least := most
-	for _, name := range s.sortedInstances() {
+	for _, name := range s.names {
 		i := s.instances[name]
-		h, known := byEndpoint[i.Endpoint]
+		h, known := hosts[i.Endpoint]
 		if i.Pool != pool || !known || h.Lasting || !s.movable(i, to) {
 			continue
 		}
@@ -381,20 +369,26 @@
 	Endpoints                              int
 }
 
-// Reach is the processor room that a pool could be lent within a few seconds:
-// what is on its way, what is switched off, and what others do not need.
-func (s *State) Reach(now time.Duration, pool string) int {
+// Reaches is, for each pool, the processor room that it could be lent within a few
+// seconds: what is on its way, what is switched off, and what others do not need.
+func (s *State) Reaches(now time.Duration, pools []string) map[string]int {
 	unit := s.typicalCPU()
-	sum := s.incoming(now, pool)
+	idle := 0.0
 	for _, i := range s.instances {
 		if i.Pool == s.spare && s.spare != "" && i.Up && s.active(i.Name) == nil {
-			sum += float64(i.CPUMilli)
+			idle += float64(i.CPUMilli)
 		}
 	}
-	for _, b := range s.balances(now, unit) {
-		if b.pool != pool && b.gap() < -unit {
-			sum -= b.gap()
+	balances := s.balances(now, unit)
+	reaches := make(map[string]int, len(pools))
+	for _, to := range pools {
+		sum := s.incoming(now, to) + idle
+		for _, b := range balances {
+			if b.pool != to && b.gap() < -unit {
+				sum -= b.gap()
+			}
 		}
+		reaches[to] = int(sum)
 	}
-	return int(sum)
+	return reaches
 }
--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -287,13 +287,14 @@
 	for _, c := range actions.Clears {
 		byPool[c.Pool] = append(byPool[c.Pool], c)
 	}
+	reaches := r.state.Reaches(planlease.Boottime(), pools)
 	for _, pool := range pools {
 		if r.asking[pool] {
 			continue
 		}
 		r.asking[pool] = true
 		items := byPool[pool]
-		call := ClearCall{Clears: items, Due: actions.Due[pool], ReachMilli: r.state.Reach(planlease.Boottime(), pool)}
+		call := ClearCall{Clears: items, Due: actions.Due[pool], ReachMilli: reaches[pool]}
 		go func() {
 			asked := planlease.Boottime()
 			answer := r.opts.Pools.Clear(ctx, pool, call)
--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -9,6 +9,7 @@
 package fleetops
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -113,6 +114,8 @@
 type PoolView struct {
 	Summary executor.Summary
 	At      time.Duration
+	// hosts are the loads of Summary by endpoint.
+	hosts map[string]executor.HostLoad
 }
 
 // State is what the duty knows. It is not safe for concurrent use.
@@ -122,6 +125,8 @@
 	pools  map[string]*PoolView
 
 	instances map[string]Instance
+	// names are those of instances, in order.
+	names []string
 	// listedAt is when the instance list was asked for.
 	listedAt time.Duration
 	// wantsList: an order waits for a list that is newer than its owner's word.
@@ -334,11 +339,16 @@
 	for _, i := range list {
 		s.instances[i.Name] = i
 	}
+	s.names = slices.Sorted(maps.Keys(s.instances))
 }
 
 // ObservePool takes in what a pool's owner said.
 func (s *State) ObservePool(now time.Duration, pool string, sum executor.Summary) {
-	s.pools[pool] = &PoolView{Summary: sum, At: now}
+	hosts := make(map[string]executor.HostLoad, len(sum.Hosts))
+	for _, h := range sum.Hosts {
+		hosts[h.Endpoint] = h
+	}
+	s.pools[pool] = &PoolView{Summary: sum, At: now, hosts: hosts}
 	s.observeDemand(now, pool, sum)
 }
 
