--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -194,7 +194,7 @@
 func (m *Manager) stayOrGo(ctx context.Context, s *stay) time.Duration {
 	if !m.needed(s.joined) {
 		if s.joined {
-			s.joined = !m.goFromGroup(ctx)
+			s.joined = !m.leaveGroup(ctx, "others are better fit for the duties")
 		}
 		return outsiderEvery
 	}
@@ -215,14 +215,13 @@
 	return membersEvery
 }
 
-// goFromGroup leaves the group and reports whether that is certain.
-func (m *Manager) goFromGroup(ctx context.Context) bool {
-	err := m.opts.Membership.Leave(ctx, group, m.opts.Member)
-	if err != nil {
+// leaveGroup leaves the group and reports whether that is certain.
+func (m *Manager) leaveGroup(ctx context.Context, reason string) bool {
+	if err := m.opts.Membership.Leave(ctx, group, m.opts.Member); err != nil {
 		m.opts.Logger.Warn("group not left", "error", err.Error())
 		return false
 	}
-	m.opts.Logger.Info("group left", "reason", "others are better fit for the duties")
+	m.opts.Logger.Info("group left", "reason", reason)
 	return true
 }
 
@@ -277,11 +276,9 @@
 	m.wg.Wait()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	if err := m.opts.Membership.Leave(ctx, group, m.opts.Member); err != nil {
-		m.opts.Logger.Warn("group not left", "error", err.Error())
-		return
+	if m.leaveGroup(ctx, "stopping") {
+		m.sayLeft(ctx)
 	}
-	m.sayLeft(ctx)
 }
 
 // assign begins and ends duties to match what is this node's.
