Entries of other writers name nothing to use, and hide no other

Cause: service discovery and the operators' topic were decoded loosely. A record shorter than its key failed the whole read, and every repetition of it; an unknown state made an endpoint draining; wrong types in fields not read, a missing capacity or an address that is none were taken in; a known endpoint whose entry was overwritten by such bytes went on getting work; {"version": n} alone replaced the configuration and dropped every queue; a node that started behind an unreadable newest configuration had none at all.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -58,6 +58,33 @@
 	}
 }
 
+// historyLimit bounds the records that History reads.
+const historyLimit = 20000
+
+// History returns the records of a topic that the store still has, the oldest
+// first, as they were written: also those whose key has a newer record.
+func History(ctx context.Context, store Store, topic string) ([]platform.Record, error) {
+	var all []platform.Record
+	from := int64(0)
+	for len(all) < historyLimit {
+		page, err := store.Read(ctx, topic, from, 0)
+		var trimmed *platform.TrimmedError
+		if errors.As(err, &trimmed) && trimmed.Earliest > from {
+			from = trimmed.Earliest
+			continue
+		}
+		if err != nil {
+			return all, err
+		}
+		if len(page.Records) == 0 {
+			return all, nil
+		}
+		all = append(all, page.Records...)
+		from = page.Next
+	}
+	return all, nil
+}
+
 type follower struct {
 	store  Store
 	topic  string
--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -261,15 +261,8 @@
 func instancesOf(list []platform.Instance) []Instance {
 	out := make([]Instance, len(list))
 	for n, p := range list {
-		i := Instance{Name: p.Name, Pool: p.Pool, Zone: p.Zone, Endpoint: p.Endpoint, CPUMilli: p.Capacity.CPUMilli,
+		out[n] = Instance{Name: p.Name, Pool: p.Pool, Zone: p.Zone, Kind: p.Kind, Rack: p.Rack, Endpoint: p.Endpoint, CPUMilli: p.Capacity.CPUMilli,
 			Up: p.State == platform.InstanceUp, Busy: p.State == platform.InstanceMoving || p.State == platform.InstanceMaintenance}
-		if len(p.Labels) > 0 {
-			i.Kind = p.Labels[0]
-		}
-		if len(p.Labels) > 1 {
-			i.Rack = p.Labels[1]
-		}
-		out[n] = i
 	}
 	return out
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -133,7 +133,13 @@
 	var wg sync.WaitGroup
 	membership, leave := context.WithCancel(ctx)
 	wg.Go(func() { n.manager.Run(membership) })
-	wg.Go(func() { feed.Follow(ctx, n.client, platform.TopicOperator, 0, n.log, n.takeOperator) })
+	wg.Go(func() {
+		feed.Follow(ctx, n.client, platform.TopicOperator, 0, n.log, func(reset bool, records []platform.Record) {
+			if !n.takeOperator(records) && reset {
+				n.takeHistory(ctx)
+			}
+		})
+	})
 	wg.Go(func() { n.followEndpoints(ctx) })
 	n.log.Info("started", "boot", boot)
 	n.await(signals)
@@ -336,28 +342,59 @@
 	})
 }
 
-func (n *Node) takeOperator(_ bool, records []platform.Record) {
+// unusable says that an entry of the store was left out. Whoever else writes there
+// may do so all the time, so the counter says how often.
+func (n *Node) unusable(topic string, err error) {
+	metrics.GetOrCreateCounter(`cyclamen_unusable_entries_total{topic="` + topic + `"}`).Inc()
+	n.log.Error("entry left out", "topic", topic, operator.Err(err))
+}
+
+// takeOperator takes in what operators publish and reports whether all of it could
+// be read.
+func (n *Node) takeOperator(records []platform.Record) (whole bool) {
+	whole = true
 	for _, r := range records {
+		var err error
 		switch {
-		case len(r.Value) == 0:
+		case r.Damaged && r.Key == "":
+			err = &platform.UnusableEntryError{Field: "bytes"}
+		case len(r.Value) == 0 && !r.Damaged:
 		case r.Key == platform.KeyConfig:
-			n.takeConfig(r.Value)
+			err = n.takeConfig(r)
 		case strings.HasPrefix(r.Key, platform.KeyWavePrefix):
-			n.takeWave(r)
+			err = n.takeWave(r)
+		}
+		if err != nil {
+			n.unusable(platform.TopicOperator, err)
+			whole = false
 		}
 	}
+	return whole
 }
 
-func (n *Node) takeWave(r platform.Record) {
-	w, err := platform.DecodeWave(r.Value)
+// takeHistory looks for the last good configuration and waves behind newest ones
+// that can't be read. A node that starts after such an entry was written would
+// otherwise have no configuration and refuse all of its callers, while the others
+// still serve by the one before.
+func (n *Node) takeHistory(ctx context.Context) {
+	records, err := feed.History(ctx, n.client, platform.TopicOperator)
 	if err != nil {
-		n.log.Error("wave unreadable", "key", r.Key, operator.Err(err))
-		return
+		n.log.Warn("history not read", "topic", platform.TopicOperator, operator.Err(err))
+	}
+	n.log.Info("operators' history read", "records", len(records))
+	n.takeOperator(records)
+}
+
+func (n *Node) takeWave(r platform.Record) error {
+	w, err := platform.DecodeWave(r)
+	if err != nil {
+		return err
 	}
 	n.log.Info("wave asked for", "wave", w.Number, "instances", len(w.Instances), "at_once", w.MaxAtOnce, "within_ms", w.Within.Milliseconds())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.waves[w.Number] = w
+	return nil
 }
 
 // facts are what the duty over instances goes by.
@@ -378,18 +415,20 @@
 	return f
 }
 
-func (n *Node) takeConfig(value []byte) {
-	c, err := platform.DecodeConfig(value)
+// takeConfig puts a configuration in force. One that can't be read leaves the last
+// good one in force: callers are served by it until the operator publishes anew.
+func (n *Node) takeConfig(r platform.Record) error {
+	c, err := platform.DecodeConfig(r)
 	if err != nil {
-		n.log.Error("configuration unreadable", operator.Err(err))
-		return
+		return err
 	}
 	if !n.ingress.SetConfig(c) {
-		return
+		return nil
 	}
 	n.log.Info("configuration in force", "config_version", c.Version, "queues", len(c.Queues))
 	n.manager.SetPools(poolsOf(c))
 	n.passEndpoints()
+	return nil
 }
 
 func poolsOf(c *routing.Config) []string {
@@ -408,13 +447,15 @@
 		clear(n.endpoints)
 	}
 	for _, r := range records {
-		if len(r.Value) == 0 {
-			delete(n.endpoints, r.Key)
+		// What can't be read names no endpoint to use: one that was known gets no
+		// new work from here on, and what runs there goes on under its lease.
+		delete(n.endpoints, r.Key)
+		if len(r.Value) == 0 && !r.Damaged {
 			continue
 		}
 		entry, err := platform.DecodeEndpoint(r)
 		if err != nil {
-			n.log.Error("endpoint unreadable", "instance", r.Key, operator.Err(err))
+			n.unusable(platform.TopicEndpoints, err)
 			continue
 		}
 		n.endpoints[r.Key] = entry
@@ -428,14 +469,8 @@
 	byPool := map[string][]executor.EndpointInfo{}
 	n.mu.Lock()
 	for _, e := range n.endpoints {
-		info := executor.EndpointInfo{ID: e.ID, Addr: e.Addr, Zone: e.Zone, Draining: e.Draining,
+		info := executor.EndpointInfo{ID: e.ID, Addr: e.Addr, Zone: e.Zone, Kind: e.Kind, Rack: e.Rack, Draining: e.Draining,
 			Capacity: executor.Room{CPUMilli: e.Capacity.CPUMilli, MemoryMB: e.Capacity.MemoryMB, GPUs: e.Capacity.GPUs}}
-		if len(e.Labels) > 0 {
-			info.Kind = e.Labels[0]
-		}
-		if len(e.Labels) > 1 {
-			info.Rack = e.Labels[1]
-		}
 		byPool[e.Service] = append(byPool[e.Service], info)
 	}
 	n.mu.Unlock()
--- a/internal/standin/wire/endpoint.go
+++ b/internal/standin/wire/endpoint.go
@@ -73,7 +73,7 @@
 	p.endpoints[e.id] = e
 	p.instances[instance].endpoint = e.id
 	entry, err := json.Marshal(map[string]any{"service": pool, "addr": listener.Addr().String(), "zone": "z", "state": "ready",
-		"capacity": map[string]int{"cpu": endpointCPU, "memMb": endpointMemory, "gpu": 0}, "labels": []string{"a", "r-" + instance}})
+		"version": "v1", "slots": 8, "coldLeftMs": 0, "seq": 1, "capacity": map[string]int{"cpu": endpointCPU, "memMb": endpointMemory, "gpu": 0}, "labels": []string{"a", "r-" + instance}})
 	if err != nil {
 		return err
 	}
--- a/internal/standin/wire/platform.go
+++ b/internal/standin/wire/platform.go
@@ -124,6 +124,20 @@
 	p.storeDown = down
 }
 
+// Endpoints returns the ids of a pool's endpoints.
+func (p *Platform) Endpoints(pool string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []string
+	for id, e := range p.endpoints {
+		if e.pool == pool && !e.gone {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // KillEndpoint ends one endpoint of a pool without notice; a new incarnation
 // takes its place.
 func (p *Platform) KillEndpoint(pool string) error {
--- a/internal/standin/wire/store.go
+++ b/internal/standin/wire/store.go
@@ -57,6 +57,14 @@
 	t.records = append(t.records, append(record, value...))
 }
 
+// PutForeign appends a record to a topic as another writer would, as it is.
+func (p *Platform) PutForeign(topicName string, record []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.topic(topicName)
+	t.records = append(t.records, record)
+}
+
 func (p *Platform) handleAppend(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	raw, err := io.ReadAll(r.Body)
@@ -189,6 +197,9 @@
 	t := p.topic(r.URL.Query().Get("topic"))
 	newest := map[string]newestItem{}
 	for i, rec := range t.records {
+		if len(rec) == 0 || len(rec) < 1+int(rec[0]) {
+			continue // another writer's, without a key
+		}
 		key := string(rec[1 : 1+rec[0]])
 		value := rec[1+rec[0]:]
 		if len(value) == 0 {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -77,6 +77,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if err := undamaged(topic, page.Records); err != nil {
+		return nil, nil, err
+	}
 	last, err := epochOf(topic, page.Records)
 	if err != nil {
 		return nil, nil, err
@@ -110,6 +113,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := undamaged(t.topic, page.Records); err != nil {
+		return nil, err
+	}
 	newest := make(map[string][]byte, len(base))
 	for _, p := range base {
 		newest[p.Key] = p.Value
@@ -130,6 +136,21 @@
 	return records, nil
 }
 
+// DamagedRecordError says that a record of the topic can't be read. Going on
+// without it could run a task twice, so the topic is not taken over.
+type DamagedRecordError struct{ Topic, Key string }
+
+func (e *DamagedRecordError) Error() string { return e.Topic + ": record " + e.Key + " is damaged" }
+
+func undamaged(topic string, records []platform.Record) error {
+	for _, r := range records {
+		if r.Damaged {
+			return &DamagedRecordError{Topic: topic, Key: r.Key}
+		}
+	}
+	return nil
+}
+
 func epochOf(topic string, page []platform.Record) (int64, error) {
 	for _, p := range page {
 		if p.Key != keyEpoch {
--- a/test/platform/suite_test.go
+++ b/test/platform/suite_test.go
@@ -179,6 +179,41 @@
 		expectWhole(c, caller, jobs)
 	})
 
+	// Another writer puts entries among those of endpoints and operators: cut
+	// short, without fields, with unknown states, and over an endpoint's own, at
+	// the start, in mid-day and before an owner is killed. None of them names an
+	// endpoint to use or a configuration to follow; the others hold.
+	It("leave entries of other writers aside", func() {
+		c, caller := start(3, 9)
+		foreign := func(topic, key, value string) {
+			c.Platform.PutForeign(topic, append([]byte{byte(len(key))}, key+value...))
+		}
+		disturb := func() {
+			c.Platform.PutForeign("keyed.servers", []byte{200, 'x'})
+			c.Platform.PutForeign("keyed.op", []byte{})
+			foreign("keyed.servers", "i-foreign", `{"service":"tabs","addr":"127.0.0.1:1","state":"ready","capacity":{"cpu":99000}}`)
+			foreign("keyed.servers", "i-odd", `{"service":7,"state":"resting"}`)
+			foreign("keyed.servers", "i-none", "\xff\x00")
+			foreign("keyed.op", "config", `{"version":99}`)
+			foreign("keyed.op", "wave/9", `{"wave":9,"machines":"all"}`)
+			foreign("keyed.servers", c.Platform.Endpoints("tabs")[0], `{"service":"tabs"`)
+		}
+		disturb()
+		jobs := submitMany(caller, 1, 12)
+		disturb()
+		owner := c.Nodes()[0]
+		Expect(owner.Signal(syscall.SIGKILL)).To(Succeed())
+		owner.Wait()
+		jobs = append(jobs, submitMany(caller, 100, 12)...)
+		Expect(c.Run(owner)).To(Succeed())
+		for _, j := range jobs {
+			Expect(j.Accepted).To(BeTrue(), j.Path)
+		}
+		expectWhole(c, caller, jobs)
+		status, _ := caller.Do(http.MethodGet, "/rooms/", "")
+		Expect(status).To(Equal(http.StatusOK), "the last good configuration holds")
+	})
+
 	// A planned stop answers what is in flight, hands the pools over and ends
 	// with 0.
 	It("stop in order", func() {
