--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cyclamenwheel/internal/attempts"
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/pause"
 	"cyclamenwheel/internal/planlease"
@@ -74,13 +75,15 @@
 
 // Options of a Runner.
 type Options struct {
-	Holder  string
-	Journal tenure.Journal
-	Cloud   Cloud
-	Pools   Pools
-	Facts   func() Facts
-	Logger  *slog.Logger
-	Limits  Limits
+	Holder string
+	Store  tenure.Store
+	Cloud  Cloud
+	Pools  Pools
+	Facts  func() Facts
+	Logger *slog.Logger
+	Limits Limits
+	// Claimed is told the epoch of a claim.
+	Claimed func(ctx context.Context, epoch int64)
 }
 
 // Runner has the duty while its context lasts.
@@ -104,6 +107,7 @@
 		return
 	}
 	opts.Logger.Info("fleet duty claimed", "epoch", r.tenure.Epoch)
+	opts.Claimed(ctx, r.tenure.Epoch)
 	tick := time.NewTicker(roundEvery)
 	defer tick.Stop()
 	for ctx.Err() == nil {
@@ -147,7 +151,7 @@
 
 func (r *Runner) claim(ctx context.Context) bool {
 	for ctx.Err() == nil {
-		held, records, err := tenure.Claim(ctx, r.opts.Journal, Topic, r.opts.Holder, r.opts.Logger)
+		held, records, err := tenure.Claim(ctx, r.opts.Store, Topic, r.opts.Holder, r.opts.Logger)
 		if err == nil {
 			r.tenure = held
 			r.state = NewState(r.opts.Limits)
@@ -374,7 +378,9 @@
 		return
 	}
 	go func() {
-		_, err := r.opts.Journal.Append(ctx, platform.TopicStatus, platform.AnyEnd, platform.Writer{}, []platform.Record{record})
+		_, _, err := attempts.Repeat(ctx, r.opts.Store.Attempts, attempts.OfStore, func(ctx context.Context) (int64, error) {
+			return r.opts.Store.Journal.Append(ctx, platform.TopicStatus, platform.AnyEnd, platform.Writer{}, []platform.Record{record})
+		})
 		if err != nil {
 			r.opts.Logger.Warn("wave status not stored", "wave", a.Wave, "error", err.Error())
 			r.post(ctx, func(time.Duration) { r.state.Unannounced(a.Wave) })
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -21,6 +21,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
+	"cyclamenwheel/internal/attempts"
 	"cyclamenwheel/internal/eventlog"
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/feed"
@@ -34,6 +35,7 @@
 	"cyclamenwheel/internal/settings"
 	"cyclamenwheel/internal/shards"
 	"cyclamenwheel/internal/shutdown"
+	"cyclamenwheel/internal/tenure"
 	"cyclamenwheel/internal/version"
 	"cyclamenwheel/platform"
 )
@@ -52,10 +54,16 @@
 	// balancerNotice is how long the balancer takes to see that a node is not
 	// ready: it asks each second and believes the second miss.
 	balancerNotice = 2500 * time.Millisecond
-	// closeLimit bounds the wait for requests in flight after that.
-	closeLimit = 2500 * time.Millisecond
-	// logLimit bounds writing the rest of the log.
-	logLimit = 300 * time.Millisecond
+	// linksLimit, dutiesLimit and logLimit bound the last steps of a stop: links
+	// close, what still runs of the duties ends, and the rest of the log is written.
+	linksLimit  = 400 * time.Millisecond
+	dutiesLimit = 400 * time.Millisecond
+	logLimit    = 300 * time.Millisecond
+	// stopMargin is the part of the grace time that no step counts on: a node short
+	// of processor time is late with each of them.
+	stopMargin = 500 * time.Millisecond
+	// leastClose is what requests in flight get however short the grace time is.
+	leastClose = 300 * time.Millisecond
 	// headerTimeout and idleTimeout hold until a configuration names others.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
@@ -145,10 +153,32 @@
 	n.await(signals)
 	err = n.stop(front, ready, leave)
 	cancel()
-	wg.Wait()
+	n.awaitDuties(&wg)
 	return err
 }
 
+// awaitDuties waits for what still runs, for a time: a call that nobody answers
+// must not keep the process beyond its grace time, at the end of which it is killed
+// with the rest of its log unwritten.
+func (n *Node) awaitDuties(wg *sync.WaitGroup) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		wg.Wait()
+	}()
+	select {
+	case <-ended:
+	case <-time.After(dutiesLimit):
+		n.log.Warn("stopped with duties under way")
+	}
+}
+
+// closeLimit is what is left of the grace time for requests in flight, beside all
+// other steps of a stop.
+func closeLimit(grace time.Duration) time.Duration {
+	return max(leastClose, grace-balancerNotice-linksLimit-dutiesLimit-2*logLimit-stopMargin)
+}
+
 // observe serves operators: a dump of the state on request, profiles of health
 // and metrics on loopback, and metrics for collectors.
 func (n *Node) observe() (stop func(), err error) {
@@ -259,18 +289,20 @@
 		return err
 	}
 	addr := n.set.PeerListen.String()
+	member := shards.MemberName(n.set.Node, addr, boot, time.Now(), n.set.Processor)
+	store := tenure.Store{Journal: n.client, Attempts: attempts.NewPolicy()}
 	n.manager = shards.NewManager(shards.Options{
-		Node: n.set.Node, Addr: addr, Member: shards.MemberName(n.set.Node, addr, boot, n.set.Processor),
-		Membership: n.client, Journal: n.client, Endpoints: n.client, Logger: n.log,
+		Node: n.set.Node, Addr: addr, Member: member,
+		Membership: n.client, Store: store, Endpoints: n.client, Logger: n.log,
 		Limits: executor.Limits{Lease: lease, ProofAge: proofAge, KeepEnded: n.set.Bounds.KeepEnded, StopTimeout: n.set.Bounds.StopTimeout},
-		Fleet: func(ctx context.Context) {
-			fleetops.Run(ctx, fleetops.Options{Holder: n.set.Node, Journal: n.client, Cloud: n.client, Pools: calls, Facts: n.facts, Logger: n.log,
+		Fleet: func(ctx context.Context, claimed func(context.Context, int64)) {
+			fleetops.Run(ctx, fleetops.Options{Holder: n.set.Node, Store: store, Cloud: n.client, Pools: calls, Facts: n.facts, Logger: n.log, Claimed: claimed,
 				Limits: fleetops.Limits{Holder: n.set.Node, MoveTime: n.set.Bounds.Move, HolderTTL: n.set.Bounds.LeaseTTL}})
 		},
 		AskMembers: func(ctx context.Context, node string) (shards.MembersResult, error) {
 			return shards.AskMembers(ctx, n.peers, node)
 		},
-		SayLeft: func(ctx context.Context, node string) { shards.SayLeft(ctx, n.peers, node) },
+		SayLeft: func(ctx context.Context, node string) { shards.SayLeft(ctx, n.peers, node, member) },
 		OnPeers: n.takePeers,
 	})
 	calls.Manager, calls.Peers = n.manager, n.peers
@@ -336,8 +368,8 @@
 	leave()
 	return shutdown.Run(context.Background(), n.log, []shutdown.Step{
 		shutdown.Wait("balancer notices", balancerNotice),
-		{Name: "requests end", Limit: closeLimit, Run: front.Shutdown},
-		{Name: "links close", Limit: time.Second, Run: func(context.Context) error { return n.peers.Close() }},
+		{Name: "requests end", Limit: closeLimit(n.set.Bounds.Grace), Run: front.Shutdown},
+		{Name: "links close", Limit: linksLimit, Run: func(context.Context) error { return n.peers.Close() }},
 		{Name: "readiness ends", Limit: logLimit, Run: ready.Shutdown},
 	})
 }
--- a/internal/shards/answers.go
+++ b/internal/shards/answers.go
@@ -36,6 +36,8 @@
 	Pending      int               `cbor:"3,keyasint,omitempty"`
 	RetryAfterMs int64             `cbor:"4,keyasint,omitempty"`
 	Reason       string            `cbor:"5,keyasint,omitempty"`
+	// Changing reports that the pool is about to have another owner, who can answer.
+	Changing bool `cbor:"6,keyasint,omitempty"`
 }
 
 func (r *Runner) reply(token uint64, result Result) {
@@ -57,7 +59,7 @@
 		}
 	})
 	if !ok {
-		return Result{Outcome: OutcomeUnavailable, Reason: "the pool's owner changes"}
+		return Result{Outcome: OutcomeUnavailable, Reason: "the pool's owner changes", RetryAfterMs: retryOwnerMs, Changing: true}
 	}
 	select {
 	case result := <-ch:
@@ -93,8 +95,16 @@
 // outages last some seconds.
 const retryStoreMs = 1000
 
+// stuck reports whether a job that is handed in now could not be stored in time.
 func (r *Runner) stuck(now time.Duration) bool {
-	return r.appending != nil && now-r.stuckSince > stuckAfter || !r.proven()
+	if !r.proven() {
+		return true
+	}
+	if r.appending == nil {
+		return false
+	}
+	unanswered := now - r.stuckSince
+	return unanswered > forgetfulAfter || unanswered > stuckAfter && r.store.Attempts.Silent(now) > stuckAfter
 }
 
 func (r *Runner) cancelJob(ctx context.Context, id string) Result {
--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -9,7 +9,9 @@
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/fleetops"
 	"cyclamenwheel/internal/jobs"
+	"cyclamenwheel/internal/pause"
 	"cyclamenwheel/internal/peer"
+	"cyclamenwheel/internal/planlease"
 )
 
 // Kinds of calls between processes.
@@ -23,9 +25,21 @@
 	kindLeft    = "group.left"
 )
 
-// callTimeout bounds a call to a pool's owner. An owner answers within some
-// 10 ms; one that is silent for this long is gone or cut off.
-const callTimeout = 1200 * time.Millisecond
+const (
+	// attemptLimit bounds one attempt at a call. An owner answers within some
+	// 10 ms, and within some 600 ms while the store is slow; one that is silent for
+	// longer is gone or cut off.
+	attemptLimit = 700 * time.Millisecond
+	// callLimit bounds all attempts at a call: a member is taken for gone after
+	// memberTTL, and its successor answers some 300 ms later.
+	callLimit = 1800 * time.Millisecond
+	// handOverWait is how long a pool without an owner is waited for. In order, it
+	// has the next one within some 50 ms, and within some 300 ms while the store
+	// loses answers; longer than that it may stay away for any time.
+	handOverWait = 500 * time.Millisecond
+	// callPause spaces attempts.
+	callPause = 30 * time.Millisecond
+)
 
 // SubmitCall hands a job to its pool's owner.
 type SubmitCall struct {
@@ -83,6 +97,8 @@
 type MembersResult struct {
 	Rows  map[int]string `cbor:"1,keyasint,omitempty"`
 	AgeMs int64          `cbor:"2,keyasint"`
+	// Holders are who claimed each duty last.
+	Holders map[string]holder `cbor:"3,keyasint,omitempty"`
 }
 
 // AskMembers asks a peer for the members that it read last.
@@ -90,16 +106,19 @@
 	return peer.Call[MembersCall, MembersResult](ctx, peers, node, kindMembers, MembersCall{})
 }
 
-// LeftCall tells a peer that the caller has left the group.
-type LeftCall struct{}
+// LeftCall tells a peer that the caller leaves the group.
+type LeftCall struct {
+	// Member is the caller's name in the group.
+	Member string `cbor:"1,keyasint"`
+}
 
 // LeftResult acknowledges a LeftCall.
 type LeftResult struct{}
 
-// SayLeft tells a peer that this member has left the group.
-func SayLeft(ctx context.Context, peers *peer.Node, node string) {
+// SayLeft tells a peer that a member leaves the group.
+func SayLeft(ctx context.Context, peers *peer.Node, node, member string) {
 	// A peer that does not hear it sees it at its next join.
-	_, _ = peer.Call[LeftCall, LeftResult](ctx, peers, node, kindLeft, LeftCall{})
+	_, _ = peer.Call[LeftCall, LeftResult](ctx, peers, node, kindLeft, LeftCall{Member: member})
 }
 
 // Register makes this process answer its peers' calls.
@@ -116,8 +135,8 @@
 	peer.Handle(n, kindPending, func(ctx context.Context, _ peer.Identity, in QueueCall) (Result, error) {
 		return m.localPending(ctx, in), nil
 	})
-	peer.Handle(n, kindLeft, func(context.Context, peer.Identity, LeftCall) (LeftResult, error) {
-		m.left()
+	peer.Handle(n, kindLeft, func(_ context.Context, _ peer.Identity, in LeftCall) (LeftResult, error) {
+		m.left(in.Member)
 		return LeftResult{}, nil
 	})
 	peer.Handle(n, kindMembers, func(context.Context, peer.Identity, MembersCall) (MembersResult, error) {
@@ -128,7 +147,7 @@
 	})
 }
 
-var notOwner = Result{Outcome: OutcomeUnavailable, Reason: "the pool has no owner here", RetryAfterMs: retryOwnerMs}
+var notOwner = Result{Outcome: OutcomeUnavailable, Reason: "the pool has no owner here", RetryAfterMs: retryOwnerMs, Changing: true}
 
 // retryOwnerMs is when to come back while a pool changes its owner.
 const retryOwnerMs = 1000
@@ -171,26 +190,37 @@
 	Peers   *peer.Node
 }
 
-// call runs a call here or at the owner. A pool without a reachable owner is
-// looked up once more before the caller is sent away.
+// call runs a call here or at the owner, and again at the next owner while a pool
+// changes hands. What is asked for is idempotent: a job has one id, under which a
+// second owner finds it or takes it in.
+//
+// Load: nodes are restarted in turn, and with each the pools that it owned change
+// hands within some 50 ms. A caller that is sent away then comes back a second
+// later, when its job can no longer end in time; one that is told that nobody knows
+// asks again in vain.
 func (c *Calls) call(ctx context.Context, pool, kind string, here func(context.Context) Result, there any) Result {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	result := notOwner
-	for try := range 2 {
-		if try > 0 {
-			c.Manager.refreshMembers(ctx, membersMin)
-		}
-		if c.Manager.local(pool) != nil {
-			result = here(ctx)
-		} else {
-			result = c.remote(ctx, pool, kind, there)
-		}
-		if result.Outcome != OutcomeUnavailable || ctx.Err() != nil {
-			return result
+	began := planlease.Boottime()
+	var t tries
+	for {
+		t.take(c.attempt(ctx, pool, kind, here, there))
+		if !t.again(planlease.Boottime()-began) || ctx.Err() != nil {
+			return t.outcome()
 		}
+		pause.For(ctx, callPause)
+		c.Manager.refreshMembers(ctx, membersMin)
+	}
+}
+
+// attempt makes a call once, at the owner by the last reading of the members.
+func (c *Calls) attempt(ctx context.Context, pool, kind string, here func(context.Context) Result, there any) Result {
+	ctx, cancel := context.WithTimeout(ctx, attemptLimit)
+	defer cancel()
+	if c.Manager.local(pool) != nil {
+		return here(ctx)
 	}
-	return result
+	return c.remote(ctx, pool, kind, there)
 }
 
 func (c *Calls) remote(ctx context.Context, pool, kind string, in any) Result {
@@ -204,7 +234,7 @@
 	}
 	var unreachable *peer.UnreachableError
 	if errors.As(err, &unreachable) {
-		return Result{Outcome: OutcomeUnavailable, Reason: "the pool's owner is unreachable: " + err.Error(), RetryAfterMs: retryOwnerMs}
+		return Result{Outcome: OutcomeUnavailable, Reason: "the pool's owner is unreachable: " + err.Error(), RetryAfterMs: retryOwnerMs, Changing: true}
 	}
 	return Result{Outcome: OutcomeUnknown, Reason: err.Error()}
 }
@@ -232,7 +262,7 @@
 // Vacate asks a pool's owner to clear endpoints. Owned is false where no owner
 // answered.
 func (c *Calls) Vacate(ctx context.Context, in VacateCall) VacateResult {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, attemptLimit)
 	defer cancel()
 	if c.Manager.local(in.Pool) != nil {
 		return c.Manager.localVacate(ctx, in)
--- /dev/null
+++ b/internal/shards/holders.go
@@ -0,0 +1,98 @@
+package shards
+
+import (
+	"context"
+	"maps"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cyclamenwheel/internal/attempts"
+	"cyclamenwheel/platform"
+)
+
+// topicHolders has a record for each duty: who claimed it last. It only lets
+// duties stay where they are. Whoever finds no record, an old one or one that can't
+// be read places the duty by rank, and the duty's epoch decides who owns it.
+const topicHolders = "keyed.holders"
+
+// keyDuty begins the keys of topicHolders.
+const keyDuty = "d"
+
+// holder is the record of a duty's newest claim.
+type holder struct {
+	// Member is the claimant's name in the group.
+	Member string `cbor:"1,keyasint"`
+	Epoch  int64  `cbor:"2,keyasint"`
+}
+
+// publishClaim records that this process has claimed a duty.
+func (m *Manager) publishClaim(ctx context.Context, duty string, epoch int64) {
+	claim := holder{Member: m.opts.Member, Epoch: epoch}
+	m.mergeHolders(map[string]holder{duty: claim})
+	value, err := cbor.Marshal(claim)
+	if err == nil {
+		_, _, err = attempts.Repeat(ctx, m.opts.Store.Attempts, attempts.OfStore, func(ctx context.Context) (int64, error) {
+			return m.opts.Store.Journal.Append(ctx, topicHolders, platform.AnyEnd, platform.Writer{}, []platform.Record{{Key: keyDuty + duty, Value: value}})
+		})
+	}
+	if err != nil {
+		m.opts.Logger.Warn("claim not published", "duty", duty, "epoch", epoch, "error", err.Error())
+	}
+}
+
+// refreshHolders reads who claimed the duties last, where the members have changed
+// or some duty's holder was not among them. Without an answer the last reading
+// holds.
+func (m *Manager) refreshHolders(ctx context.Context, rows map[int]string) {
+	m.mu.Lock()
+	known := m.settled && maps.Equal(rows, m.rows)
+	m.mu.Unlock()
+	if known {
+		return
+	}
+	page, err := m.opts.Store.Journal.Newest(ctx, topicHolders)
+	if err != nil {
+		m.opts.Logger.Warn("holders of duties not read", "error", err.Error())
+		return
+	}
+	m.mergeHolders(holdersOf(page.Records))
+}
+
+// holdersOf leaves out what can't be read.
+func holdersOf(records []platform.Record) map[string]holder {
+	out := map[string]holder{}
+	for _, r := range records {
+		var h holder
+		if r.Damaged || len(r.Key) < len(keyDuty) || r.Key[:len(keyDuty)] != keyDuty || cbor.Unmarshal(r.Value, &h) != nil {
+			continue
+		}
+		out[r.Key[len(keyDuty):]] = h
+	}
+	return out
+}
+
+// mergeHolders takes in claims that are newer than those known. A claim that was
+// published late must not hide its successor's.
+func (m *Manager) mergeHolders(claims map[string]holder) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for duty, h := range claims {
+		if h.Epoch > m.holders[duty].Epoch {
+			m.holders[duty] = h
+		}
+	}
+}
+
+// settled reports whether each duty is with the member that claimed it last.
+func settled(owners map[string]Owner, members []member, holders map[string]holder) bool {
+	byName := map[string]Owner{}
+	for _, b := range members {
+		byName[b.name] = b.Owner
+	}
+	for duty, owner := range owners {
+		if byName[holders[duty].Member] != owner {
+			return false
+		}
+	}
+	return len(owners) > 0
+}
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"cyclamenwheel/internal/attempts"
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/fleetops"
 	"cyclamenwheel/internal/pause"
@@ -38,8 +39,12 @@
 	// empty group than one with a whole core: about two calls of the store, and
 	// short beside the time that a duty takes to be claimed.
 	firstJoinSpread = 250 * time.Millisecond
-	// claimRetry spaces attempts at a claim.
-	claimRetry = 150 * time.Millisecond
+	// claimRetry spaces attempts at a claim: one that was overtaken by the
+	// predecessor's last batch succeeds at once when it is repeated.
+	claimRetry = 50 * time.Millisecond
+	// joinLimit bounds the attempts at one join, so that a member that is not
+	// answered still looks after its duties.
+	joinLimit = 700 * time.Millisecond
 	// memberSeparator stands between the parts of a member's name.
 	memberSeparator = "|"
 )
@@ -57,16 +62,16 @@
 	// this process's boot, as one name in the group.
 	Node, Addr, Member string
 	Membership         Membership
-	Journal            tenure.Journal
+	Store              tenure.Store
 	Endpoints          Endpoints
 	Limits             executor.Limits
 	Logger             *slog.Logger
 	// Fleet does the duty over instances until its context ends or it is
 	// displaced.
-	Fleet func(context.Context)
+	Fleet func(ctx context.Context, claimed func(ctx context.Context, epoch int64))
 	// AskMembers asks a peer for the members that it read last.
 	AskMembers func(ctx context.Context, node string) (MembersResult, error)
-	// SayLeft tells a peer that this member has left; it need not arrive.
+	// SayLeft tells a peer that this member leaves; it need not arrive.
 	SayLeft func(ctx context.Context, node string)
 	// OnPeers is told the addresses of all owners by node.
 	OnPeers func(map[string]string)
@@ -80,13 +85,19 @@
 	pools     []string
 	endpoints map[string][]executor.EndpointInfo
 	running   map[string]*held
+	// holders are who claimed each duty last, by the store's word.
+	holders map[string]holder
 	// owners are who has each duty by the members last read, at membersAt.
 	owners    map[string]Owner
 	membersAt time.Duration
-	// rows are the store's own words on the members, read at rowsAt.
+	// rows are the store's own words on the members, read at rowsAt. settled
+	// reports that each duty's holder was among them.
 	rows    map[int]string
 	rowsAt  time.Duration
+	settled bool
 	leaving bool
+	// departed are members that have said that they leave. Each name is used once.
+	departed map[string]bool
 	// members are those last read; nil before the first reading.
 	members []member
 	// kick wakes Run to read the members at once.
@@ -105,7 +116,7 @@
 // NewManager returns a manager that owns nothing.
 func NewManager(opts Options) *Manager {
 	return &Manager{opts: opts, kick: make(chan struct{}, 1), running: map[string]*held{}, owners: map[string]Owner{},
-		endpoints: map[string][]executor.EndpointInfo{}}
+		holders: map[string]holder{}, departed: map[string]bool{}, endpoints: map[string][]executor.EndpointInfo{}}
 }
 
 // SetPools says which pools there are.
@@ -154,6 +165,8 @@
 		age := m.stayOrGo(ctx, &s)
 		if kicked {
 			age = 0
+			m.spreadAgain()
+			m.assign(ctx)
 		}
 		m.refreshMembers(ctx, age)
 		m.assign(ctx)
@@ -202,7 +215,7 @@
 	var got platform.Assignment
 	if err == nil {
 		s.joined = true
-		got, err = m.opts.Membership.Join(ctx, group, m.opts.Member, groupTopic, memberTTL, s.generation)
+		got, err = m.join(ctx, s.generation)
 	}
 	if s.failing != (err != nil) {
 		s.failing = err != nil
@@ -215,9 +228,24 @@
 	return membersEvery
 }
 
+// join joins the group or stays in it. An answer that is lost is asked for again
+// within a fraction of memberTTL: waited for to the end of a long timeout it left
+// the member silent for longer than that, and the group took it for gone.
+func (m *Manager) join(ctx context.Context, generation int64) (platform.Assignment, error) {
+	ctx, cancel := context.WithTimeout(ctx, joinLimit)
+	defer cancel()
+	got, _, err := attempts.Repeat(ctx, m.opts.Store.Attempts, attempts.OfStore, func(ctx context.Context) (platform.Assignment, error) {
+		return m.opts.Membership.Join(ctx, group, m.opts.Member, groupTopic, memberTTL, generation)
+	})
+	return got, err
+}
+
 // leaveGroup leaves the group and reports whether that is certain.
 func (m *Manager) leaveGroup(ctx context.Context, reason string) bool {
-	if err := m.opts.Membership.Leave(ctx, group, m.opts.Member); err != nil {
+	_, _, err := attempts.Repeat(ctx, m.opts.Store.Attempts, attempts.OfStore, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, m.opts.Membership.Leave(ctx, group, m.opts.Member)
+	})
+	if err != nil {
 		m.opts.Logger.Warn("group not left", "error", err.Error())
 		return false
 	}
@@ -245,7 +273,11 @@
 	if *created {
 		return nil
 	}
-	_, err := m.opts.Journal.Append(ctx, groupTopic, platform.AnyEnd, platform.Writer{Name: group, Epoch: 1}, nil)
+	ctx, cancel := context.WithTimeout(ctx, joinLimit)
+	defer cancel()
+	_, _, err := attempts.Repeat(ctx, m.opts.Store.Attempts, attempts.OfStore, func(ctx context.Context) (int64, error) {
+		return m.opts.Store.Journal.Append(ctx, groupTopic, platform.AnyEnd, platform.Writer{Name: group, Epoch: 1}, nil)
+	})
 	*created = err == nil
 	return err
 }
@@ -276,9 +308,18 @@
 	m.wg.Wait()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	if m.leaveGroup(ctx, "stopping") {
-		m.sayLeft(ctx)
-	}
+	m.sayLeft(ctx)
+	m.leaveGroup(ctx, "stopping")
+}
+
+// spreadAgain works with the last reading of the members, less those that have
+// said that they leave: a slow store would hold up each of their duties by the
+// time of a reading.
+func (m *Manager) spreadAgain() {
+	m.mu.Lock()
+	pools, rows := m.pools, m.rows
+	m.mu.Unlock()
+	m.spreadDuties(pools, rows)
 }
 
 // assign begins and ends duties to match what is this node's.
@@ -304,7 +345,7 @@
 	m.running[name] = h
 	if name == fleetDuty {
 		m.wg.Go(func() {
-			m.opts.Fleet(ctx)
+			m.opts.Fleet(ctx, func(ctx context.Context, epoch int64) { go m.publishClaim(ctx, fleetDuty, epoch) })
 			m.drop(name, h)
 		})
 		return
@@ -329,6 +370,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	go m.publishClaim(ctx, name, r.epoch)
 	leaving, ended := m.operations(ctx, r.pool)
 	m.mu.Lock()
 	h.ready = true
@@ -359,7 +401,7 @@
 // clear, or that is no more, so it waits for the answer.
 func (m *Manager) operations(ctx context.Context, pool string) (leaving, ended []string) {
 	for ctx.Err() == nil {
-		page, err := m.opts.Journal.Newest(ctx, fleetops.Topic)
+		page, err := m.opts.Store.Journal.Newest(ctx, fleetops.Topic)
 		if err != nil {
 			m.opts.Logger.Warn("operations on instances not read", "pool", pool, "error", err.Error())
 			pause.For(ctx, claimRetry)
--- a/internal/shards/members.go
+++ b/internal/shards/members.go
@@ -14,40 +14,51 @@
 	"cyclamenwheel/internal/rendezvous"
 )
 
-// MemberName is a process's name in the group; processor is its share of a
-// core.
-func MemberName(node, addr, boot string, processor float64) string {
-	return strings.Join([]string{node, addr, boot, strconv.FormatFloat(processor, 'g', -1, 64)}, memberSeparator)
+// MemberName is a process's name in the group: started is when it began, by its
+// own time of day, and processor its share of a core.
+func MemberName(node, addr, boot string, started time.Time, processor float64) string {
+	return strings.Join([]string{node, addr, boot, strconv.FormatInt(started.UnixMilli(), 10),
+		strconv.FormatFloat(processor, 'g', -1, 64)}, memberSeparator)
 }
 
 // Owner is where a pool's owner is reached.
 type Owner struct{ Node, Addr string }
 
-// member is a process in the group.
+// member is a process in the group, by its whole name there.
 type member struct {
 	Owner
+	name string
+	// startedMs is when the process began, in ms since 1970 by its own clock.
+	startedMs int64
 	processor float64
 }
 
 func parseMember(name string) (member, bool) {
 	parts := strings.Split(name, memberSeparator)
-	if len(parts) != 4 {
+	if len(parts) != 5 {
 		return member{}, false
 	}
-	processor, err := strconv.ParseFloat(parts[3], 64)
-	return member{Owner{Node: parts[0], Addr: parts[1]}, processor}, err == nil
+	started, err := strconv.ParseInt(parts[3], 10, 64)
+	if err != nil {
+		return member{}, false
+	}
+	processor, err := strconv.ParseFloat(parts[4], 64)
+	return member{Owner: Owner{Node: parts[0], Addr: parts[1]}, name: name, startedMs: started, processor: processor}, err == nil
 }
 
-// left takes in that a member has left the group.
-func (m *Manager) left() {
+// left takes in that a member leaves the group. The store need not have heard yet.
+func (m *Manager) left(name string) {
+	m.mu.Lock()
+	m.departed[name] = true
+	m.mu.Unlock()
 	select {
 	case m.kick <- struct{}{}:
 	default: // one is enough
 	}
 }
 
-// sayLeft tells the peers that this member has left, so that its duties don't
-// wait for their next joins.
+// sayLeft tells the peers that this member leaves, so that its duties don't wait
+// for their next joins, nor for a store that is slow to count it out.
 func (m *Manager) sayLeft(ctx context.Context) {
 	m.mu.Lock()
 	_, known := membersOf(m.rows)
@@ -61,25 +72,42 @@
 	wg.Wait()
 }
 
-// spread returns who has which duty. Each goes to the member that ranks highest
-// for it and is not full yet, so that a member that comes or goes moves little
-// beside its own, and nobody gets more than its part. Nodes that know other
-// members or pools may place a duty differently for a moment; its epoch keeps
-// that safe.
-func spread(pools []string, members []member) map[string]Owner {
+// spread returns who has which duty. A duty stays with the member that claimed it
+// last, as long as that one may have duties and has not far more than its part;
+// any other goes to the member that ranks highest for it and is not full yet.
+// Nodes that know other members, pools or holders may place a duty differently for
+// a moment; its epoch keeps that safe.
+//
+// Load: of 40 nodes two are restarted each second. Spread by rank alone, a duty
+// goes back to a node that has just come, and the bound on each node's part moves
+// others in turn: three pools changed hands eight times in 11 s between nodes that
+// lived all the while. Each change stops its pool for a moment, and forgets which
+// endpoint was kept for which lasting task.
+func spread(pools []string, members []member, holders map[string]holder) map[string]Owner {
 	names := append([]string{fleetDuty}, pools...)
 	owners := map[string]Owner{}
 	if len(members) == 0 {
 		return owners
 	}
-	weights, byNode := map[string]float64{}, map[string]member{}
+	byNode, byName := map[string]member{}, map[string]member{}
 	for _, b := range strong(members) {
-		weights[b.Node], byNode[b.Node] = b.processor, b
+		byNode[b.Node], byName[b.name] = b, b
 	}
+	restarted, others := byAge(strong(members))
 	most := int(math.Ceil(dutySlack * float64(len(names)) / float64(len(byNode))))
 	load := map[string]int{}
 	for _, name := range names {
-		for _, node := range rendezvous.Weighted([]byte("duty "+name), weights) {
+		if b, lives := byName[holders[name].Member]; lives && load[b.Node] < most+keepBeyond {
+			load[b.Node]++
+			owners[name] = b.Owner
+		}
+	}
+	for _, name := range names {
+		if _, kept := owners[name]; kept {
+			continue
+		}
+		key := []byte("duty " + name)
+		for _, node := range append(rendezvous.Weighted(key, restarted), rendezvous.Weighted(key, others)...) {
 			if load[node] < most {
 				load[node]++
 				owners[name] = byNode[node].Owner
@@ -90,6 +118,34 @@
 	return owners
 }
 
+// restartedAfter is how much later than the oldest member one must have begun to
+// count as restarted: nodes that start together do so within a second, and their
+// clocks differ by as much.
+const restartedAfter = 5 * time.Second
+
+// byAge returns the processors of the members that were restarted since the others
+// began, and of those others.
+//
+// Load: all nodes are restarted in turn. A duty that goes to one whose turn is
+// still to come changes hands again seconds later; those that have been through
+// stay. Gain: 1.15 changes of owner a duty while seven nodes are restarted, and
+// 1.43 by rank alone (mean of this package's test over 200 sets of names).
+func byAge(members []member) (restarted, others map[string]float64) {
+	restarted, others = map[string]float64{}, map[string]float64{}
+	oldest := int64(math.MaxInt64)
+	for _, b := range members {
+		oldest = min(oldest, b.startedMs)
+	}
+	for _, b := range members {
+		if b.startedMs-oldest > restartedAfter.Milliseconds() {
+			restarted[b.Node] = b.processor
+		} else {
+			others[b.Node] = b.processor
+		}
+	}
+	return restarted, others
+}
+
 // strongShare is the share of the largest processor that a member needs to get
 // a duty. Load: nodes differ by a factor of four, and a pool at its peak keeps
 // one of the small ones busy with its renewals alone, so that callers wait in
@@ -144,6 +200,11 @@
 // none, one member that comes or goes moves the duties of many.
 const dutySlack = 1.5
 
+// keepBeyond is how many duties a member keeps beyond what a new one would be
+// given. Where members are many, one duty each is the bound for new ones, and a
+// second one costs less than its move.
+const keepBeyond = 1
+
 // refreshMembers reads the members where the last reading is older than age.
 func (m *Manager) refreshMembers(ctx context.Context, age time.Duration) {
 	now := planlease.Boottime()
@@ -158,21 +219,28 @@
 		return
 	}
 	rows, err := m.opts.Membership.Owners(ctx, group)
-	if err != nil {
-		var ok bool
-		if rows, ok = m.askPeers(ctx); !ok {
-			m.opts.Logger.Debug("members not read", "error", err.Error())
-			return
-		}
-	} else {
+	if err == nil {
+		m.refreshHolders(ctx, rows)
 		m.keepRows(rows)
+	} else if rows, err = m.askPeers(ctx, err); err != nil {
+		m.opts.Logger.Debug("members not read", "error", err.Error())
+		return
 	}
+	m.spreadDuties(pools, rows)
+}
+
+// spreadDuties works out who has which duty, by the rows of the group without the
+// members that have said that they leave.
+func (m *Manager) spreadDuties(pools []string, rows map[int]string) {
+	m.mu.Lock()
+	rows = maps.Clone(rows)
+	maps.DeleteFunc(rows, func(_ int, name string) bool { return m.departed[name] })
 	members, peers := membersOf(rows)
 	owners := map[string]Owner{}
 	if len(pools) > 0 {
-		owners = spread(pools, members)
+		owners = spread(pools, members, m.holders)
 	}
-	m.mu.Lock()
+	m.settled = settled(owners, members, m.holders)
 	if !maps.Equal(m.owners, owners) {
 		m.opts.Logger.Info("duties spread", "members", len(members), "mine", countOf(owners, m.opts.Node))
 	}
@@ -200,7 +268,8 @@
 // askPeers learns the members from peers. A store that turns some nodes away
 // while it serves the others leaves these nodes' callers without answers
 // otherwise: they go on asking owners that have changed.
-func (m *Manager) askPeers(ctx context.Context) (map[int]string, bool) {
+// Without any it returns the failure to read the store.
+func (m *Manager) askPeers(ctx context.Context, failure error) (map[int]string, error) {
 	m.mu.Lock()
 	_, known := membersOf(m.rows)
 	m.mu.Unlock()
@@ -211,10 +280,10 @@
 		}
 		asked++
 		if rows, ok := m.askPeer(ctx, node); ok {
-			return rows, true
+			return rows, nil
 		}
 	}
-	return nil, false
+	return nil, failure
 }
 
 func (m *Manager) askPeer(ctx context.Context, node string) (map[int]string, bool) {
@@ -225,6 +294,7 @@
 		return nil, false
 	}
 	m.opts.Logger.Info("members learnt from a peer", "peer", node, "age_ms", got.AgeMs, "members", len(got.Rows))
+	m.mergeHolders(got.Holders)
 	return got.Rows, true
 }
 
@@ -235,7 +305,7 @@
 	if m.rowsAt == 0 {
 		return MembersResult{AgeMs: math.MaxInt32}
 	}
-	return MembersResult{Rows: m.rows, AgeMs: (planlease.Boottime() - m.rowsAt).Milliseconds()}
+	return MembersResult{Rows: m.rows, Holders: maps.Clone(m.holders), AgeMs: (planlease.Boottime() - m.rowsAt).Milliseconds()}
 }
 
 func membersOf(rows map[int]string) (members []member, peers map[string]string) {
--- a/internal/shards/members_test.go
+++ b/internal/shards/members_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
+	"log/slog"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -10,7 +13,8 @@
 func membersWith(processors ...float64) []member {
 	var out []member
 	for i, p := range processors {
-		out = append(out, member{Owner{Node: fmt.Sprintf("n-%02d", i), Addr: "127.0.0.1:1"}, p})
+		name := fmt.Sprintf("n-%02d", i)
+		out = append(out, member{Owner: Owner{Node: name, Addr: "127.0.0.1:1"}, name: name, processor: p})
 	}
 	return out
 }
@@ -22,7 +26,7 @@
 func TestWeakNodesGetNoDuties(t *testing.T) {
 	g := NewWithT(t)
 	members := membersWith(0.8, 0.19, 0.19, 0.7, 0.3, 0.6)
-	for name, owner := range spread(pools, members) {
+	for name, owner := range spread(pools, members, nil) {
 		g.Expect(owner.Node).To(BeElementOf("n-00", "n-03", "n-05"), name)
 	}
 }
@@ -33,12 +37,12 @@
 func TestOneMemberMovesFewDuties(t *testing.T) {
 	g := NewWithT(t)
 	members := membersWith(0.4, 0.4, 0.4, 0.4, 0.4, 0.4, 0.4)
-	whole := spread(pools, members)
+	whole := spread(pools, members, nil)
 	g.Expect(whole).To(HaveLen(len(pools) + 1))
 	for i := range members {
 		rest := append(append([]member(nil), members[:i]...), members[i+1:]...)
 		moved := 0
-		for name, owner := range spread(pools, rest) {
+		for name, owner := range spread(pools, rest, nil) {
 			if whole[name] != owner && whole[name].Node != members[i].Node {
 				moved++
 			}
@@ -48,15 +52,16 @@
 }
 
 func TestNoMembersNoDuties(t *testing.T) {
-	NewWithT(t).Expect(spread(pools, nil)).To(BeEmpty())
+	NewWithT(t).Expect(spread(pools, nil, nil)).To(BeEmpty())
 }
 
 func TestMemberNames(t *testing.T) {
 	g := NewWithT(t)
-	got, ok := parseMember(MemberName("n", "10.0.0.1:7", "boot", 0.25))
+	name := MemberName("n", "10.0.0.1:7", "boot", time.UnixMilli(77), 0.25)
+	got, ok := parseMember(name)
 	g.Expect(ok).To(BeTrue())
-	g.Expect(got).To(Equal(member{Owner{"n", "10.0.0.1:7"}, 0.25}))
-	for _, wrong := range []string{"", "n", "n|a|b", "n|a|b|x"} {
+	g.Expect(got).To(Equal(member{Owner: Owner{"n", "10.0.0.1:7"}, name: name, startedMs: 77, processor: 0.25}))
+	for _, wrong := range []string{"", "n", "n|a|b", "n|a|b|1", "n|a|b|x|1", "n|a|b|1|x"} {
 		_, ok := parseMember(wrong)
 		g.Expect(ok).To(BeFalse(), wrong)
 	}
@@ -67,7 +72,7 @@
 func TestWeakNodesStayOutOfTheGroup(t *testing.T) {
 	g := NewWithT(t)
 	members := membersWith(0.8, 0.8, 0.19)
-	weak := member{Owner{Node: "weak"}, 0.19}
+	weak := member{Owner: Owner{Node: "weak"}, name: "weak", processor: 0.19}
 	g.Expect(wanted(weak, false, members)).To(BeFalse())
 	g.Expect(wanted(members[2], true, members)).To(BeFalse())
 	g.Expect(wanted(members[0], true, members)).To(BeTrue())
@@ -92,8 +97,117 @@
 		processors[i] = 0.4
 	}
 	members := membersWith(processors...)
-	unseen := member{Owner{Node: "unseen"}, 0.4}
+	unseen := member{Owner: Owner{Node: "unseen"}, name: "unseen", processor: 0.4}
 	g.Expect(wanted(unseen, true, members)).To(BeFalse())
 	g.Expect(wanted(members[len(members)-1], true, members)).To(BeTrue())
 	g.Expect(wanted(unseen, false, members[:mostMembers-1])).To(BeTrue())
 }
+
+// Callers of three pools wait for a new owner again and again while all nodes are
+// restarted in turn: a node that comes back takes duties from nodes that live. A
+// duty moves only when its own holder goes.
+func TestDutiesStayWithWhoClaimedThemWhileOthersComeAndGo(t *testing.T) {
+	g := NewWithT(t)
+	all := membersWith(0.8, 0.8, 0.8, 0.8, 0.8, 0.8, 0.8, 0.8, 0.8, 0.8, 0.8, 0.8, 0.8, 0.8, 0.8, 0.8)
+	holders := map[string]holder{}
+	claim := func(owners map[string]Owner) (moved int) {
+		for duty, owner := range owners {
+			if holders[duty].Member != owner.Node {
+				moved++
+				holders[duty] = holder{Member: owner.Node, Epoch: holders[duty].Epoch + 1}
+			}
+		}
+		return moved
+	}
+	g.Expect(claim(spread(pools, all, holders))).To(Equal(len(pools) + 1))
+	for i := range all {
+		its := 0
+		for _, h := range holders {
+			if h.Member == all[i].name {
+				its++
+			}
+		}
+		rest := append(append([]member(nil), all[:i]...), all[i+1:]...)
+		g.Expect(claim(spread(pools, rest, holders))).To(Equal(its), "%s goes", all[i].name)
+		g.Expect(claim(spread(pools, all, holders))).To(BeZero(), "%s comes back", all[i].name)
+	}
+}
+
+// One node was alone for a while and has all duties. With the others back it keeps
+// no more than a little beyond its part.
+func TestANodeThatWasAloneGivesDutiesBack(t *testing.T) {
+	g := NewWithT(t)
+	all := membersWith(0.4, 0.4, 0.4, 0.4, 0.4, 0.4, 0.4)
+	holders := map[string]holder{fleetDuty: {Member: "n-00", Epoch: 1}}
+	for _, p := range pools {
+		holders[p] = holder{Member: "n-00", Epoch: 1}
+	}
+	kept := 0
+	for _, owner := range spread(pools, all, holders) {
+		if owner.Node == "n-00" {
+			kept++
+		}
+	}
+	g.Expect(kept).To(BeNumerically("<=", 3))
+}
+
+// changesOfOwner restarts nodes in turn and returns how often a duty changes hands.
+func changesOfOwner(set int, remembersAge bool) int {
+	var all []member
+	for i := range 7 {
+		name := fmt.Sprintf("set-%d-n-%d", set, i)
+		all = append(all, member{Owner: Owner{Node: name}, name: name, processor: 0.4})
+	}
+	holders := map[string]holder{}
+	changes := -len(pools) - 1 // the first claims
+	claim := func(members []member) {
+		for duty, owner := range spread(pools, members, holders) {
+			for _, b := range members {
+				if b.Owner == owner && holders[duty].Member != b.name {
+					changes++
+					holders[duty] = holder{Member: b.name, Epoch: holders[duty].Epoch + 1}
+				}
+			}
+		}
+	}
+	claim(all)
+	for i := range all {
+		claim(append(append([]member(nil), all[:i]...), all[i+1:]...))
+		all[i].name += "-again"
+		if remembersAge {
+			all[i].startedMs = int64(10000 + 2000*i)
+		}
+		claim(all)
+	}
+	return changes
+}
+
+// Callers of a pool wait for a new owner three times while the nodes are restarted
+// in turn: each time it goes to a node whose own turn comes next.
+func TestDutiesGoToNodesThatHaveBeenRestarted(t *testing.T) {
+	g := NewWithT(t)
+	const sets = 200
+	blind, aged := 0, 0
+	for set := range sets {
+		blind += changesOfOwner(set, false)
+		aged += changesOfOwner(set, true)
+	}
+	duties := float64(sets * (len(pools) + 1))
+	t.Logf("changes of owner a duty: %.2f by rank alone, %.2f", float64(blind)/duties, float64(aged)/duties)
+	g.Expect(aged).To(BeNumerically("<", blind))
+}
+
+// A store that takes 300 ms for an answer still lists a member that has said that
+// it leaves; its pools would have no owner for as long.
+func TestAMemberThatSaysItLeavesIsCountedOutAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	m := NewManager(Options{Node: "n-1", Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), OnPeers: func(map[string]string) {}})
+	stays, leaves := MemberName("n-1", "127.0.0.1:1", "b", time.UnixMilli(1), 0.4), MemberName("n-2", "127.0.0.1:2", "b", time.UnixMilli(1), 0.4)
+	m.SetPools(pools)
+	m.rows = map[int]string{0: stays, 1: leaves}
+	m.spreadAgain()
+	g.Expect(countOf(m.owners, "n-2")).To(BeNumerically(">", 0))
+	m.left(leaves)
+	m.spreadAgain()
+	g.Expect(countOf(m.owners, "n-1")).To(Equal(len(pools) + 1))
+}
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -33,11 +33,15 @@
 	// and a batch takes no longer than a single record.
 	appendGap = 15 * time.Millisecond
 	// stuckAfter is how long an append may be unanswered before new jobs are
-	// refused: they could not be accepted in time.
-	stuckAfter = 500 * time.Millisecond
+	// refused, where the store answers nothing else either: they could not be
+	// accepted in time. forgetfulAfter is the same where it does: a lost answer is
+	// asked for again within some 100 ms, and a caller that is sent away comes back
+	// a second later.
+	stuckAfter     = 500 * time.Millisecond
+	forgetfulAfter = 1200 * time.Millisecond
 	// handOverLimit bounds what a runner that gives its pool up spends on its last
 	// records: some calls of a slow store.
-	handOverLimit = 600 * time.Millisecond
+	handOverLimit = 900 * time.Millisecond
 	// inboxSize bounds messages that wait for the control goroutine.
 	inboxSize = 4096
 )
@@ -56,7 +60,7 @@
 	pool      string
 	topic     string
 	owner     string
-	journal   tenure.Journal
+	store     tenure.Store
 	endpoints Endpoints
 	log       *slog.Logger
 	limits    executor.Limits
@@ -91,7 +95,7 @@
 
 func newRunner(m *Manager, pool string) *Runner {
 	return &Runner{
-		pool: pool, topic: TopicOf(pool), owner: m.opts.Member, journal: m.opts.Journal, endpoints: m.opts.Endpoints,
+		pool: pool, topic: TopicOf(pool), owner: m.opts.Member, store: m.opts.Store, endpoints: m.opts.Endpoints,
 		log: m.opts.Logger.With("pool", pool), limits: m.opts.Limits, now: planlease.Boottime, wall: time.Now,
 		inbox: make(chan func(time.Duration), inboxSize), appended: make(chan appendOutcome, 1), done: make(chan struct{}), waiting: map[uint64]chan Result{},
 	}
@@ -108,7 +112,7 @@
 // ctx.
 func (r *Runner) claim(ctx context.Context) error {
 	r.ctx = ctx
-	held, records, err := tenure.Claim(ctx, r.journal, r.topic, r.owner, r.log)
+	held, records, err := tenure.Claim(ctx, r.store, r.topic, r.owner, r.log)
 	if err != nil {
 		return err
 	}
@@ -219,7 +223,7 @@
 		}
 	}
 	for token := range r.waiting {
-		r.reply(token, Result{Outcome: OutcomeUnavailable, Reason: "the pool's owner changes"})
+		r.reply(token, Result{Outcome: OutcomeUnavailable, Reason: "the pool's owner changes", RetryAfterMs: retryOwnerMs, Changing: true})
 	}
 	r.log.Info("pool given up", "epoch", r.epoch, "fenced", r.core.Fenced())
 }
--- a/internal/shards/runner_test.go
+++ b/internal/shards/runner_test.go
@@ -10,9 +10,11 @@
 
 	. "github.com/onsi/gomega"
 
+	"cyclamenwheel/internal/attempts"
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/jobs"
 	"cyclamenwheel/internal/routing"
+	"cyclamenwheel/internal/tenure"
 	"cyclamenwheel/platform"
 )
 
@@ -93,7 +95,7 @@
 
 // startRunner lets a runner own a pool with one endpoint, until ctx ends.
 func startRunner(ctx context.Context, g *WithT, journal *memoryJournal, endpoints Endpoints, limits executor.Limits) (r *Runner, ended chan struct{}) {
-	m := NewManager(Options{Node: "n-1", Member: "n-1", Journal: journal, Endpoints: endpoints, Limits: limits,
+	m := NewManager(Options{Node: "n-1", Member: "n-1", Store: tenure.Store{Journal: journal, Attempts: attempts.NewPolicy()}, Endpoints: endpoints, Limits: limits,
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	r = newRunner(m, "pool")
 	g.Expect(r.claim(ctx)).To(Succeed())
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -7,6 +7,7 @@
 package tenure
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"maps"
@@ -16,14 +17,14 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
 
+	"cyclamenwheel/internal/attempts"
 	"cyclamenwheel/internal/planlease"
 	"cyclamenwheel/platform"
 )
 
 const (
-	// appendRetry spaces repetitions of an append without a final answer.
-	appendRetry = 60 * time.Millisecond
 	// producer names the owner's appends; a topic has one writer.
 	producer = "owner"
 	// keyEpoch names the record of the newest claim.
@@ -41,6 +42,8 @@
 type epochRecord struct {
 	Epoch int64  `cbor:"1,keyasint"`
 	Owner string `cbor:"2,keyasint"`
+	// Claim tells the claims of one owner apart.
+	Claim string `cbor:"3,keyasint,omitempty"`
 }
 
 // MalformedEpochError says that the record of the newest claim can't be read,
@@ -57,9 +60,9 @@
 
 // Tenure is one owner's time with a topic.
 type Tenure struct {
-	journal Journal
-	topic   string
-	log     *slog.Logger
+	store Store
+	topic string
+	log   *slog.Logger
 	// Epoch is higher than that of all earlier owners.
 	Epoch int64
 	seq   int64
@@ -67,13 +70,25 @@
 	proof atomic.Int64
 }
 
+// Store is what a tenure needs of the platform's store: its records, and how long
+// to wait for answers.
+type Store struct {
+	Journal  Journal
+	Attempts *attempts.Policy
+}
+
 // Claim takes a topic over. A record with the next epoch, appended on the
 // condition that the topic ends where it was read to, makes one claimant the
 // winner of that epoch: under a producer's name two claimants of one epoch
 // would look like one that repeats itself. Announcing the epoch then fences the
 // predecessor, and what it appended in between is read last.
-func Claim(ctx context.Context, journal Journal, topic, owner string, log *slog.Logger) (*Tenure, []platform.Record, error) {
-	page, err := journal.Newest(ctx, topic)
+//
+// Both writes are repeated until they are answered. A claim that starts over at
+// each lost answer needs two answered in a row: with half of them lost it took
+// 2.1 s at the median and 10.5 s at the 95th percentile, and takes 0.09 s and
+// 0.82 s (200 claims of this package's test, on a store that answers in 4 ms).
+func Claim(ctx context.Context, store Store, topic, owner string, log *slog.Logger) (*Tenure, []platform.Record, error) {
+	page, err := store.Journal.Newest(ctx, topic)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -84,24 +99,50 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	t := &Tenure{journal: journal, topic: topic, log: log, Epoch: last + 1}
-	value, err := cbor.Marshal(epochRecord{Epoch: t.Epoch, Owner: owner})
-	if err != nil {
-		return nil, nil, &MalformedEpochError{Topic: topic, Cause: err}
-	}
-	offset, err := journal.Append(ctx, topic, page.Next, platform.Writer{}, []platform.Record{{Key: keyEpoch, Value: value}})
-	if err != nil {
+	t := &Tenure{store: store, topic: topic, log: log, Epoch: last + 1}
+	if err := t.take(ctx, page.Next, owner); err != nil {
 		return nil, nil, err
 	}
 	sent := planlease.Boottime()
-	if _, err := journal.Append(ctx, topic, platform.AnyEnd, t.writer(), nil); err != nil {
+	if _, err := t.append(ctx, platform.AnyEnd, t.writer(), nil); err != nil {
 		return nil, nil, err
 	}
 	t.proof.Store(int64(sent))
-	records, err := t.upToFence(ctx, page.Records, offset+1)
+	records, err := t.upToFence(ctx, page.Records, page.Next+1)
 	return t, records, err
 }
 
+// append makes an append that the store recognises when it is repeated.
+func (t *Tenure) append(ctx context.Context, at int64, w platform.Writer, records []platform.Record) (tries int, err error) {
+	_, tries, err = attempts.Repeat(ctx, t.store.Attempts, attempts.OfStore, func(ctx context.Context) (int64, error) {
+		return t.store.Journal.Append(ctx, t.topic, at, w, records)
+	})
+	return tries, err
+}
+
+// take appends the record of the claim at the topic's end. Where an attempt went
+// unanswered, a topic that has moved on may have done so by this very record.
+func (t *Tenure) take(ctx context.Context, at int64, owner string) error {
+	value, err := cbor.Marshal(epochRecord{Epoch: t.Epoch, Owner: owner, Claim: uuid.NewString()})
+	if err != nil {
+		return &MalformedEpochError{Topic: t.topic, Cause: err}
+	}
+	tries, err := t.append(ctx, at, platform.Writer{}, []platform.Record{{Key: keyEpoch, Value: value}})
+	var movedOn *platform.MovedOnError
+	if tries == 1 || !errors.As(err, &movedOn) {
+		return err
+	}
+	page, readErr := t.store.Journal.Read(ctx, t.topic, at, 0)
+	if readErr != nil {
+		return readErr
+	}
+	if len(page.Records) > 0 && page.Records[0].Key == keyEpoch && bytes.Equal(page.Records[0].Value, value) {
+		t.log.Info("claim found done", "topic", t.topic, "epoch", t.Epoch, "tries", tries)
+		return nil
+	}
+	return err
+}
+
 func (t *Tenure) writer() platform.Writer {
 	return platform.Writer{Name: producer, Epoch: t.Epoch, Seq: t.seq}
 }
@@ -109,7 +150,7 @@
 // upToFence adds what was appended between the claim and the fence. Another
 // claim among it means that this one was overtaken.
 func (t *Tenure) upToFence(ctx context.Context, base []platform.Record, from int64) ([]platform.Record, error) {
-	page, err := t.journal.Read(ctx, t.topic, from, 0)
+	page, err := t.store.Journal.Read(ctx, t.topic, from, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -176,39 +217,20 @@
 // No records at all only prove the epoch. An error means that the tenure is
 // over, or that ctx has ended.
 func (t *Tenure) Append(ctx context.Context, records []platform.Record) error {
-	w := t.writer()
-	began := planlease.Boottime()
-	for try := 1; ; try++ {
-		sent := planlease.Boottime()
-		_, err := t.journal.Append(ctx, t.topic, platform.AnyEnd, w, records)
-		if err == nil {
-			t.proof.Store(int64(sent))
-			if len(records) > 0 {
-				t.seq++
-			}
-			if try > 1 {
-				t.log.Info("append done after repeating", "topic", t.topic, "tries", try,
-					"duration_ms", (planlease.Boottime() - began).Milliseconds())
-			}
-			return nil
-		}
-		if final(err) || ctx.Err() != nil {
-			return err
-		}
-		if try == 1 {
-			t.log.Warn("append not answered, repeating", "topic", t.topic, "seq", w.Seq, "error", err.Error())
-		}
-		time.Sleep(appendRetry)
+	// The first attempt may be the one that was carried out, so that the epoch is
+	// proven for no later moment.
+	sent := planlease.Boottime()
+	tries, err := t.append(ctx, platform.AnyEnd, t.writer(), records)
+	if tries > 1 {
+		t.log.Info("append repeated", "topic", t.topic, "tries", tries, "done", err == nil,
+			"duration_ms", (planlease.Boottime() - sent).Milliseconds())
 	}
-}
-
-// final reports whether repeating can't help: a newer epoch, or a number out of
-// sequence.
-func final(err error) bool {
-	var fenced *platform.FencedError
-	var turnedAway *platform.NotDoneError
-	if errors.As(err, &turnedAway) {
-		return turnedAway.Reason != ""
+	if err != nil {
+		return err
 	}
-	return errors.As(err, &fenced)
+	t.proof.Store(int64(sent))
+	if len(records) > 0 {
+		t.seq++
+	}
+	return nil
 }
