What a holder knows outlives it: run lengths, waiting times, ages of orders, room on its way

The new holder of the duty over instances left every instance alone that its predecessor had ordered in the last seconds, for 4.9 s, as it did not know how long ago: while demand goes by turns that is nearly all of them. 27 of them stood idle in one pool while the next queue's 3 endpoints refused its callers. It chose such instances as donors, too, and counted them as on their way. A pool's new owner counted each job's time from its own beginning, so that late jobs came before those still in time, and had callers' estimates only.

Now each batch of the duty's records carries its holder's steady clock, and each operation the time of its last order on it: a successor knows how old orders were, without the time of day, and uses an instance as soon as the platform has forgotten its last order. Run lengths go with batches of the pool's records; jobs keep when they were first handed in. Admission counts room on its way from when it comes.

Ruled out: the mean of demand, the order of the queue, fencing.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -77,15 +77,19 @@
 	ended []*job
 
 	learned map[string]*workload
+	// learntSavedMs is when it was last written, by the time of day; learntChanged:
+	// runs have ended since.
+	learntSavedMs int64
+	learntChanged bool
 
 	// offered is all work offered, in core-ms; refusedAt keeps a job that comes
 	// again from counting again.
 	offered   float64
 	refusedAt map[string]time.Duration
-	// reach is processor room that other pools and spares can lend, until
-	// reachUntil.
-	reach      int
-	reachUntil time.Duration
+	// loans is processor room that comes to the pool, the soonest first; the word
+	// on them holds until loansUntil.
+	loans      []loan
+	loansUntil time.Duration
 
 	dirty   map[*job]bool
 	order   []*job
--- a/internal/executor/ends.go
+++ b/internal/executor/ends.go
@@ -119,6 +119,7 @@
 		c.learned[queue] = w
 	}
 	w.add(float64(took.Milliseconds()))
+	c.learntChanged = true
 }
 
 func (c *Core) stepDone(s *stepRun) {
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -29,8 +29,10 @@
 	Queue      string        `cbor:"2,keyasint"`
 	Terms      routing.Terms `cbor:"3,keyasint"`
 	AcceptedMs int64         `cbor:"4,keyasint"`
-	State      JobState      `cbor:"5,keyasint,omitempty"`
-	EndedMs    int64         `cbor:"6,keyasint,omitempty"`
+	// OfferedMs is when the caller first handed it in, by the owner's time of day.
+	OfferedMs int64    `cbor:"7,keyasint,omitempty"`
+	State     JobState `cbor:"5,keyasint,omitempty"`
+	EndedMs   int64    `cbor:"6,keyasint,omitempty"`
 }
 
 // progressRecord is what is kept of a job's tasks that have begun.
@@ -154,6 +156,9 @@
 		r.Records = append(r.Records, Record{Key: key})
 	}
 	c.removed = nil
+	if len(r.Records) > 0 {
+		r.Records = append(r.Records, c.learntRecords()...)
+	}
 	return r
 }
 
@@ -212,6 +217,8 @@
 				return &MalformedRecordError{Key: r.Key, Cause: err}
 			}
 			progress[r.Key[1:]] = p
+		case keyLearnt:
+			c.restoreLearnt(r)
 		case keyHandover:
 			if err := c.restoreHandover(r); err != nil {
 				return err
@@ -231,7 +238,7 @@
 		c.ended = append(c.ended, j)
 		return
 	}
-	j.objective = now + c.objectiveOf(j)
+	j.objective = now - c.waited(j) + c.objectiveOf(j)
 	j.firstOpen, j.next, j.begun = p.FirstOpen, p.FirstOpen, p.Begun
 	highest := p.FirstOpen - 1
 	for _, n := range p.Ended {
@@ -264,6 +271,21 @@
 	j.queued = true
 }
 
+// longestWait bounds how long a restored job is taken to have waited: the time of day
+// may have jumped meanwhile.
+const longestWait = 30 * time.Second
+
+// waited is how long ago a restored job was handed in. Counted from the change of
+// owner instead, each job looks in time again: those that no longer are come before
+// those that could be, and after the loss of all processes all of them are late.
+func (c *Core) waited(j *job) time.Duration {
+	ago := time.Duration(c.wallMs-j.rec.OfferedMs) * time.Millisecond
+	if j.rec.OfferedMs == 0 || j.rec.Job.Occurrences > 0 {
+		return 0
+	}
+	return min(max(0, ago), longestWait)
+}
+
 func (c *Core) restoreTask(j *job, r taskRecord, now time.Duration) {
 	t := j.task(r.Occurrence, r.Step, r.Index)
 	if t == nil {
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -46,6 +46,7 @@
 		return VerdictRefused, refusal
 	}
 	j.objective = first + c.objectiveOf(j)
+	j.rec.OfferedMs = c.wallMs - (now - first).Milliseconds()
 	c.jobs[in.ID] = j
 	c.open = append(c.open, j)
 	j.queued = true
@@ -287,9 +288,6 @@
 	// retryCeiling is below the deadline of an ordinary caller, so that the
 	// advice can still be followed.
 	retryCeiling = 3 * time.Second
-	// lendTime is how long it takes until lent instances work: a move of some
-	// 1.5 s, and 0.3 s to notice the need.
-	lendTime = 1800 * time.Millisecond
 	// rememberRefused bounds how long a refused job's return is recognised.
 	rememberRefused = 15 * time.Second
 	// maxRefused bounds the memory that takes.
@@ -314,23 +312,6 @@
 	return Refusal{Reason: RefusedBacklog, RetryAfter: min(max(retry, retryFloor), retryCeiling)}, true
 }
 
-// waitMs is how long the backlog takes to drain. Load: a queue's turn begins
-// with more than its pool holds while others' instances idle; refusing what
-// lent instances will run within a few seconds loses it for nothing.
-func (c *Core) waitMs(now time.Duration, backlog, pool float64) float64 {
-	lend := float64(lendTime.Milliseconds())
-	soon := backlog / pool
-	if soon <= lend || now > c.reachUntil {
-		return soon
-	}
-	return lend + (backlog-pool*lend)/(pool+float64(c.reach))
-}
-
-// Reach takes in how much processor room others can lend this pool.
-func (c *Core) Reach(now time.Duration, milli int) {
-	c.reach, c.reachUntil = milli, now+vacateFor
-}
-
 // countOffer adds a job's work to what was offered, once however often the job
 // comes back after a refusal, and returns when it was first offered: callers
 // count its time from then.
--- a/internal/fleetops/decide.go
+++ b/internal/fleetops/decide.go
@@ -318,6 +318,7 @@
 		s.dirtyOps[op.Instance] = true
 	}
 	op.ordering, op.orderedAt = true, now
+	op.OrderedMs, op.OrderedIn = now.Milliseconds(), s.limits.Epoch
 	a.Orders = append(a.Orders, Order{*op})
 }
 
--- a/internal/fleetops/fleetops_test.go
+++ b/internal/fleetops/fleetops_test.go
@@ -103,7 +103,7 @@
 		f.state.ObservePool(f.now, pool, f.summary(pool))
 	}
 	actions := f.state.Decide(f.now, wall+f.now.Milliseconds())
-	for _, r := range f.state.TakeRecords() {
+	for _, r := range f.state.TakeRecords(f.now) {
 		f.journal[r.Key] = r.Value
 	}
 	f.state.Saved(f.now)
@@ -427,6 +427,41 @@
 		Expect(slices.ContainsFunc(f.ordered, func(op fleetops.Operation) bool { return op.Instance == ordered })).To(BeTrue())
 	})
 
+	// The holder dies without a word in the middle of a turn of demand. Most instances
+	// have moved in the last few seconds; left alone for as long as one that is under
+	// way, they stand idle for five seconds while another queue's callers wait. The
+	// successor may use each as soon as the platform has forgotten its last order, and
+	// not before.
+	It("uses instances whose orders are old enough by its predecessor's clock", func() {
+		f := newFleet(map[string]int{"a": 6, "b": 6})
+		f.running["a"], f.running["b"] = 6*unit, 6*unit // nothing moves
+		f.state.ObserveWave(1, f.names("a")[:1], 10*time.Second, 1, wall)
+		f.state.ObserveWave(2, f.names("b")[:6], 10*time.Second, 1, wall)
+		for len(f.ordered) == 0 {
+			f.round("a", "b")
+		}
+		first, at := f.ordered[0].Instance, f.now
+		for f.now < at+2500*time.Millisecond { // others follow, each with its records
+			f.round("a", "b")
+		}
+		f.ordered = nil
+		f.state = fleetops.NewState(limits("b"))
+		var records []executor.Record
+		for key, value := range f.journal {
+			if len(value) > 0 {
+				records = append(records, executor.Record{Key: key, Value: value})
+			}
+		}
+		took := f.now
+		Expect(f.state.Restore(records, f.now)).To(Succeed())
+		f.state.ObserveWave(3, []string{first}, time.Second, 1, wall)
+		for !slices.ContainsFunc(f.ordered, func(op fleetops.Operation) bool { return op.Instance == first && op.Wave == 3 }) {
+			f.round("a", "b")
+			Expect(f.now).To(BeNumerically("<", took+3*time.Second), "an instance stands idle")
+		}
+		Expect(f.now).To(BeNumerically(">=", at+limits("a").HolderTTL))
+	})
+
 	It("need not wait for orders whose age its predecessor has told", func() {
 		f := newFleet(map[string]int{"a": 4})
 		f.state.ObserveWave(1, f.names("a")[:1], time.Second, 1, wall)
--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -38,6 +38,9 @@
 	// is believed of it: jobs come in clumps.
 	riseLead = 1.0
 	riseMost = 1.8
+	// noticeTime is what passes beside the move itself until a called instance
+	// works: it registers, is looked at, and gets its first tasks.
+	noticeTime = 300 * time.Millisecond
 	// viewEvery is how long a pool's owner takes to have a new instance in use
 	// and to be asked about it.
 	viewEvery = 250 * time.Millisecond
@@ -123,7 +126,7 @@
 				a.Events = append(a.Events, Event{What: "move redirected", Instance: op.Instance, Reason: "needed", Pool: op.To})
 				continue
 			}
-			donor, from := s.donor(unit, balances, balances[i])
+			donor, from := s.donor(now, unit, balances, balances[i])
 			if donor == nil {
 				break
 			}
@@ -230,13 +233,11 @@
 	return min(d.rate+riseLead*max(0, d.rate-d.slow), riseMost*d.rate)
 }
 
-// incoming is the room of instances that are on their way to a pool. One that
-// has had the time to arrive counts among the pool's own, if it did.
+// incoming is the room of instances that are on their way to a pool.
 func (s *State) incoming(now time.Duration, pool string) float64 {
 	sum := 0.0
 	for _, op := range s.ops {
-		arrived := op.accepted > 0 && now-op.accepted > s.limits.MoveTime+viewEvery
-		if op.Kind == KindMove && op.To == pool && op.Phase != PhaseOver && !arrived {
+		if s.isComing(now, op, pool) {
 			sum += float64(s.instances[op.Instance].CPUMilli)
 		}
 	}
@@ -245,22 +246,22 @@
 
 // donor returns the instance that is cheapest to give to a pool, and the place
 // of the pool that gives it among balances, or -1 for the spare pool.
-func (s *State) donor(unit float64, balances []balance, to balance) (*Instance, int) {
+func (s *State) donor(now time.Duration, unit float64, balances []balance, to balance) (*Instance, int) {
 	for _, name := range s.names {
 		i := s.instances[name]
-		if i.Pool == s.spare && s.movable(i, to.pool) {
+		if i.Pool == s.spare && s.movable(now, i, to.pool) {
 			return &i, -1
 		}
 	}
 	if giver := richest(balances, to.pool, func(b balance) float64 { return -b.gap() }, unit); giver >= 0 {
-		return s.leastLoaded(balances[giver].pool, to.pool, busyShare*unit), giver
+		return s.leastLoaded(now, balances[giver].pool, to.pool, busyShare*unit), giver
 	}
 	if !to.lacks(unit) {
 		return nil, -1
 	}
 	// Nobody has more than it needs: lasting tasks come before short ones.
 	if giver := richest(balances, to.pool, func(b balance) float64 { return b.have - b.least }, unit); giver >= 0 {
-		return s.leastLoaded(balances[giver].pool, to.pool, unit), giver
+		return s.leastLoaded(now, balances[giver].pool, to.pool, unit), giver
 	}
 	return nil, -1
 }
@@ -280,10 +281,10 @@
 	return giver
 }
 
-// movable reports whether nothing else is done with an instance, and it may
-// serve the pool.
-func (s *State) movable(i Instance, to string) bool {
-	return i.Up && !s.reserved[i.Name] && s.active(i.Name) == nil && !s.unfit[fit{i.Kind, to}]
+// movable reports whether nothing else is done with an instance, it may be ordered
+// about, and may serve the pool.
+func (s *State) movable(now time.Duration, i Instance, to string) bool {
+	return i.Up && now >= s.quiet[i.Name] && !s.reserved[i.Name] && s.active(i.Name) == nil && !s.unfit[fit{i.Kind, to}]
 }
 
 // busyShare is how much of an instance may be in use when it is chosen to
@@ -292,14 +293,14 @@
 
 // leastLoaded returns the instance of a pool with the least to wait for, at most
 // most milli-cores in use and none with lasting tasks.
-func (s *State) leastLoaded(pool, to string, most float64) *Instance {
+func (s *State) leastLoaded(now time.Duration, pool, to string, most float64) *Instance {
 	hosts := s.pools[pool].hosts
 	var best *Instance
 	least := most
 	for _, name := range s.names {
 		i := s.instances[name]
 		h, known := hosts[i.Endpoint]
-		if i.Pool != pool || !known || h.Lasting || !s.movable(i, to) {
+		if i.Pool != pool || !known || h.Lasting || !s.movable(now, i, to) {
 			continue
 		}
 		if used := float64(h.UsedMilli); best == nil && used <= least || best != nil && used < least {
@@ -336,7 +337,7 @@
 			continue
 		}
 		for have := b.have; have-b.need >= unit; have -= unit {
-			i := s.leastLoaded(b.pool, s.spare, busyShare*unit)
+			i := s.leastLoaded(now, b.pool, s.spare, busyShare*unit)
 			if i == nil {
 				break
 			}
@@ -369,9 +370,9 @@
 	Endpoints                              int
 }
 
-// Reaches is, for each pool, the processor room that it could be lent within a few
-// seconds: what is on its way, what is switched off, and what others do not need.
-func (s *State) Reaches(now time.Duration, pools []string) map[string]int {
+// Loans is, for each pool, the processor room that comes to it, and what could be
+// called at once: what is switched off, and what others do not need.
+func (s *State) Loans(now time.Duration, pools []string) map[string][]executor.Loan {
 	unit := s.typicalCPU()
 	idle := 0.0
 	for _, i := range s.instances {
@@ -380,15 +381,38 @@
 		}
 	}
 	balances := s.balances(now, unit)
-	reaches := make(map[string]int, len(pools))
+	loans := make(map[string][]executor.Loan, len(pools))
 	for _, to := range pools {
-		sum := s.incoming(now, to) + idle
+		callable := idle
 		for _, b := range balances {
 			if b.pool != to && b.gap() < -unit {
-				sum -= b.gap()
+				callable -= b.gap()
 			}
 		}
-		reaches[to] = int(sum)
+		loans[to] = append(s.arrivals(now, to), executor.Loan{CPUMilli: int(callable), InMs: (s.limits.MoveTime + noticeTime).Milliseconds()})
 	}
-	return reaches
+	return loans
+}
+
+// arrivals are the instances that are on their way to a pool.
+func (s *State) arrivals(now time.Duration, pool string) []executor.Loan {
+	var out []executor.Loan
+	for _, op := range s.ops {
+		if !s.isComing(now, op, pool) {
+			continue
+		}
+		left := s.limits.MoveTime + noticeTime
+		if op.accepted > 0 {
+			left -= now - op.accepted
+		}
+		out = append(out, executor.Loan{CPUMilli: s.instances[op.Instance].CPUMilli, InMs: max(0, left).Milliseconds()})
+	}
+	return out
+}
+
+// isComing reports whether an operation brings its instance to a pool. One that has
+// had the time to arrive counts among the pool's own, if it did.
+func (s *State) isComing(now time.Duration, op *Operation, pool string) bool {
+	arrived := op.accepted > 0 && now-op.accepted > s.limits.MoveTime+viewEvery
+	return op.Kind == KindMove && op.To == pool && op.Phase != PhaseOver && !arrived
 }
--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -51,8 +51,8 @@
 	Clears []Clear
 	// Due are endpoints whose instances will be wanted soon.
 	Due []string
-	// ReachMilli is the processor room that other pools can lend.
-	ReachMilli int
+	// Loans is the processor room that comes to the pool, or can.
+	Loans []executor.Loan
 }
 
 // ClearAnswer is what a pool's owner said.
@@ -154,7 +154,9 @@
 		held, records, err := tenure.Claim(ctx, r.opts.Store, Topic, r.opts.Holder, r.opts.Logger)
 		if err == nil {
 			r.tenure = held
-			r.state = NewState(r.opts.Limits)
+			limits := r.opts.Limits
+			limits.Epoch = held.Epoch
+			r.state = NewState(limits)
 			err = r.state.Restore(RecordsOf(records), planlease.Boottime())
 		}
 		if err == nil {
@@ -222,7 +224,7 @@
 
 // save makes what has changed durable, or proves the epoch now and then.
 func (r *Runner) save(ctx context.Context) error {
-	changed := r.state.TakeRecords()
+	changed := r.state.TakeRecords(planlease.Boottime())
 	if len(changed) == 0 && r.tenure.ProofAge() < proofEvery {
 		return nil
 	}
@@ -284,14 +286,14 @@
 	for _, c := range actions.Clears {
 		byPool[c.Pool] = append(byPool[c.Pool], c)
 	}
-	reaches := r.state.Reaches(planlease.Boottime(), pools)
+	loans := r.state.Loans(planlease.Boottime(), pools)
 	for _, pool := range pools {
 		if r.asking[pool] {
 			continue
 		}
 		r.asking[pool] = true
 		items := byPool[pool]
-		call := ClearCall{Clears: items, Due: actions.Due[pool], ReachMilli: reaches[pool]}
+		call := ClearCall{Clears: items, Due: actions.Due[pool], Loans: loans[pool]}
 		go func() {
 			asked := planlease.Boottime()
 			answer := r.opts.Pools.Clear(ctx, pool, call)
--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -62,6 +62,11 @@
 	// Ended says that the platform has ended the incarnation.
 	Ended bool `cbor:"9,keyasint,omitempty"`
 
+	// OrderedMs is when the order was last given, on its holder's steady clock, and
+	// OrderedIn that holder's epoch.
+	OrderedMs int64 `cbor:"10,keyasint,omitempty"`
+	OrderedIn int64 `cbor:"11,keyasint,omitempty"`
+
 	// told: the pool's owner has heard that.
 	told  bool
 	since time.Duration
@@ -149,6 +154,8 @@
 	// quiet is until when an instance that a predecessor may have ordered about
 	// is left alone.
 	quiet map[string]time.Duration
+	// claimedAt is when this holder took the duty over.
+	claimedAt time.Duration
 	// unfit are kinds of instances that the platform refused for a pool.
 	unfit map[fit]bool
 }
@@ -161,6 +168,8 @@
 	MoveTime time.Duration
 	// HolderTTL is how long the platform remembers who ordered an instance.
 	HolderTTL time.Duration
+	// Epoch is that of this holder's claim.
+	Epoch int64
 }
 
 // fit is a kind of instance in a pool.
@@ -178,8 +187,31 @@
 	keyOperation = "o"
 	keyWave      = "w"
 	keyRelease   = "r"
+	keyTick      = "t"
 )
 
+// tick is a holder's steady clock at its newest batch of records. Beside the times of
+// its orders it says how old these were by then, whatever the time of day did.
+type tick struct {
+	Epoch     int64 `cbor:"1,keyasint"`
+	ClaimedMs int64 `cbor:"2,keyasint"`
+	NowMs     int64 `cbor:"3,keyasint"`
+}
+
+// ageOf is how long ago at least an operation's order was given as the tick was
+// written. Of an earlier holder's order it is known that the tick's own has had the
+// duty since.
+func (t *tick) ageOf(op *Operation) time.Duration {
+	if t == nil {
+		return 0
+	}
+	since := t.ClaimedMs
+	if op.OrderedIn == t.Epoch {
+		since = op.OrderedMs
+	}
+	return time.Duration(max(0, t.NowMs-since)) * time.Millisecond
+}
+
 // release is written by a holder that gives the duty up in order: it gives no
 // more orders, and these are the ages in ms of its last ones.
 type release struct {
@@ -200,10 +232,16 @@
 // Restore takes in the records of the duty's journal.
 func (s *State) Restore(records []executor.Record, now time.Duration) error {
 	var released *release
+	var last *tick
+	var restored []*Operation
+	s.claimedAt = now
 	for _, r := range records {
 		var err error
 		switch {
 		case r.Key == "":
+		case r.Key == keyTick:
+			last = &tick{}
+			err = cbor.Unmarshal(r.Value, last)
 		case r.Key == keyRelease:
 			released = &release{}
 			err = cbor.Unmarshal(r.Value, released)
@@ -211,7 +249,7 @@
 		case r.Key[:1] == keyOperation:
 			op := &Operation{since: now}
 			if err = cbor.Unmarshal(r.Value, op); err == nil {
-				s.restoreOperation(op, now)
+				restored = append(restored, op)
 			}
 		case r.Key[:1] == keyWave:
 			w := &Wave{done: map[string]bool{}}
@@ -226,6 +264,9 @@
 			return &executor.MalformedRecordError{Key: r.Key, Cause: err}
 		}
 	}
+	for _, op := range restored {
+		s.restoreOperation(op, last, now)
+	}
 	if released != nil {
 		s.shortenQuiet(released, now)
 	}
@@ -252,8 +293,17 @@
 // still get one from it: they are left alone until it has surely fallen silent
 // and the platform no longer counts its order as recent. What this node ordered
 // itself, in an earlier tenure, needs no such care.
-func (s *State) restoreOperation(op *Operation, now time.Duration) {
-	if op.Phase != PhaseClearing && op.Holder != s.limits.Holder {
+//
+// An operation that is over gets no more orders, and how old its last one was is on
+// record. Load: while demand goes by turns, most instances have been ordered about
+// in the last few seconds. Left alone for as long as those under way, they stood
+// idle for five seconds after each loss of a holder, while a queue's turn went by.
+func (s *State) restoreOperation(op *Operation, last *tick, now time.Duration) {
+	switch {
+	case op.Phase == PhaseClearing || op.Holder == s.limits.Holder:
+	case op.Phase == PhaseOver && last != nil:
+		s.quiet[op.Instance] = now + max(0, s.limits.HolderTTL-last.ageOf(op)) + releaseMargin
+	default:
 		s.quiet[op.Instance] = now + s.limits.HolderTTL + orderSilence
 	}
 	if op.Phase == PhaseOver {
@@ -293,7 +343,7 @@
 }
 
 // TakeRecords returns the records that have changed.
-func (s *State) TakeRecords() []executor.Record {
+func (s *State) TakeRecords(now time.Duration) []executor.Record {
 	var out []executor.Record
 	for name := range s.dirtyOps {
 		r := executor.Record{Key: keyOperation + name}
@@ -315,6 +365,10 @@
 		s.released = false
 		out = append(out, executor.Record{Key: keyRelease})
 	}
+	if len(out) > 0 {
+		at := tick{Epoch: s.limits.Epoch, ClaimedMs: s.claimedAt.Milliseconds(), NowMs: now.Milliseconds()}
+		out = append(out, executor.Record{Key: keyTick, Value: executor.Encode(at)})
+	}
 	clear(s.dirtyOps)
 	clear(s.dirtyWaves)
 	slices.SortFunc(out, func(a, b executor.Record) int { return slices.Compare([]byte(a.Key), []byte(b.Key)) })
--- a/internal/shards/answers.go
+++ b/internal/shards/answers.go
@@ -177,7 +177,7 @@
 		}
 	}
 	r.core.LeavesSoon(now, in.Due)
-	r.core.Reach(now, in.ReachMilli)
+	r.core.Lent(now, in.Loans)
 	result.Summary = r.core.Summary(now)
 	result.ProofAgeMs = r.tenure.ProofAge().Milliseconds()
 	return result, clear
--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -72,8 +72,8 @@
 type VacateCall struct {
 	Pool  string       `cbor:"1,keyasint"`
 	Items []VacateItem `cbor:"2,keyasint,omitempty"`
-	// ReachMilli is the processor room that others can lend the pool.
-	ReachMilli int `cbor:"3,keyasint,omitempty"`
+	// Loans is the processor room that comes to the pool, or can.
+	Loans []executor.Loan `cbor:"3,keyasint,omitempty"`
 	// Due are endpoints that will have to be cleared soon.
 	Due []string `cbor:"4,keyasint,omitempty"`
 }
@@ -280,7 +280,7 @@
 
 // Clear asks a pool's owner to clear endpoints, for the duty over instances.
 func (c *Calls) Clear(ctx context.Context, pool string, ask fleetops.ClearCall) fleetops.ClearAnswer {
-	in := VacateCall{Pool: pool, ReachMilli: ask.ReachMilli, Due: ask.Due}
+	in := VacateCall{Pool: pool, Loans: ask.Loans, Due: ask.Due}
 	for _, item := range ask.Clears {
 		in.Items = append(in.Items, VacateItem{Endpoint: item.Endpoint, Hurry: item.Hurry, Ended: item.Ended})
 	}
