Waves take instances evenly over their time

Now as many are begun as the time passed asks for, ahead of that only what all pools together can do without; only the next ones due are kept.

Spec: red before (12 away at once), green after.

--- a/internal/fleetops/decide.go
+++ b/internal/fleetops/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -182,13 +183,26 @@
 		s.dirtyWaves[w.Number] = true
 		return
 	}
-	s.beginMaintenance(now, wallMs, w, due, underWay, a)
+	s.beginMaintenance(now, w, due, underWay, s.behind(wallMs, w, left, underWay), a)
 }
 
-// patientShare of a wave's time goes to instances that nobody needs at the
-// moment; after it the rest follows, whatever it costs. Load: half of all
-// instances are idle at any time, other ones a few seconds later.
-const patientShare = 0.45
+// behind is how many instances more than have been begun should have been by now.
+func (s *State) behind(wallMs int64, w *Wave, left, underWay int) int {
+	passed := float64(wallMs-w.SeenMs) / (paceShare * float64(max(1, w.within.Milliseconds())))
+	all := len(w.instances)
+	begun := all - left + underWay
+	return int(math.Ceil(min(1, max(0, passed))*float64(all))) - begun
+}
+
+// paceShare is the part of a wave's time over which its instances are begun, evenly;
+// the rest is for the last of them to clear and come back, some five seconds.
+//
+// Load: a wave is due for half of all instances while queues' demand goes by turns.
+// Begun as many at once as the wave allows, whenever their own pool can do without
+// them, a fifth of the fleet is away just as another queue's turn begins, and its
+// room comes five seconds late instead of two. What is switched off or needed by no
+// pool is begun at any time; of the rest only what the pace asks for.
+const paceShare = 0.7
 
 // lastingAtOnce bounds the instances with lasting tasks that are cleared at a
 // time in one pool. Load: a step may miss one or two of its tasks, and each takes
@@ -199,24 +213,27 @@
 // where 5 were.
 const lastingAtOnce = 3
 
-func (s *State) beginMaintenance(now time.Duration, wallMs int64, w *Wave, due []Instance, underWay int, a *Actions) {
-	patient := wallMs-w.SeenMs < int64(patientShare*float64(w.within.Milliseconds()))
+func (s *State) beginMaintenance(now time.Duration, w *Wave, due []Instance, underWay, behind int, a *Actions) {
 	s.sortDue(due)
 	lasting := s.lastingUnderWay()
-	for _, i := range due {
-		s.reserved[i.Name] = !patient
+	for n, i := range due {
+		s.reserved[i.Name] = n < behind
 	}
 	for _, i := range due {
 		holds := s.holdsLasting(i)
 		full := underWay >= w.maxAtOnce || holds && lasting[i.Pool] >= lastingAtOnce
-		if full || patient && !holds && !s.dispensable(i) {
+		if full || behind <= 0 && !holds && !s.dispensable(i) {
 			a.Due[i.Pool] = append(a.Due[i.Pool], i.Endpoint)
 			continue
 		}
 		underWay++
+		behind--
 		if holds {
 			lasting[i.Pool]++
 		}
+		if i.Pool != s.spare {
+			s.free -= float64(i.CPUMilli)
+		}
 		s.begin(now, &Operation{Instance: i.Name, Kind: KindMaintain, Wave: w.Number, From: i.Pool, Endpoint: i.Endpoint, lasting: holds})
 		a.Events = append(a.Events, Event{What: "maintenance begun", Instance: i.Name, Reason: "wave", Wave: w.Number, Pool: i.Pool})
 	}
@@ -241,12 +258,13 @@
 	return view != nil && view.hosts[i.Endpoint].Lasting
 }
 
-// dispensable reports whether an instance's pool can do without it.
+// dispensable reports whether all pools together can do without an instance, and
+// its own has more than it needs.
 func (s *State) dispensable(i Instance) bool {
 	if i.Pool == s.spare || s.pools[i.Pool] == nil {
-		return true
+		return s.free >= 0
 	}
-	return s.surplus[i.Pool] > float64(i.CPUMilli)
+	return s.surplus[i.Pool] > float64(i.CPUMilli) && s.free > float64(i.CPUMilli)
 }
 
 func (s *State) announce(w *Wave, a *Actions) {
--- a/internal/fleetops/fleetops_test.go
+++ b/internal/fleetops/fleetops_test.go
@@ -221,6 +221,22 @@
 		Expect(f.maintained()).To(HaveLen(8))
 	})
 
+	// Callers of a pool that needs all of its instances are refused for five seconds.
+	// The wave has waited for instances that nobody needs, found none, and then takes
+	// as many at once as it may.
+	It("takes instances that are needed evenly over its time", func() {
+		f := newFleet(map[string]int{"a": 16, "b": 4})
+		f.running["a"], f.running["b"] = 16*unit, 4*unit
+		f.state.ObserveWave(1, f.names("a")[:12], 25*time.Second, 12, wall+f.now.Milliseconds())
+		begun, most := f.now, 0
+		for f.now < begun+24*time.Second {
+			f.round("a", "b")
+			most = max(most, f.down())
+		}
+		Expect(most).To(BeNumerically("<=", 3))
+		Expect(f.maintained()).To(HaveLen(12))
+	})
+
 	// An instance has tasks that do not end. Its maintenance waits; the platform
 	// would end them at once.
 	It("leaves an instance alone while tasks are on it", func() {
--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -138,8 +138,10 @@
 		}
 	}
 	s.switchOff(now, unit, balances, a)
+	s.free = s.idleSpare()
 	for _, b := range balances {
 		s.surplus[b.pool] = -b.gap()
+		s.free -= b.gap()
 	}
 }
 
@@ -159,6 +161,17 @@
 	})
 }
 
+// idleSpare is the room of the instances that are switched off and could be called.
+func (s *State) idleSpare() float64 {
+	sum := 0.0
+	for _, i := range s.instances {
+		if i.Pool == s.spare && s.spare != "" && i.Up && s.active(i.Name) == nil {
+			sum += float64(i.CPUMilli)
+		}
+	}
+	return sum
+}
+
 // redirect sends an instance to a pool that was about to be switched off and
 // has not been ordered to yet.
 func (s *State) redirect(pool string) *Operation {
@@ -374,12 +387,7 @@
 // called at once: what is switched off, and what others do not need.
 func (s *State) Loans(now time.Duration, pools []string) map[string][]executor.Loan {
 	unit := s.typicalCPU()
-	idle := 0.0
-	for _, i := range s.instances {
-		if i.Pool == s.spare && s.spare != "" && i.Up && s.active(i.Name) == nil {
-			idle += float64(i.CPUMilli)
-		}
-	}
+	idle := s.idleSpare()
 	balances := s.balances(now, unit)
 	loans := make(map[string][]executor.Loan, len(pools))
 	for _, to := range pools {
--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -146,6 +146,8 @@
 	// surplus is what each pool has beyond its need, in milli-cores, by the
 	// last round.
 	surplus map[string]float64
+	// free is what all pools together, and the spare pool, have beyond their needs.
+	free float64
 
 	dirtyOps   map[string]bool
 	dirtyWaves map[int]bool
