A pool gives what it will not need by then to one that is short

Now a pool that is short gets what another keeps beyond half of what runs there and its demand, as long as that one does not become as short; nobody's instances are switched off by this. Instances under maintenance count as coming.

Specs: red without, green with.

--- a/internal/fleetops/fleetops_test.go
+++ b/internal/fleetops/fleetops_test.go
@@ -21,7 +21,7 @@
 )
 
 func limits(holder string) fleetops.Limits {
-	return fleetops.Limits{Holder: holder, MoveTime: moving, HolderTTL: 3 * time.Second}
+	return fleetops.Limits{Holder: holder, MoveTime: moving, MaintainTime: moving, HolderTTL: 3 * time.Second}
 }
 
 // fleet is the platform's side: instances that move, and owners that clear them.
@@ -503,6 +503,35 @@
 	})
 })
 
+var _ = Describe("a turn that ends as another begins", func() {
+	// Callers of one pool wait while another's instances run the last tasks of a turn
+	// that is over: nothing new is offered there, and all of it will have ended before
+	// an instance that is given away could be back.
+	It("gives instances to the pool that is short", func() {
+		f := newFleet(map[string]int{"a": 16, "b": 4})
+		f.running["a"], f.ready["b"] = 14*unit, 12*unit
+		for range 12 {
+			f.round("a", "b")
+		}
+		to := 0
+		for _, op := range f.ordered {
+			if op.Kind == fleetops.KindMove && op.To == "b" {
+				to++
+			}
+		}
+		Expect(to).To(BeNumerically(">=", 4))
+	})
+
+	It("keeps them where nobody is short", func() {
+		f := newFleet(map[string]int{"a": 16, "b": 4})
+		f.running["a"] = 14 * unit
+		for range 40 {
+			f.round("a", "b")
+		}
+		Expect(f.count("a")).To(BeNumerically(">=", 15))
+	})
+})
+
 // Load: each of four pools in its turn is offered five times its mean for eight
 // seconds, more than it holds, and almost nothing in between.
 var _ = Describe("moves while demand goes by turns", func() {
--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -41,6 +41,12 @@
 	// noticeTime is what passes beside the move itself until a called instance
 	// works: it registers, is looked at, and gets its first tasks.
 	noticeTime = 300 * time.Millisecond
+	// stillRunning is the part of what runs that a pool keeps room for when another
+	// is short: the rest ends before an instance that it gives away could be back.
+	// Load: one queue's turn ends as another's begins. Counted whole, what runs holds
+	// all instances for another second or two, in which the next turn's jobs are
+	// lost.
+	stillRunning = 0.5
 	// viewEvery is how long a pool's owner takes to have a new instance in use
 	// and to be asked about it.
 	viewEvery = 250 * time.Millisecond
@@ -103,10 +109,22 @@
 	have, need float64
 	// least is the part of need that lasting tasks can't do without.
 	least float64
+	// keep is what the pool needs by the time that an instance which it gives away
+	// could be back.
+	keep float64
 }
 
 func (b balance) gap() float64 { return b.need - b.have }
 
+// spareFor is what the pool can give to another one without being as short as that
+// one is.
+func (b balance) spareFor(to balance, unit float64) float64 {
+	if b.gap()+unit > to.gap()-shortBy*unit {
+		return -b.gap()
+	}
+	return b.have - b.keep
+}
+
 // lacks reports whether the pool has too little for its lasting tasks.
 func (b balance) lacks(unit float64) bool { return b.least-b.have > shortBy*unit }
 
@@ -212,21 +230,22 @@
 	var out []balance
 	for pool, v := range s.pools {
 		b := balance{pool: pool, have: float64(v.Summary.CapacityMilli) + s.incoming(now, pool)}
-		b.need, b.least = s.need(pool, v.Summary, unit)
+		s.fillNeeds(&b, v.Summary, unit)
 		out = append(out, b)
 	}
 	slices.SortFunc(out, func(x, y balance) int { return cmp.Compare(x.pool, y.pool) })
 	return out
 }
 
-func (s *State) need(pool string, sum executor.Summary, unit float64) (need, least float64) {
+// fillNeeds works out what a pool needs now, and what it needs to keep.
+func (s *State) fillNeeds(b *balance, sum executor.Summary, unit float64) {
 	rate := 0.0
-	if d := s.demand[pool]; d != nil {
+	if d := s.demand[b.pool]; d != nil {
 		rate = d.expected()
 	}
-	work := max(rate, float64(sum.RunningCPUMilli-sum.LastingCPUMilli))
+	running := float64(sum.RunningCPUMilli - sum.LastingCPUMilli)
 	drain := sum.ReadyCoreMs * 1000 / float64(drainWithin.Milliseconds())
-	least = float64(sum.LastingCPUMilli)
+	least := float64(sum.LastingCPUMilli)
 	// Lasting tasks that must be apart need endpoints of their own, of whatever
 	// size, and one more to go to when one of these leaves.
 	if sum.LeastHosts > 0 {
@@ -235,8 +254,12 @@
 	if sum.Starved > 0 {
 		least = max(least, float64(sum.CapacityMilli)+float64(min(sum.Starved, mostStarved))*unit)
 	}
-	need = max(least, float64(sum.LastingCPUMilli)+max(leastInstances*unit, headroom*(work+drain)))
-	return need, least
+	needFor := func(work float64) float64 {
+		return max(least, float64(sum.LastingCPUMilli)+max(leastInstances*unit, headroom*(work+drain)))
+	}
+	b.least = least
+	b.need = needFor(max(rate, running))
+	b.keep = needFor(max(rate, stillRunning*running))
 }
 
 // expected is the work offered by the time that an instance called now has
@@ -266,7 +289,7 @@
 			return &i, -1
 		}
 	}
-	if giver := richest(balances, to.pool, func(b balance) float64 { return -b.gap() }, unit); giver >= 0 {
+	if giver := richest(balances, to.pool, func(b balance) float64 { return b.spareFor(to, unit) }, unit); giver >= 0 {
 		return s.leastLoaded(now, balances[giver].pool, to.pool, busyShare*unit), giver
 	}
 	if !to.lacks(unit) {
@@ -410,6 +433,9 @@
 			continue
 		}
 		left := s.limits.MoveTime + noticeTime
+		if op.Kind == KindMaintain {
+			left = s.limits.MaintainTime + noticeTime
+		}
 		if op.accepted > 0 {
 			left -= now - op.accepted
 		}
@@ -418,9 +444,16 @@
 	return out
 }
 
-// isComing reports whether an operation brings its instance to a pool. One that has
-// had the time to arrive counts among the pool's own, if it did.
+// isComing reports whether an operation brings its instance to a pool: it moves
+// there, or comes back from maintenance sooner than another could be called. One
+// that has had the time to arrive counts among the pool's own, if it did.
 func (s *State) isComing(now time.Duration, op *Operation, pool string) bool {
+	if op.Phase == PhaseOver {
+		return false
+	}
+	if op.Kind == KindMaintain {
+		return op.From == pool && op.accepted > 0 && now-op.accepted < s.limits.MaintainTime+viewEvery
+	}
 	arrived := op.accepted > 0 && now-op.accepted > s.limits.MoveTime+viewEvery
-	return op.Kind == KindMove && op.To == pool && op.Phase != PhaseOver && !arrived
+	return op.To == pool && !arrived
 }
--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -168,6 +168,8 @@
 	Holder string
 	// MoveTime is how long a move takes.
 	MoveTime time.Duration
+	// MaintainTime is how long maintenance takes.
+	MaintainTime time.Duration
 	// HolderTTL is how long the platform remembers who ordered an instance.
 	HolderTTL time.Duration
 	// Epoch is that of this holder's claim.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -297,7 +297,7 @@
 		Limits: executor.Limits{Lease: lease, ProofAge: proofAge, KeepEnded: n.set.Bounds.KeepEnded, StopTimeout: n.set.Bounds.StopTimeout},
 		Fleet: func(ctx context.Context, claimed func(context.Context, int64)) {
 			fleetops.Run(ctx, fleetops.Options{Holder: n.set.Node, Store: store, Cloud: n.client, Pools: calls, Facts: n.facts, Logger: n.log, Claimed: claimed,
-				Limits: fleetops.Limits{Holder: n.set.Node, MoveTime: n.set.Bounds.Move, HolderTTL: n.set.Bounds.LeaseTTL}})
+				Limits: fleetops.Limits{Holder: n.set.Node, MoveTime: n.set.Bounds.Move, MaintainTime: n.set.Bounds.Maintain, HolderTTL: n.set.Bounds.LeaseTTL}})
 		},
 		AskMembers: func(ctx context.Context, node string) (shards.MembersResult, error) {
 			return shards.AskMembers(ctx, n.peers, node)
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -38,6 +38,7 @@
 	KeepEnded   time.Duration
 	LeaseTTL    time.Duration
 	Move        time.Duration
+	Maintain    time.Duration
 }
 
 // NodeTable lists the settings of cyclamen-node.
@@ -61,6 +62,7 @@
 		{Section: sectionBounds, Name: "keep_ended", Kind: KindDuration, Default: "120s", Unit: "s", Min: second, Max: 86400 * second, Doc: "How long the state of an ended job can be asked for."},
 		{Section: sectionBounds, Name: "lease_ttl", Kind: KindDuration, Default: "3s", Unit: "ms", Min: 0, Max: 600 * second, Doc: "How long the platform remembers who ordered an instance last."},
 		{Section: sectionBounds, Name: "move", Kind: KindDuration, Default: "1500ms", Unit: "ms, s", Min: 0, Max: 600 * second, Doc: "How long an instance takes to move to another pool."},
+		{Section: sectionBounds, Name: "maintenance", Kind: KindDuration, Default: "2s", Unit: "ms, s", Min: 0, Max: 600 * second, Doc: "How long an instance is away for maintenance."},
 		{Section: sectionLimits, Name: "memory", Kind: KindBytes, Default: "256MiB", Unit: "MiB", Min: 16 << 20, Max: maxMemory, Doc: "Memory above which the process is killed."},
 		{Section: sectionLimits, Name: "processor", Kind: KindRatio, Default: "1", Unit: "cores", Doc: "This instance's share of a core."},
 	}}
@@ -86,6 +88,7 @@
 			KeepEnded: v.Duration(sectionBounds, "keep_ended"),
 			LeaseTTL:  v.Duration(sectionBounds, "lease_ttl"),
 			Move:      v.Duration(sectionBounds, "move"),
+			Maintain:  v.Duration(sectionBounds, "maintenance"),
 		},
 	}
 	if a := v.Addr(sectionStore, "instances"); a.IsValid() {
