Batches go side by side while the store is slow

A batch that has been on its way for 50 ms no longer holds up the next; four at most, as the store recognises a repetition of the last five. They are numbered, the store takes them in order, one that overtakes is turned away and repeated, and what a batch allows still waits for all before it.

Spec: two jobs, the first batch held: the second goes out, and its caller is answered after the first.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -5,8 +5,9 @@
 //
 // Contract with the caller:
 //   - Records of one Ready are appended in order, all or none, under the epoch
-//     that the Core was built with, before the next Ready is asked for.
-//   - Orders and replies of a Ready leave only after that append. Urgent orders
+//     that the Core was built with, and after those of every earlier Ready.
+//   - Orders and replies of a Ready leave only after that append, and Advance is
+//     called for each Ready in order. Urgent orders
 //     (TakeUrgent) need no record and may leave at once.
 //   - Nothing is sent any more once Fenced reports true or the caller's own
 //     proof of the epoch has grown older than Limits.ProofAge.
--- a/internal/shards/answers.go
+++ b/internal/shards/answers.go
@@ -100,10 +100,10 @@
 	if !r.proven() {
 		return true
 	}
-	if r.appending == nil {
+	if len(r.batches) == 0 {
 		return false
 	}
-	unanswered := now - r.stuckSince
+	unanswered := now - r.batches[0].sent
 	return unanswered > forgetfulAfter || unanswered > stuckAfter && r.store.Attempts.Silent(now) > stuckAfter
 }
 
--- a/internal/shards/append.go
+++ b/internal/shards/append.go
@@ -8,62 +8,101 @@
 	"cyclamenwheel/platform"
 )
 
-// appendOutcome is what became of a batch. proofs waited for it.
-type appendOutcome struct {
-	err    error
+// Batches on their way. Load: the store takes 300 ms for an answer for some seconds.
+// With one batch on its way at a time, what is decided meanwhile waits for that one
+// and then for its own, at each step of a job: a job of two steps spends 1.4 s in
+// the journal, of 2 s that it has beside its work. Sent side by side while the store
+// is slow, each batch waits for its own answer only. Gain: 0.05 of what a day is
+// worth with a store 76 times as slow for four seconds, 0.07 with one 60 times as
+// slow for five (four seeds each, paired); nothing while it is well.
+const (
+	// sideBySide bounds the batches on their way; the store recognises a repetition
+	// of the last five.
+	sideBySide = 4
+	// slowAfter is how long a batch has been on its way before the next one follows
+	// without waiting for it: a store that is well answers in a tenth of that.
+	slowAfter = 50 * time.Millisecond
+)
+
+// batch is records on their way to the store.
+type batch struct {
+	ready executor.Ready
+	sent  time.Duration
+	// proofs wait for it.
 	proofs []func()
+	stored bool
+}
+
+// appendOutcome is what became of a batch.
+type appendOutcome struct {
+	batch *batch
+	err   error
+}
+
+// mayFlush reports whether another batch may be sent now.
+func (r *Runner) mayFlush(now time.Duration) bool {
+	if len(r.batches) == 0 {
+		return now-r.flushed >= appendGap
+	}
+	return len(r.batches) < sideBySide && now-r.flushed >= slowAfter
 }
 
 // flush appends what has changed, or proves the epoch where nothing has for a
 // while.
 func (r *Runner) flush(now time.Duration) {
-	if r.appending != nil || now-r.stuckSince < appendGap {
+	if !r.mayFlush(now) {
 		return
 	}
-	ready := r.core.Ready()
 	proven := r.tenure.ProofAge() < proofEvery && len(r.proofs) == 0
+	if !r.core.Dirty() && len(r.batches) > 0 && len(r.proofs) == 0 {
+		return // a batch on its way proves the epoch as well
+	}
+	ready := r.core.Ready()
 	if ready.Empty() && proven {
 		return
 	}
-	if len(ready.Records) == 0 && proven {
+	b := &batch{ready: ready, sent: now, proofs: r.proofs}
+	if len(ready.Records) == 0 && proven && len(r.batches) == 0 {
 		r.release(ready)
 		return
 	}
-	r.appending, r.stuckSince = &ready, now
-	proofs := r.proofs
-	r.proofs = nil
-	go r.append(ready, proofs)
-}
-
-func (r *Runner) append(ready executor.Ready, proofs []func()) {
+	r.proofs, r.flushed = nil, now
+	r.batches = append(r.batches, b)
 	records := make([]platform.Record, len(ready.Records))
 	for i, rec := range ready.Records {
 		records[i] = platform.Record{Key: rec.Key, Value: rec.Value}
 	}
-	r.appended <- appendOutcome{r.tenure.Append(r.appendCtx, records), proofs}
+	number := r.tenure.Number(records)
+	go func() { r.appended <- appendOutcome{b, r.tenure.AppendNumbered(r.appendCtx, number, records)} }()
 }
 
+// takeAppend takes in that a batch was stored, and carries out what is stored up to
+// the first that is not: the store takes batches in order, but answers may overtake
+// each other.
 func (r *Runner) takeAppend(outcome appendOutcome) {
 	if outcome.err != nil {
 		r.log.Warn("pool lost", "epoch", r.epoch, "error", outcome.err.Error())
 		r.over = true
 		return
 	}
-	for _, proof := range outcome.proofs {
-		proof()
+	outcome.batch.stored = true
+	for len(r.batches) > 0 && r.batches[0].stored {
+		b := r.batches[0]
+		r.batches = r.batches[1:]
+		for _, proof := range b.proofs {
+			proof()
+		}
+		r.release(b.ready)
 	}
-	ready := *r.appending
-	r.appending = nil
-	r.release(ready)
 }
 
 // handOver appends the last record of an owner that gives its pool up in order,
-// once the batch on its way is through. No order leaves after that: the successor
-// counts on it. Without the record it waits for longer, and that is all.
+// once the batches on their way are through. No order leaves after that: the
+// successor counts on it. Without the record it waits for longer, and that is all.
 func (r *Runner) handOver() {
 	ctx, cancel := context.WithTimeout(r.appendCtx, handOverLimit)
 	defer cancel()
-	if r.appending != nil && !r.over {
+	for len(r.batches) > 0 && !r.over {
 		select {
 		case outcome := <-r.appended:
 			r.takeAppend(outcome)
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -75,11 +75,11 @@
 
 	waiting   map[uint64]chan Result
 	nextToken uint64
-	// appending is the batch on its way, nil where there is none; stuckSince
-	// is when it was first sent.
-	appending  *executor.Ready
-	stuckSince time.Duration
-	// appended is where the batch's outcome comes; appendCtx outlasts ctx by what
+	// batches are on their way to the store, the oldest first; flushed is when the
+	// newest was sent.
+	batches []*batch
+	flushed time.Duration
+	// appended is where a batch's outcome comes; appendCtx outlasts ctx by what
 	// handing over takes.
 	appended  chan appendOutcome
 	appendCtx context.Context
@@ -97,7 +97,7 @@
 	return &Runner{
 		pool: pool, topic: TopicOf(pool), owner: m.opts.Member, store: m.opts.Store, endpoints: m.opts.Endpoints,
 		log: m.opts.Logger.With("pool", pool), limits: m.opts.Limits, now: planlease.Boottime, wall: time.Now,
-		inbox: make(chan func(time.Duration), inboxSize), appended: make(chan appendOutcome, 1), done: make(chan struct{}), waiting: map[uint64]chan Result{},
+		inbox: make(chan func(time.Duration), inboxSize), appended: make(chan appendOutcome, sideBySide), done: make(chan struct{}), waiting: map[uint64]chan Result{},
 	}
 }
 
@@ -177,7 +177,7 @@
 }
 
 func (r *Runner) tick() time.Duration {
-	if (r.core.Dirty() || len(r.proofs) > 0) && r.appending == nil {
+	if (r.core.Dirty() || len(r.proofs) > 0) && len(r.batches) < sideBySide {
 		return appendGap
 	}
 	if r.core.Busy() {
@@ -217,8 +217,8 @@
 // abandon answers everybody who waits. What was on its way to the store may
 // have arrived; the rest has not happened.
 func (r *Runner) abandon() {
-	if r.appending != nil {
-		for _, reply := range r.appending.Replies {
+	for _, b := range r.batches {
+		for _, reply := range b.ready.Replies {
 			r.reply(reply.Token, Result{Outcome: OutcomeUnknown, Reason: "the pool's owner changes"})
 		}
 	}
--- a/internal/shards/runner_test.go
+++ b/internal/shards/runner_test.go
@@ -159,3 +159,63 @@
 	g.Expect((<-answer).Outcome).To(Equal(OutcomeDone))
 	g.Expect(endpoint.count()).To(Equal(started))
 }
+
+// heldJournal keeps each append until it is let through.
+type heldJournal struct {
+	memoryJournal
+	held chan chan struct{}
+}
+
+func (j *heldJournal) Append(ctx context.Context, topic string, at int64, w platform.Writer, records []platform.Record) (int64, error) {
+	if len(records) > 0 && w.Name != "" {
+		through := make(chan struct{})
+		j.held <- through
+		<-through
+	}
+	return j.memoryJournal.Append(ctx, topic, at, w, records)
+}
+
+// A job of two steps is late by a second while the store takes 300 ms for an
+// answer: each batch waits for the one before to be answered, and then for its own
+// answer. The next one goes out meanwhile; what it allows still waits for both.
+func TestBatchesGoSideBySideWhileTheStoreIsSlow(t *testing.T) {
+	g := NewWithT(t)
+	journal := &heldJournal{held: make(chan chan struct{}, 16)}
+	limits := executor.Limits{Lease: 3 * time.Second, ProofAge: 20 * time.Second, KeepEnded: time.Minute, StopTimeout: time.Second}
+	ctx, cancel := context.WithCancel(context.Background())
+	m := NewManager(Options{Node: "n-1", Member: "n-1", Store: tenure.Store{Journal: journal, Attempts: attempts.NewPolicy()},
+		Endpoints: &obedientEndpoint{started: map[string]int{}}, Limits: limits, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	r := newRunner(m, "pool")
+	g.Expect(r.claim(ctx)).To(Succeed())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.run(ctx)
+	}()
+	answers := make(chan string, 2)
+	handIn := func(id string) chan struct{} {
+		go func() {
+			job := jobs.Job{ID: id, Steps: []jobs.Step{{Count: 1, CPUMilli: 500, EstimateMs: 100}}}
+			r.submit(context.Background(), job, executor.Accepting{Queue: "q", Terms: routing.Terms{Attempts: 3, Stretch: 2, Slack: 5 * time.Second}})
+			answers <- id
+		}()
+		var through chan struct{}
+		g.Eventually(journal.held, 10*time.Second).Should(Receive(&through))
+		return through
+	}
+	first := handIn("00000000000000b1")
+	second := handIn("00000000000000b2")
+	close(second)
+	g.Consistently(answers, 200*time.Millisecond).ShouldNot(Receive())
+	close(first)
+	g.Eventually(answers, 10*time.Second).Should(Receive())
+	g.Eventually(answers, 10*time.Second).Should(Receive())
+	cancel()
+	go func() { // the record of the hand-over
+		for through := range journal.held {
+			close(through)
+		}
+	}()
+	<-ended
+	close(journal.held)
+}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -2,8 +2,9 @@
 // epoch that fences earlier owners.
 //
 // Contract: records that Claim returns are all that anybody has ever appended
-// and nobody of an earlier epoch can append more. Append is called by one
-// goroutine at a time.
+// and nobody of an earlier epoch can append more. Batches are numbered by one
+// goroutine and may be on their way side by side: the store takes them in the order
+// of their numbers.
 package tenure
 
 import (
@@ -65,7 +66,9 @@
 	log   *slog.Logger
 	// Epoch is higher than that of all earlier owners.
 	Epoch int64
-	seq   int64
+	// next is the number of the next batch; all below done are stored.
+	next int64
+	done atomic.Int64
 	// proof is when the newest append that succeeded was sent.
 	proof atomic.Int64
 }
@@ -104,7 +107,7 @@
 		return nil, nil, err
 	}
 	sent := planlease.Boottime()
-	if _, err := t.append(ctx, platform.AnyEnd, t.writer(), nil); err != nil {
+	if _, err := t.append(ctx, platform.AnyEnd, t.writer(0), nil); err != nil {
 		return nil, nil, err
 	}
 	t.proof.Store(int64(sent))
@@ -114,12 +117,23 @@
 
 // append makes an append that the store recognises when it is repeated.
 func (t *Tenure) append(ctx context.Context, at int64, w platform.Writer, records []platform.Record) (tries int, err error) {
-	_, tries, err = attempts.Repeat(ctx, t.store.Attempts, attempts.OfStore, func(ctx context.Context) (int64, error) {
+	judge := func(err error) attempts.Verdict { return t.judge(w, err) }
+	_, tries, err = attempts.Repeat(ctx, t.store.Attempts, judge, func(ctx context.Context) (int64, error) {
 		return t.store.Journal.Append(ctx, t.topic, at, w, records)
 	})
 	return tries, err
 }
 
+// judge says what an append's error means. A batch that overtakes an earlier one on
+// its way is turned away for its number, and is in turn once that one is stored.
+func (t *Tenure) judge(w platform.Writer, err error) attempts.Verdict {
+	var turnedAway *platform.NotDoneError
+	if errors.As(err, &turnedAway) && turnedAway.Reason == platform.ReasonOutOfOrder && w.Seq > t.done.Load() {
+		return attempts.TurnedAway
+	}
+	return attempts.OfStore(err)
+}
+
 // take appends the record of the claim at the topic's end. Where an attempt went
 // unanswered, a topic that has moved on may have done so by this very record.
 func (t *Tenure) take(ctx context.Context, at int64, owner string) error {
@@ -143,8 +157,8 @@
 	return err
 }
 
-func (t *Tenure) writer() platform.Writer {
-	return platform.Writer{Name: producer, Epoch: t.Epoch, Seq: t.seq}
+func (t *Tenure) writer(number int64) platform.Writer {
+	return platform.Writer{Name: producer, Epoch: t.Epoch, Seq: number}
 }
 
 // upToFence adds what was appended between the claim and the fence. Another
@@ -212,15 +226,30 @@
 	return planlease.Boottime() - time.Duration(t.proof.Load())
 }
 
-// Append adds records, repeating until the store has given a final answer: its
-// sequence number makes the store recognise what it has carried out already.
-// No records at all only prove the epoch. An error means that the tenure is
-// over, or that ctx has ended.
+// Number gives a batch its place among the others. A batch without records only
+// proves the epoch and takes no place.
+func (t *Tenure) Number(records []platform.Record) int64 {
+	number := t.next
+	if len(records) > 0 {
+		t.next++
+	}
+	return number
+}
+
+// Append numbers records and adds them; see AppendNumbered.
 func (t *Tenure) Append(ctx context.Context, records []platform.Record) error {
+	return t.AppendNumbered(ctx, t.Number(records), records)
+}
+
+// AppendNumbered adds the records of a batch, repeating until the store has given a
+// final answer: the number makes the store recognise what it has carried out
+// already. No records at all only prove the epoch. An error means that the tenure
+// is over, or that ctx has ended.
+func (t *Tenure) AppendNumbered(ctx context.Context, number int64, records []platform.Record) error {
 	// The first attempt may be the one that was carried out, so that the epoch is
 	// proven for no later moment.
 	sent := planlease.Boottime()
-	tries, err := t.append(ctx, platform.AnyEnd, t.writer(), records)
+	tries, err := t.append(ctx, platform.AnyEnd, t.writer(number), records)
 	if tries > 1 {
 		t.log.Info("append repeated", "topic", t.topic, "tries", tries, "done", err == nil,
 			"duration_ms", (planlease.Boottime() - sent).Milliseconds())
@@ -228,9 +257,19 @@
 	if err != nil {
 		return err
 	}
-	t.proof.Store(int64(sent))
+	raise(&t.proof, int64(sent))
 	if len(records) > 0 {
-		t.seq++
+		raise(&t.done, number+1)
 	}
 	return nil
 }
+
+// raise sets a value that several batches may raise at once.
+func raise(v *atomic.Int64, to int64) {
+	for {
+		have := v.Load()
+		if have >= to || v.CompareAndSwap(have, to) {
+			return
+		}
+	}
+}
