Demand is known to a successor in the duty over instances

Cause: a new holder saw no demand for its first second, and gave the instances of the pool in its turn to the next that asked. The rates go with the clock in each batch of its records. Spec: red without, green with.

--- a/internal/fleetops/demand.go
+++ b/internal/fleetops/demand.go
@@ -21,7 +21,11 @@
 func (s *State) observeDemand(now time.Duration, pool string, sum executor.Summary) {
 	d := s.demand[pool]
 	if d == nil {
-		s.demand[pool] = &demand{at: now, offered: sum.OfferedCoreMs}
+		d = &demand{}
+		s.demand[pool] = d
+	}
+	if d.at == 0 {
+		d.at, d.offered = now, sum.OfferedCoreMs
 		return
 	}
 	if sum.OfferedCoreMs < d.offered {
@@ -51,3 +55,22 @@
 func (d *demand) expected() float64 {
 	return min(d.rate+riseLead*max(0, d.rate-d.slow), riseMost*d.rate)
 }
+
+// demandRecords is what a successor is told of the demand. Load: the holder dies in a
+// turn; without it its successor sees no demand for a second, and neither calls
+// instances ahead nor leaves a pool in its turn those that it has.
+func (s *State) demandRecords() map[string]demandRecord {
+	out := make(map[string]demandRecord, len(s.demand))
+	for pool, d := range s.demand {
+		out[pool] = demandRecord{Rate: d.rate, Slow: d.slow}
+	}
+	return out
+}
+
+func (s *State) restoreDemand(records map[string]demandRecord) {
+	for pool, r := range records {
+		if r.Rate >= 0 && r.Slow >= 0 {
+			s.demand[pool] = &demand{rate: r.Rate, slow: r.Slow}
+		}
+	}
+}
--- a/internal/fleetops/fleetops_test.go
+++ b/internal/fleetops/fleetops_test.go
@@ -503,6 +503,38 @@
 	})
 })
 
+var _ = Describe("demand", func() {
+	// The holder of the duty dies in a turn of demand. Its successor has seen nothing
+	// offered, and gives the instances of the pool in its turn to the next that asks.
+	It("is known to a successor", func() {
+		f := newFleet(map[string]int{"a": 12, "b": 2, spare: 2})
+		turn := func() {
+			f.offered["a"] += 10 * unit * tick.Seconds()
+			f.running["a"] = 2 * unit // between two large jobs
+			f.round("a", "b")
+		}
+		f.state.ObserveWave(1, f.names("b")[:1], 10*time.Second, 1, wall)
+		for range 20 {
+			turn()
+		}
+		var records []executor.Record
+		for key, value := range f.journal {
+			if len(value) > 0 {
+				records = append(records, executor.Record{Key: key, Value: value})
+			}
+		}
+		f.state = fleetops.NewState(limits("b"))
+		Expect(f.state.Restore(records, f.now)).To(Succeed())
+		f.ready["b"], f.ordered = 20*unit, nil
+		for range 4 {
+			turn()
+		}
+		for _, op := range f.ordered {
+			Expect(op.From).NotTo(Equal("a"))
+		}
+	})
+})
+
 var _ = Describe("a turn that ends as another begins", func() {
 	// Callers of one pool wait while another's instances run the last tasks of a turn
 	// that is over: nothing new is offered there, and all of it will have ended before
--- a/internal/fleetops/records.go
+++ b/internal/fleetops/records.go
@@ -24,6 +24,14 @@
 	Epoch     int64 `cbor:"1,keyasint"`
 	ClaimedMs int64 `cbor:"2,keyasint"`
 	NowMs     int64 `cbor:"3,keyasint"`
+	// Demand is what the holder knew of each pool's.
+	Demand map[string]demandRecord `cbor:"4,keyasint,omitempty"`
+}
+
+// demandRecord is a pool's demand, in milli-cores.
+type demandRecord struct {
+	Rate float64 `cbor:"1,keyasint"`
+	Slow float64 `cbor:"2,keyasint"`
 }
 
 // ageOf is how long ago at least an operation's order was given as the tick was
@@ -95,6 +103,9 @@
 	for _, op := range restored {
 		s.restoreOperation(op, last, now)
 	}
+	if last != nil {
+		s.restoreDemand(last.Demand)
+	}
 	if released != nil {
 		s.shortenQuiet(released, now)
 	}
@@ -187,7 +198,7 @@
 		out = append(out, executor.Record{Key: keyRelease})
 	}
 	if len(out) > 0 {
-		at := tick{Epoch: s.limits.Epoch, ClaimedMs: s.claimedAt.Milliseconds(), NowMs: now.Milliseconds()}
+		at := tick{Epoch: s.limits.Epoch, ClaimedMs: s.claimedAt.Milliseconds(), NowMs: now.Milliseconds(), Demand: s.demandRecords()}
 		out = append(out, executor.Record{Key: keyTick, Value: executor.Encode(at)})
 	}
 	clear(s.dirtyOps)
