--- a/internal/executor/property_test.go
+++ b/internal/executor/property_test.go
@@ -30,16 +30,25 @@
 		more = 0 // not set
 	}
 	for seed := uint64(1); seed <= uint64(seeds+more); seed++ {
-		It(fmt.Sprintf("keep the promises under seed %d", seed), func() { randomDay(seed, false) })
-		It(fmt.Sprintf("keep them where owners give up in order, under seed %d", seed), func() { randomDay(seed, true) })
+		It(fmt.Sprintf("keep the promises under seed %d", seed), func() { randomDay(seed, variant{}) })
+		It(fmt.Sprintf("keep them where owners give up in order, under seed %d", seed), func() { randomDay(seed, variant{inOrder: true}) })
+		It(fmt.Sprintf("keep them beside a slow journal, under seed %d", seed), func() { randomDay(seed, variant{inOrder: seed%2 == 0, slowJournal: true}) })
 	}
 })
 
-// randomDay plays a day; with inOrder, owners that end hand their pool over.
-func randomDay(seed uint64, inOrder bool) {
+// variant is how the owners of a random day live.
+type variant struct {
+	// inOrder: owners that end hand their pool over.
+	inOrder bool
+	// slowJournal: batches go side by side and are answered late.
+	slowJournal bool
+}
+
+// randomDay plays a day.
+func randomDay(seed uint64, v variant) {
 	rng := rand.New(rand.NewPCG(seed, 99))
 	w := newWorld(seed, 4)
-	w.inOrder = inOrder
+	w.inOrder, w.slowJournal = v.inOrder, v.slowJournal
 	w.loseOrders, w.loseAnswers, w.lateOrders = 0.05*rng.Float64(), 0.05*rng.Float64(), 0.7
 	for _, h := range w.hosts {
 		h.skew = 0.98 + 0.02*rng.Float64()
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -33,6 +33,8 @@
 	// runs is what has run of each task, by name.
 	runs   map[string]*history
 	limits executor.Limits
+	// slowJournal takes batches side by side and answers them late.
+	slowJournal bool
 	// inOrder lets owners of random days hand over as they end.
 	inOrder bool
 }
@@ -139,8 +141,27 @@
 	busy bool
 	// proof is when the journal last took something.
 	proof time.Duration
+	// batches are on their way to a journal that is slow, the oldest first.
+	batches []*batchOnItsWay
+	flushed time.Duration
 }
 
+// batchOnItsWay is stored at one moment and answered at a later one.
+type batchOnItsWay struct {
+	ready                    executor.Ready
+	sent, storedAt, answered time.Duration
+	stored                   bool
+}
+
+const (
+	// mostOnTheirWay and nextBatchAfter are those of the caller of a Core.
+	mostOnTheirWay = 4
+	nextBatchAfter = 50 * time.Millisecond
+	// slowestLeg is how long a batch takes at most to be stored, and its answer to
+	// come.
+	slowestLeg = 200 * time.Millisecond
+)
+
 // chance is a number from 0 to 1 for something that happens now. It depends on
 // what happens and not on the order in which a Core asks, so that a seed gives
 // the same day each time.
@@ -211,7 +232,7 @@
 // handOver lets an owner give the pool up in order.
 func (w *world) handOver(o *owner) {
 	last := o.core.HandOver(w.now)
-	if !o.stopped && !o.cut && o.epoch == w.journal.epoch {
+	if !o.stopped && !o.cut && o.epoch == w.journal.epoch && len(o.batches) == 0 {
 		w.journal.newest[last.Key] = last.Value
 	}
 	o.stopped = true
@@ -279,8 +300,17 @@
 		o.stopped = true
 		return
 	}
+	if w.slowJournal {
+		w.flushSideBySide(o)
+		return
+	}
 	o.proof = w.now
 	ready := o.core.Ready()
+	w.store(ready)
+	w.release(o, ready)
+}
+
+func (w *world) store(ready executor.Ready) {
 	for _, r := range ready.Records {
 		if len(r.Value) == 0 {
 			delete(w.journal.newest, r.Key)
@@ -288,12 +318,50 @@
 			w.journal.newest[r.Key] = r.Value
 		}
 	}
+}
+
+func (w *world) release(o *owner, ready executor.Ready) {
 	o.core.Advance(ready)
 	for _, order := range ready.Orders {
 		w.send(o, order)
 	}
 }
 
+// flushSideBySide goes on with the batches on their way and sends another. They are
+// stored in order, each is answered some time later, and what it allows waits for
+// the answers to all before it.
+func (w *world) flushSideBySide(o *owner) {
+	for _, b := range o.batches {
+		if !b.stored && w.now >= b.storedAt {
+			b.stored = true
+			w.store(b.ready)
+		}
+	}
+	for len(o.batches) > 0 && o.batches[0].stored && w.now >= o.batches[0].answered {
+		b := o.batches[0]
+		o.batches = o.batches[1:]
+		o.proof = max(o.proof, b.sent)
+		w.release(o, b.ready)
+	}
+	if len(o.batches) == mostOnTheirWay || len(o.batches) > 0 && w.now-o.flushed < nextBatchAfter {
+		return
+	}
+	if !o.core.Dirty() && len(o.batches) > 0 {
+		return
+	}
+	ready := o.core.Ready()
+	if ready.Empty() {
+		o.proof = w.now
+		return
+	}
+	b := &batchOnItsWay{ready: ready, sent: w.now, storedAt: w.now + time.Duration(w.chance("store", o.epoch, w.now)*float64(slowestLeg))}
+	if n := len(o.batches); n > 0 {
+		b.storedAt = max(b.storedAt, o.batches[n-1].storedAt)
+	}
+	b.answered = b.storedAt + time.Duration(w.chance("answer", o.epoch, w.now)*float64(slowestLeg))
+	o.batches, o.flushed = append(o.batches, b), w.now
+}
+
 func (w *world) send(o *owner, order executor.Order) {
 	lease, ok := o.core.GrantFor(w.now, order)
 	if !ok && order.Kind != executor.OrderStop {
