A slow store is told from a forgetful one

The first attempt stays open beside the newest; the wait covers the last four answers by half as much again. Batches go side by side only while most of the last answers were slow.

--- a/internal/attempts/attempts.go
+++ b/internal/attempts/attempts.go
@@ -16,8 +16,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"cyclamenwheel/internal/pause"
 	"cyclamenwheel/internal/planlease"
+	"cyclamenwheel/platform"
 )
 
 const (
@@ -44,6 +44,9 @@
 	// answered for that.
 	growth  = 2
 	silence = time.Second
+	// fewAnswers is how many of the newest answers the wait covers by half as much
+	// again, so that a store that has become slow is known after one.
+	fewAnswers = 4
 	// turnedAwayPause follows an attempt that failed before its wait was over: the
 	// store is down, or turns this node away.
 	turnedAwayPause = 60 * time.Millisecond
@@ -62,14 +65,16 @@
 	mu      sync.Mutex
 	seen    *hdrhistogram.WindowedHistogram
 	answers int
-	wait    time.Duration
+	// typical is the percentile last found, latest the newest answers' times.
+	typical time.Duration
+	latest  [fewAnswers]time.Duration
 	// heard is when a call was last answered and carried out.
 	heard time.Duration
 }
 
 // NewPolicy returns a policy that has seen no answer.
 func NewPolicy() *Policy {
-	return &Policy{seen: hdrhistogram.NewWindowed(windows, leastMicros, mostMicros, digits), wait: shortest}
+	return &Policy{seen: hdrhistogram.NewWindowed(windows, leastMicros, mostMicros, digits), typical: shortest / patience}
 }
 
 // Wait is how long the numbered attempt of a call, from 1 on, waits for its answer.
@@ -79,15 +84,32 @@
 func (p *Policy) Wait(now time.Duration, attempt int) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	wait := max(shortest, patience*p.typical)
+	for _, took := range p.latest {
+		wait = max(wait, took+took/2)
+	}
 	most := longest
 	if now-p.heard < silence {
-		most = min(growth*p.wait, longest)
+		most = growth * wait
 	}
-	wait := p.wait
 	for range attempt - 2 {
 		wait = min(wait+wait/2, most)
 	}
-	return wait
+	return min(wait, longest)
+}
+
+// Slow reports whether the store takes longer than limit for most of its answers
+// lately. One that loses answers gives the others as fast as ever.
+func (p *Policy) Slow(limit time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	slow := 0
+	for _, took := range p.latest {
+		if took > limit {
+			slow++
+		}
+	}
+	return 2*slow > fewAnswers
 }
 
 // Silent is for how long the store has carried out nothing that it answered.
@@ -107,10 +129,10 @@
 	}
 	// Beyond the histogram's range there is nothing to learn: the wait is bounded.
 	_ = p.seen.Current.RecordValue(min(max(took.Microseconds(), leastMicros), mostMicros))
+	p.latest[p.answers%fewAnswers] = took
 	p.answers++
 	if p.answers%measureEvery == 0 {
-		typical := time.Duration(p.seen.Merge().ValueAtQuantile(usual)) * time.Microsecond
-		p.wait = min(max(patience*typical, shortest), longest)
+		p.typical = time.Duration(p.seen.Merge().ValueAtQuantile(usual)) * time.Microsecond
 	}
 	if p.answers%answersPerWindow == 0 {
 		p.seen.Rotate()
@@ -130,29 +152,93 @@
 	Unanswered
 )
 
+// answer is what became of one attempt.
+type answer[T any] struct {
+	out  T
+	err  error
+	took time.Duration
+	// givenUp: a later attempt has taken its place.
+	givenUp bool
+}
+
+// repeater is one call and its attempts. The first stays open beside the newest one:
+// its answer may be slow and not lost.
+type repeater[T any] struct {
+	policy  *Policy
+	call    func(context.Context) (T, error)
+	answers chan answer[T]
+	tries   int
+	// giveUp ends the newest attempt.
+	giveUp context.CancelFunc
+}
+
 // Repeat makes a call until its answer is final or ctx ends, and returns how many
-// attempts that took. judge says what an error means; nil errors are final.
+// attempts that took. judge says what an error means; nil errors are final. The
+// first answer of any attempt counts.
+//
+// Where each attempt is given up for the next one, none is answered by a store that
+// has just become slow: 0.7 s a batch with answers of 0.2 s, and 0.07 of what a day
+// is worth with a store 76 times as slow for four seconds (four seeds, paired).
 func Repeat[T any](ctx context.Context, p *Policy, judge func(error) Verdict, call func(context.Context) (T, error)) (out T, tries int, err error) {
-	for tries = 1; ; tries++ {
-		began := planlease.Boottime()
-		attempt, cancel := context.WithTimeout(ctx, p.Wait(began, tries))
-		out, err = call(attempt)
-		cancel()
-		now := planlease.Boottime()
-		took := now - began
-		if err == nil {
-			p.Answered(now, took, true)
-			return out, tries, nil
-		}
-		verdict := judge(err)
-		if verdict != Unanswered {
-			p.Answered(now, took, verdict == Final)
-		}
-		if verdict == Final || ctx.Err() != nil {
-			return out, tries, err
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := repeater[T]{policy: p, call: call, answers: make(chan answer[T])}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			if err == nil {
+				err = &platform.OutcomeUnknownError{Call: "repeated call", Cause: ctx.Err()}
+			}
+			return out, r.tries, err
+		case <-timer.C:
+			r.attempt(ctx)
+			timer.Reset(p.Wait(planlease.Boottime(), r.tries))
+		case a := <-r.answers:
+			if a.givenUp && a.err != nil {
+				continue
+			}
+			out, err = a.out, a.err
+			if r.take(a, judge) {
+				return out, r.tries, err
+			}
+			timer.Reset(turnedAwayPause)
 		}
-		if took < turnedAwayPause {
-			pause.For(ctx, turnedAwayPause)
+	}
+}
+
+// attempt makes another attempt and gives up the one before, unless that is the
+// first.
+func (r *repeater[T]) attempt(ctx context.Context) {
+	if r.tries > 1 {
+		r.giveUp()
+	}
+	r.tries++
+	call := ctx
+	ctx, giveUp := context.WithTimeout(ctx, longest)
+	r.giveUp = giveUp
+	go func() {
+		defer giveUp()
+		began := planlease.Boottime()
+		out, err := r.call(ctx)
+		a := answer[T]{out, err, planlease.Boottime() - began, ctx.Err() != nil}
+		select {
+		case r.answers <- a:
+		case <-call.Done():
 		}
+	}()
+}
+
+// take learns from an answer and reports whether it is final.
+func (r *repeater[T]) take(a answer[T], judge func(error) Verdict) (final bool) {
+	if a.err == nil {
+		r.policy.Answered(planlease.Boottime(), a.took, true)
+		return true
+	}
+	verdict := judge(a.err)
+	if verdict != Unanswered {
+		r.policy.Answered(planlease.Boottime(), a.took, verdict == Final)
 	}
+	return verdict == Final
 }
--- a/internal/shards/append.go
+++ b/internal/shards/append.go
@@ -12,7 +12,8 @@
 // With one batch on its way at a time, what is decided meanwhile waits for that one
 // and then for its own, at each step of a job: a job of two steps spends 1.4 s in
 // the journal, of 2 s that it has beside its work. Sent side by side while the store
-// is slow, each batch waits for its own answer only. Gain: 0.05 of what a day is
+// is slow, each batch waits for its own answer only. A store that loses answers gets
+// one at a time: each of several would have to be repeated in its turn. Gain: 0.05 of what a day is
 // worth with a store 76 times as slow for four seconds, 0.07 with one 60 times as
 // slow for five (four seeds each, paired); nothing while it is well.
 const (
@@ -20,7 +21,8 @@
 	// of the last five.
 	sideBySide = 4
 	// slowAfter is how long a batch has been on its way before the next one follows
-	// without waiting for it: a store that is well answers in a tenth of that.
+	// without waiting for it, where the store's answers take longer than that: one
+	// that is well answers in a tenth of it.
 	slowAfter = 50 * time.Millisecond
 )
 
@@ -44,7 +46,7 @@
 	if len(r.batches) == 0 {
 		return now-r.flushed >= appendGap
 	}
-	return len(r.batches) < sideBySide && now-r.flushed >= slowAfter
+	return len(r.batches) < sideBySide && now-r.flushed >= slowAfter && r.store.Attempts.Slow(slowAfter)
 }
 
 // flush appends what has changed, or proves the epoch where nothing has for a
