Leaving the group is bounded in time

Read in the code: a weak node that leaves the group while the store is away repeated that for as long as it was away, and followed the members no longer.

--- a/internal/shards/group.go
+++ b/internal/shards/group.go
@@ -74,8 +74,12 @@
 	return got, err
 }
 
-// leaveGroup leaves the group and reports whether that is certain.
+// leaveGroup leaves the group and reports whether that is certain. It is bounded as
+// a join is: a process that wants to leave while the store is away still follows its
+// members.
 func (m *Manager) leaveGroup(ctx context.Context, reason string) bool {
+	ctx, cancel := context.WithTimeout(ctx, joinLimit)
+	defer cancel()
 	_, _, err := attempts.Repeat(ctx, m.opts.Store.Attempts, attempts.OfStore, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, m.opts.Membership.Leave(ctx, group, m.opts.Member)
 	})
