Late drains of the budget specs are held before the delay ends

Traced by the set-up: the delay of appends ended once the planner showed its decision, and the record came to the stand-in after that, undelayed. What the specs check is unchanged.

--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -85,6 +85,14 @@
 	return c.do(ctx, http.MethodDelete, pathControlFaults, nil, nil)
 }
 
+// Held counts the platform's calls that a delay holds up and whose body contains a
+// text, such as the id of the process that made them.
+func (c *ControlClient) Held(ctx context.Context, text string) (int, error) {
+	var out heldAnswer
+	err := c.do(ctx, http.MethodGet, pathControlFaults+"?with="+url.QueryEscape(text), nil, &out)
+	return out.Held, err
+}
+
 // Apply changes settings.
 func (c *ControlClient) Apply(ctx context.Context, s Settings) error {
 	return c.do(ctx, http.MethodPut, pathControlSettings, s, nil)
--- a/internal/standin/controlapi.go
+++ b/internal/standin/controlapi.go
@@ -67,6 +67,11 @@
 	ReportLagMillis  *int64 `json:"report_lag_ms,omitempty"`
 }
 
+// heldAnswer counts calls that a delay holds up.
+type heldAnswer struct {
+	Held int `json:"held"`
+}
+
 // trimRequest drops the log's records before an offset.
 type trimRequest struct {
 	Before uint64 `json:"before"`
@@ -87,6 +92,9 @@
 	r.HandleFunc(pathControlInstances+"/{id}/fault", s.handleEndpointFault).Methods(http.MethodPut)
 	r.HandleFunc(pathControlInstances+"/{id}/failing", s.handleFailing).Methods(http.MethodPut)
 	r.HandleFunc(pathControlFaults+"/{class}", s.handlePlatformFault).Methods(http.MethodPut)
+	r.HandleFunc(pathControlFaults, func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusOK, heldAnswer{Held: s.faults.heldWith(r.URL.Query().Get("with"))})
+	}).Methods(http.MethodGet)
 	r.HandleFunc(pathControlFaults, func(w http.ResponseWriter, _ *http.Request) {
 		s.faults.clear()
 		w.WriteHeader(http.StatusAccepted)
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -62,9 +62,47 @@
 type faultSet struct {
 	mu      sync.Mutex
 	classes map[Class]*activeFault
+	// held are the bodies of the calls that a delay holds up.
+	held map[*http.Request][]byte
 }
 
-func newFaultSet() *faultSet { return &faultSet{classes: map[Class]*activeFault{}} }
+func newFaultSet() *faultSet {
+	return &faultSet{classes: map[Class]*activeFault{}, held: map[*http.Request][]byte{}}
+}
+
+// heldWith counts the calls that a delay holds up and whose body contains a text.
+func (f *faultSet) heldWith(text string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, body := range f.held {
+		if bytes.Contains(body, []byte(text)) {
+			n++
+		}
+	}
+	return n
+}
+
+// hold delays a call whose body has come, and reports whether its caller is still
+// there.
+func (f *faultSet) hold(r *http.Request, delay time.Duration) bool {
+	if delay <= 0 {
+		return true
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxRecordBytes+1))
+	if err != nil {
+		return false
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	f.mu.Lock()
+	f.held[r] = body
+	f.mu.Unlock()
+	waited := sleep(r.Context(), delay)
+	f.mu.Lock()
+	delete(f.held, r)
+	f.mu.Unlock()
+	return waited
+}
 
 func (f *faultSet) set(class Class, fault PlatformFault) {
 	f.mu.Lock()
@@ -109,7 +147,7 @@
 func (f *faultSet) wrap(class Class, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		d := f.decide(class)
-		if !sleep(r.Context(), d.delay) || d.drop {
+		if !f.hold(r, d.delay) || d.drop {
 			panic(http.ErrAbortHandler)
 		}
 		if d.down {
