Stand-in: runs end at their own time, also where nobody calls

The work of 0.1 s had ended long before, but the stand-in ended runs only when the endpoint was called, so it counted two at once.

Ruled out: two owners at work (one claim after the kill, none fenced), a lease granted later (no renewal is sent without an address). The check stays as it was for runs that are at work; a table test shows the three cases, two of them red before.

--- a/internal/standin/wire/platform.go
+++ b/internal/standin/wire/platform.go
@@ -232,8 +232,12 @@
 	return p.runs[task]
 }
 
-// began notes a start, and what is wrong with it.
+// began notes a start, and what is wrong with it. Runs end at their own time, also on
+// endpoints that nobody has called since.
 func (p *Platform) began(task string, e *Endpoint) {
+	for _, other := range p.endpoints {
+		other.settle()
+	}
 	h := p.history(task)
 	if h.running > 0 {
 		p.broken = append(p.broken, task+" runs twice at once")
