A claimant that did not know of the newest claim leaves the topic to its owner

Each finds the pool to be its own, claims it, is fenced by the other and claims it again, every 1.5 s for as long as both live (epochs 2 to 24 in 14 s): since duties stay with who claimed them, nothing made either read again who had. Callers were sent away meanwhile.

Now the newest claim's record, which a claimant reads anyway, tells it whom it did not know of; the duties are spread anew with that claim, and it goes on only if the duty is still its own. No more calls to the store. Ruled out: lost answers (none), a slow store (claims took 1 to 11 ms), wrong members (both read all three from 8 s on).

--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -81,6 +81,9 @@
 	Facts  func() Facts
 	Logger *slog.Logger
 	Limits Limits
+	// Member is this process's name to other claimants of the duty.
+	Member string
+	Rivals tenure.Rivals
 	// Claimed is told the epoch of a claim.
 	Claimed func(ctx context.Context, epoch int64)
 }
@@ -150,7 +153,7 @@
 
 func (r *Runner) claim(ctx context.Context) bool {
 	for ctx.Err() == nil {
-		held, records, err := tenure.Claim(ctx, r.opts.Store, Topic, r.opts.Holder, r.opts.Logger)
+		held, records, err := tenure.Claim(ctx, r.opts.Store, Topic, r.opts.Member, r.opts.Rivals, r.opts.Logger)
 		if err == nil {
 			r.tenure = held
 			limits := r.opts.Limits
@@ -162,6 +165,9 @@
 			return true
 		}
 		r.opts.Logger.Warn("claim failed", "duty", "fleet", "error", err.Error())
+		if errors.HasType(err, (*tenure.HeldError)(nil)) {
+			return false
+		}
 		pause.For(ctx, claimRetry)
 	}
 	return false
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -254,8 +254,9 @@
 		Node: n.set.Node, Addr: addr, Member: member,
 		Membership: n.client, Store: store, Endpoints: n.client, Logger: n.log,
 		Limits: executor.Limits{Lease: lease, ProofAge: proofAge, KeepEnded: n.set.Bounds.KeepEnded, StopTimeout: n.set.Bounds.StopTimeout},
-		Fleet: func(ctx context.Context, claimed func(context.Context, int64)) {
-			fleetops.Run(ctx, fleetops.Options{Holder: n.set.Node, Store: store, Cloud: n.client, Pools: calls, Facts: n.facts, Logger: n.log, Claimed: claimed,
+		Fleet: func(ctx context.Context, duty shards.Duty) {
+			fleetops.Run(ctx, fleetops.Options{Holder: n.set.Node, Member: member, Rivals: duty, Claimed: duty.Claimed,
+				Store: store, Cloud: n.client, Pools: calls, Facts: n.facts, Logger: n.log,
 				Limits: fleetops.Limits{Holder: n.set.Node, MoveTime: n.set.Bounds.Move, MaintainTime: n.set.Bounds.Maintain, HolderTTL: n.set.Bounds.LeaseTTL}})
 		},
 		AskMembers: func(ctx context.Context, node string) (shards.MembersResult, error) {
--- a/internal/shards/holders.go
+++ b/internal/shards/holders.go
@@ -24,16 +24,43 @@
 	Epoch  int64  `cbor:"2,keyasint"`
 }
 
+// Duty is a duty that this process is about to claim. It implements tenure.Rivals.
+type Duty struct {
+	m    *Manager
+	name string
+}
+
+// Known implements tenure.Rivals.
+func (d Duty) Known() int64 {
+	d.m.mu.Lock()
+	defer d.m.mu.Unlock()
+	return d.m.holders[d.name].Epoch
+}
+
+// Learn implements tenure.Rivals: the duties are spread anew with the claim that
+// this process did not know of.
+func (d Duty) Learn(owner string, epoch int64) bool {
+	d.m.mergeHolders(map[string]holder{d.name: {Member: owner, Epoch: epoch}})
+	d.m.spreadAgain()
+	next, ok := d.m.OwnerOf(d.name)
+	return ok && next.Node == d.m.opts.Node
+}
+
+// Claimed takes in that this process has claimed the duty, and tells the others.
+func (d Duty) Claimed(ctx context.Context, epoch int64) {
+	claim := holder{Member: d.m.opts.Member, Epoch: epoch}
+	d.m.mergeHolders(map[string]holder{d.name: claim})
+	go d.m.publishClaim(ctx, d.name, claim)
+}
+
 // publishClaim records that this process has claimed a duty.
-func (m *Manager) publishClaim(ctx context.Context, duty string, epoch int64) {
-	claim := holder{Member: m.opts.Member, Epoch: epoch}
-	m.mergeHolders(map[string]holder{duty: claim})
+func (m *Manager) publishClaim(ctx context.Context, duty string, claim holder) {
 	value, err := cbor.Marshal(claim)
 	if err == nil {
 		err = m.opts.Store.Put(ctx, topicHolders, platform.Writer{}, []platform.Record{{Key: keyDuty + duty, Value: value}})
 	}
 	if err != nil {
-		m.opts.Logger.Warn("claim not published", "duty", duty, "epoch", epoch, "error", err.Error())
+		m.opts.Logger.Warn("claim not published", "duty", duty, "epoch", claim.Epoch, "error", err.Error())
 	}
 }
 
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/fleetops"
 	"cyclamenwheel/internal/pause"
@@ -67,7 +69,7 @@
 	Logger             *slog.Logger
 	// Fleet does the duty over instances until its context ends or it is
 	// displaced.
-	Fleet func(ctx context.Context, claimed func(ctx context.Context, epoch int64))
+	Fleet func(ctx context.Context, duty Duty)
 	// AskMembers asks a peer for the members that it read last.
 	AskMembers func(ctx context.Context, node string) (MembersResult, error)
 	// SayLeft tells a peer that this member leaves; it need not arrive.
@@ -201,7 +203,7 @@
 	m.running[name] = h
 	if name == fleetDuty {
 		m.wg.Go(func() {
-			m.opts.Fleet(ctx, func(ctx context.Context, epoch int64) { go m.publishClaim(ctx, fleetDuty, epoch) })
+			m.opts.Fleet(ctx, Duty{m, fleetDuty})
 			m.drop(name, h)
 		})
 		return
@@ -215,18 +217,22 @@
 	r := h.runner
 	for ctx.Err() == nil {
 		began := planlease.Boottime()
-		err := r.claim(ctx)
+		err := r.claim(ctx, Duty{m, name})
 		if err == nil {
 			r.log.Info("pool claimed", "epoch", r.epoch, "duration_ms", (planlease.Boottime() - began).Milliseconds())
 			break
 		}
 		r.log.Warn("claim failed", "error", err.Error())
+		if errors.HasType(err, (*tenure.HeldError)(nil)) {
+			m.drop(name, h)
+			return
+		}
 		pause.For(ctx, claimRetry)
 	}
 	if ctx.Err() != nil {
 		return
 	}
-	go m.publishClaim(ctx, name, r.epoch)
+	Duty{m, name}.Claimed(ctx, r.epoch)
 	leaving, ended := m.operations(ctx, r.pool)
 	m.mu.Lock()
 	h.ready = true
--- a/internal/shards/runner_test.go
+++ b/internal/shards/runner_test.go
@@ -112,7 +112,7 @@
 	m := NewManager(Options{Node: "n-1", Member: "n-1", Store: tenure.Store{Journal: journal, Attempts: attempts.NewPolicy()}, Endpoints: endpoints, Limits: limits,
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	r = newRunner(m, "pool")
-	g.Expect(r.claim(ctx)).To(Succeed())
+	g.Expect(r.claim(ctx, Duty{m, "pool"})).To(Succeed())
 	r.core.ObserveEndpoints(r.now(), []executor.EndpointInfo{{ID: "i-1", Addr: "i-1", Capacity: executor.Room{CPUMilli: 4000, MemoryMB: 4000}}})
 	ended = make(chan struct{})
 	go func() {
@@ -201,7 +201,7 @@
 	m := NewManager(Options{Node: "n-1", Member: "n-1", Store: tenure.Store{Journal: journal, Attempts: policy},
 		Endpoints: &obedientEndpoint{started: map[string]int{}}, Limits: limits, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	r := newRunner(m, "pool")
-	g.Expect(r.claim(ctx)).To(Succeed())
+	g.Expect(r.claim(ctx, Duty{m, "pool"})).To(Succeed())
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -10,6 +10,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"log/slog"
 	"maps"
 	"slices"
@@ -89,7 +90,35 @@
 	return err
 }
 
-// Claim takes a topic over. A record with the next epoch, appended on the
+// Rivals are the others who may claim a topic, as far as a claimant knows of them.
+type Rivals interface {
+	// Known is the epoch of the newest claim that the claimant knows of, 0 for none.
+	Known() int64
+	// Learn takes in a newer claim, and reports whether the topic is the claimant's
+	// all the same.
+	Learn(owner string, epoch int64) bool
+}
+
+// HeldError says that a topic was left to another owner, whose claim is newer than
+// the claimant knew.
+type HeldError struct {
+	Topic, Owner string
+	Epoch        int64
+}
+
+func (e *HeldError) Error() string {
+	return fmt.Sprintf("%s: held by %s under epoch %d", e.Topic, e.Owner, e.Epoch)
+}
+
+// Claim takes a topic over, unless rivals want it left to whoever claimed it last.
+//
+// Two nodes that know different members both find a topic to be theirs. Each claim
+// fences the other's, and without a word on who has it now the loser would claim it
+// again: its pool changed hands each second and a half for as long as both lived.
+// The newest claim's record names its owner, so that whoever did not know of it
+// decides anew before claiming.
+//
+// A record with the next epoch, appended on the
 // condition that the topic ends where it was read to, makes one claimant the
 // winner of that epoch: under a producer's name two claimants of one epoch
 // would look like one that repeats itself. Announcing the epoch then fences the
@@ -99,7 +128,7 @@
 // each lost answer needs two answered in a row: with half of them lost it took
 // 2.1 s at the median and 10.5 s at the 95th percentile, and takes 0.09 s and
 // 0.75 s (200 claims of this package's test, on a store that answers in 4 ms).
-func Claim(ctx context.Context, store Store, topic, owner string, log *slog.Logger) (*Tenure, []platform.Record, error) {
+func Claim(ctx context.Context, store Store, topic, owner string, rivals Rivals, log *slog.Logger) (*Tenure, []platform.Record, error) {
 	page, err := store.Journal.Newest(ctx, topic)
 	if err != nil {
 		return nil, nil, err
@@ -107,10 +136,13 @@
 	if err := undamaged(topic, page.Records); err != nil {
 		return nil, nil, err
 	}
-	last, err := epochOf(topic, page.Records)
+	last, holder, err := NewestClaim(topic, page.Records)
 	if err != nil {
 		return nil, nil, err
 	}
+	if last > rivals.Known() && holder != owner && !rivals.Learn(holder, last) {
+		return nil, nil, &HeldError{Topic: topic, Owner: holder, Epoch: last}
+	}
 	t := &Tenure{store: store, topic: topic, log: log, Epoch: last + 1}
 	if err := t.take(ctx, page.Next, owner); err != nil {
 		return nil, nil, err
@@ -215,18 +247,20 @@
 	return nil
 }
 
-func epochOf(topic string, page []platform.Record) (int64, error) {
+// NewestClaim returns the epoch of a topic's newest claim, 0 for none, and who made
+// it.
+func NewestClaim(topic string, page []platform.Record) (epoch int64, owner string, err error) {
 	for _, p := range page {
 		if p.Key != keyEpoch {
 			continue
 		}
 		var r epochRecord
 		if err := cbor.Unmarshal(p.Value, &r); err != nil {
-			return 0, &MalformedEpochError{Topic: topic, Cause: err}
+			return 0, "", &MalformedEpochError{Topic: topic, Cause: err}
 		}
-		return r.Epoch, nil
+		return r.Epoch, r.Owner, nil
 	}
-	return 0, nil
+	return 0, "", nil
 }
 
 // ProofAge is how long ago the store last confirmed that the epoch is the
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"cyclamenwheel/internal/attempts"
@@ -79,13 +80,50 @@
 	return platform.Page{Records: slices.Clone(s.records[from:]), Next: int64(len(s.records))}, nil
 }
 
+// knows is what a claimant knows of other claims, and whether it goes on once it
+// has learnt of a newer one.
+type knows struct {
+	epoch   int64
+	mine    bool
+	learned []string
+}
+
+func (k *knows) Known() int64 { return k.epoch }
+
+func (k *knows) Learn(owner string, epoch int64) bool {
+	k.learned = append(k.learned, owner)
+	k.epoch = epoch
+	return k.mine
+}
+
+// A pool changes hands for as long as two nodes that both find it theirs are alive.
+// A claimant that did not know of the newest claim leaves the topic to its owner,
+// unless that one has gone; one that knew of it takes it over.
+func TestAClaimantLearnsOfTheNewestClaim(t *testing.T) {
+	g := NewWithT(t)
+	store := Store{Journal: &forgetfulStore{rng: rand.New(rand.NewPCG(1, 1))}, Attempts: attempts.NewPolicy()}
+	claim := func(owner string, rivals Rivals) error {
+		_, _, err := Claim(context.Background(), store, "t", owner, rivals, quiet)
+		return err
+	}
+	g.Expect(claim("a", &knows{})).To(Succeed())
+	stranger := &knows{}
+	var held *HeldError
+	g.Expect(errors.As(claim("b", stranger), &held)).To(BeTrue())
+	g.Expect(*held).To(Equal(HeldError{Topic: "t", Owner: "a", Epoch: 1}))
+	g.Expect(claim("b", stranger)).To(Succeed(), "it knows of the claim now and takes over")
+	g.Expect(stranger.learned).To(Equal([]string{"a"}))
+	g.Expect(claim("b", &knows{})).To(Succeed(), "its own claim is nobody else's")
+	g.Expect(claim("c", &knows{mine: true})).To(Succeed(), "the holder has gone")
+}
+
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
 // claimOnce claims a topic of its own and returns how long that took.
 func claimOnce(g *WithT, seed uint64, lost float64) time.Duration {
 	store := &forgetfulStore{rng: rand.New(rand.NewPCG(seed, 1)), lost: lost}
 	began := time.Now()
-	held, _, err := Claim(context.Background(), Store{Journal: store, Attempts: attempts.NewPolicy()}, "t", "me", quiet)
+	held, _, err := Claim(context.Background(), Store{Journal: store, Attempts: attempts.NewPolicy()}, "t", "me", &knows{}, quiet)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(held.Epoch).To(Equal(int64(1)), "a claim recognises its own record")
 	g.Expect(store.claims).To(Equal([]int64{1}))
@@ -121,7 +159,7 @@
 		var wg sync.WaitGroup
 		for _, owner := range []string{"a", "b"} {
 			wg.Go(func() {
-				held, _, err := Claim(context.Background(), Store{Journal: store, Attempts: attempts.NewPolicy()}, "t", owner, quiet)
+				held, _, err := Claim(context.Background(), Store{Journal: store, Attempts: attempts.NewPolicy()}, "t", owner, &knows{mine: true}, quiet)
 				if err == nil {
 					mu.Lock()
 					defer mu.Unlock()
