Nodes of a trial get addresses that nobody else uses

Cause (test/platform beside load, one of 48 plays: "listen tcp 127.0.0.1:40349: bind: address already in use", the node ends and is never ready): the trial asked the system for a free port, gave it back, and the node found it taken by another process's outgoing connection.

The test harness of the product's own interface had a loopback network for each run against just this; it is one package now that both use.

--- a/internal/standin/trial/cluster.go
+++ b/internal/standin/trial/cluster.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -15,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"cyclamenwheel/internal/standin/loopback"
 	"cyclamenwheel/internal/standin/wire"
 )
 
@@ -23,6 +23,7 @@
 	Platform *wire.Platform
 	program  string
 	dir      string
+	net      *loopback.Network
 	nodes    []*Node
 }
 
@@ -47,9 +48,13 @@
 
 // Start starts nodes of the program; dir takes their settings and logs.
 func Start(program, dir string, platform *wire.Platform, nodes int) (*Cluster, error) {
-	c := &Cluster{Platform: platform, program: program, dir: dir}
+	network, err := loopback.Claim()
+	if err != nil {
+		return nil, &StartError{What: "network", Cause: err}
+	}
+	c := &Cluster{Platform: platform, program: program, dir: dir, net: network}
 	for i := range nodes {
-		n, err := c.prepare(fmt.Sprintf("node-%d", i+1))
+		n, err := c.prepare(i)
 		if err == nil {
 			err = c.Run(n)
 		}
@@ -65,41 +70,28 @@
 // Nodes returns all nodes, running or not.
 func (c *Cluster) Nodes() []*Node { return c.nodes }
 
-func (c *Cluster) prepare(name string) (*Node, error) {
-	front, err := freePort()
-	if err != nil {
-		return nil, err
-	}
-	ready, err := freePort()
-	if err != nil {
-		return nil, err
-	}
-	peer, err := freePort()
-	if err != nil {
-		return nil, err
-	}
-	n := &Node{Name: name, Front: front, ready: ready, settings: filepath.Join(c.dir, name+".ini"), log: filepath.Join(c.dir, name+".log")}
-	metrics, err := freePort()
-	if err != nil {
-		return nil, err
-	}
+// Ports on a node's own loopback address.
+const (
+	portCallers = 8100
+	portReady   = 8101
+	portPeer    = 8200
+	portMetrics = 8300
+)
+
+// prepare writes the settings of the i-th node.
+func (c *Cluster) prepare(i int) (*Node, error) {
+	name := fmt.Sprintf("node-%d", i+1)
+	on := func(port int) string { return fmt.Sprintf("%s:%d", c.net.IP(i+2), port) }
+	n := &Node{Name: name, Front: on(portCallers), ready: on(portReady),
+		settings: filepath.Join(c.dir, name+".ini"), log: filepath.Join(c.dir, name+".log")}
 	text := fmt.Sprintf("[process]\nnode = %s\nzone = z\n[callers]\nlisten = %s\nready = %s\n[peer]\nlisten = %s\n[store]\naddress = %s\ninstances = %s\n[operator]\nmetrics = %s\n[bounds]\nmove = 300ms\nlease_ttl = 500ms\n",
-		name, front, ready, peer, c.Platform.Addr(), c.Platform.Addr(), metrics)
+		name, n.Front, n.ready, on(portPeer), c.Platform.Addr(), c.Platform.Addr(), on(portMetrics))
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		return nil, &StartError{What: name, Cause: err}
 	}
 	return n, nil
 }
 
-func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", &StartError{What: "listener", Cause: err}
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // Run starts a node's process, also again after it has ended.
 func (c *Cluster) Run(n *Node) error {
 	log, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -151,6 +143,7 @@
 
 // Close kills every node that still runs.
 func (c *Cluster) Close() {
+	defer c.net.Release()
 	for _, n := range c.nodes {
 		select {
 		case <-n.done:
--- a/test/harness/endpointlink.go
+++ b/test/harness/endpointlink.go
@@ -37,7 +37,7 @@
 	for i, row := range rows {
 		if row.ID == id {
 			l.proxy.Upstream = row.Addr
-			l.proxy.Listen = fmt.Sprintf("%s1:%d", c.net.prefix, portEndpoints+i)
+			l.proxy.Listen = fmt.Sprintf("%s1:%d", c.net.Prefix, portEndpoints+i)
 		}
 	}
 	gomega.Expect(l.proxy.Start()).To(gomega.Succeed())
--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -21,6 +21,7 @@
 
 	"cyclamenwheel/internal/certs"
 	"cyclamenwheel/internal/standin"
+	"cyclamenwheel/internal/standin/loopback"
 )
 
 // Patience is how long a test waits for something that must come about. It is
@@ -106,7 +107,7 @@
 	opts     Options
 	platform *standin.Standin
 	dir      string
-	net      *network
+	net      *loopback.Network
 	peers    *peerNetwork
 	loads    []*Load
 	ledger   ledger
@@ -154,11 +155,11 @@
 	spec := c.opts.Workers
 	for i := range c.opts.Entries {
 		spec.Entries = append(spec.Entries, standin.EntrySpec{
-			ID: instanceOf(RoleEntry, i), Zone: zoneOf(i), Addr: c.net.ip(RoleEntry, i) + ":0"})
+			ID: instanceOf(RoleEntry, i), Zone: zoneOf(i), Addr: addressOf(c.net, RoleEntry, i) + ":0"})
 	}
 	for i := range c.opts.Controls {
 		spec.Entries = append(spec.Entries, standin.EntrySpec{
-			ID: instanceOf(RoleControl, i), Zone: zoneOf(i), Addr: c.net.ip(RoleControl, i) + ":0"})
+			ID: instanceOf(RoleControl, i), Zone: zoneOf(i), Addr: addressOf(c.net, RoleControl, i) + ":0"})
 	}
 	c.platform = standin.New(standin.Options{
 		Fleet: spec, Lag: c.opts.Lag, Reboot: c.opts.Reboot, Retention: c.opts.Retention,
@@ -264,7 +265,7 @@
 		c.platform.Close()
 		c.Standin.Close()
 	}
-	c.net.release()
+	c.net.Release()
 }
 
 // logTail is how much of each process's log is printed.
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -51,7 +51,7 @@
 	c.started[role]++
 	p := &Process{
 		Role: role, ID: fmt.Sprintf("%s-%d", role, i+1), Zone: zoneOf(i), Instance: instanceOf(role, i),
-		IP: c.net.ip(role, i), cluster: c,
+		IP: addressOf(c.net, role, i), cluster: c,
 	}
 	p.settings = filepath.Join(c.dir, p.ID+".ini")
 	p.logFile = filepath.Join(c.dir, p.ID+".log")
