A claim that is given up is known to its claimant; one under way goes on

The others read its record and left the pool to it, it left the pool to them, and nobody served the pool for ten seconds.

Now a claimant takes in its own claim as soon as its record may be stored; a claim under way is given up only if another living member is known to have the duty; whoever hears from an owner that it is none reads again who claimed last.

--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -215,6 +215,7 @@
 			return t.outcome()
 		}
 		pause.For(ctx, callPause)
+		c.Manager.doubtHolders()
 		c.Manager.refreshMembers(ctx, membersMin)
 	}
 }
--- a/internal/shards/duel_test.go
+++ b/internal/shards/duel_test.go
@@ -75,3 +75,49 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	return epoch
 }
+
+// muteJournal answers nothing.
+type muteJournal struct{}
+
+func (muteJournal) Append(ctx context.Context, _ string, _ int64, _ platform.Writer, _ []platform.Record) (int64, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func (muteJournal) Newest(ctx context.Context, _ string) (platform.Page, error) {
+	<-ctx.Done()
+	return platform.Page{}, ctx.Err()
+}
+
+func (muteJournal) Read(ctx context.Context, _ string, _ int64, _ time.Duration) (platform.Page, error) {
+	<-ctx.Done()
+	return platform.Page{}, ctx.Err()
+}
+
+// A pool's callers wait for another second. Its claim is under way, held up by lost
+// answers, as a node that was just restarted joins and ranks first for the pool; given
+// up half-way, the claim leaves a record that the other has to learn of first. It goes
+// on until another living member is known to have the pool.
+func TestAClaimUnderWayGoesOn(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	m := rival("n-1", tenure.Store{Journal: muteJournal{}, Attempts: attempts.NewPolicy()})
+	defer m.wg.Wait()
+	defer cancel()
+	other := MemberName("n-2", "127.0.0.1:2", "boot", time.UnixMilli(1), 0.4)
+	both := map[int]string{0: m.opts.Member, 1: other}
+	underWay := func() bool {
+		m.assign(ctx)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.running["tabs"] != nil
+	}
+	m.spreadDuties(m.pools, map[int]string{0: m.opts.Member})
+	g.Expect(underWay()).To(BeTrue())
+	m.spreadDuties(m.pools, both)
+	m.owners["tabs"] = Owner{Node: "n-2", Addr: "127.0.0.1:2"}
+	g.Expect(underWay()).To(BeTrue(), "nobody else is known to have it")
+	m.mergeHolders(map[string]holder{"tabs": {Member: other, Epoch: 1}})
+	m.spreadDuties(m.pools, both)
+	g.Expect(underWay()).To(BeFalse())
+}
--- a/internal/shards/holders.go
+++ b/internal/shards/holders.go
@@ -42,6 +42,7 @@
 func (d Duty) Learn(owner string, epoch int64) bool {
 	d.m.mergeHolders(map[string]holder{d.name: {Member: owner, Epoch: epoch}})
 	d.m.spreadAgain()
+	d.m.wake()
 	next, ok := d.m.OwnerOf(d.name)
 	return ok && next.Node == d.m.opts.Node
 }
@@ -50,6 +51,11 @@
 func (d Duty) Claimed(ctx context.Context, epoch int64) {
 	claim := holder{Member: d.m.opts.Member, Epoch: epoch}
 	d.m.mergeHolders(map[string]holder{d.name: claim})
+	d.m.mu.Lock()
+	if h := d.m.running[d.name]; h != nil {
+		h.claimed = true
+	}
+	d.m.mu.Unlock()
 	go d.m.publishClaim(ctx, d.name, claim)
 }
 
@@ -64,6 +70,16 @@
 	}
 }
 
+// doubtHolders lets the next reading of the members read the holders as well: a node
+// that was taken for a duty's owner has answered that it is not. Two nodes that each
+// take the other for the owner would otherwise do so for as long as no member comes
+// or goes.
+func (m *Manager) doubtHolders() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.settled = false
+}
+
 // refreshHolders reads who claimed the duties last, where the members have changed
 // or some duty's holder was not among them. Without an answer the last reading
 // holds.
@@ -107,6 +123,21 @@
 	}
 }
 
+// heldElsewhereLocked reports whether another living member claimed a duty last, as
+// far as is known.
+func (m *Manager) heldElsewhereLocked(duty string) bool {
+	by := m.holders[duty].Member
+	if by == m.opts.Member {
+		return false
+	}
+	for _, b := range m.members {
+		if b.name == by {
+			return true
+		}
+	}
+	return false
+}
+
 // settled reports whether each duty is with the member that claimed it last.
 func settled(owners map[string]Owner, members []member, holders map[string]holder) bool {
 	byName := map[string]Owner{}
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -110,8 +110,9 @@
 type held struct {
 	cancel context.CancelFunc
 	runner *Runner
-	// ready is set once the claim of a pool has succeeded.
-	ready bool
+	// claimed is set once the claim has succeeded, and ready once a pool's state is
+	// restored.
+	claimed, ready bool
 }
 
 // NewManager returns a manager that owns nothing.
@@ -163,12 +164,14 @@
 	kicked := false
 	m.lookFirst(ctx)
 	for ctx.Err() == nil {
-		age := m.stayOrGo(ctx, &s)
 		if kicked {
-			age = 0
 			m.spreadAgain()
 			m.assign(ctx)
 		}
+		age := m.stayOrGo(ctx, &s)
+		if kicked {
+			age = 0
+		}
 		m.refreshMembers(ctx, age)
 		m.assign(ctx)
 		kicked = m.awaitJoin(ctx)
@@ -181,11 +184,16 @@
 const fleetDuty = ""
 
 // assign begins and ends duties to match what is this node's.
+//
+// A claim that is under way goes on unless somebody else is known to have the duty.
+// Load: nodes are restarted in turn while answers are lost; whoever comes back ranks
+// first for a free duty. Given up half-way, a claim leaves its record behind, which
+// the next claimant has to learn of, and the pool has no owner for a second.
 func (m *Manager) assign(ctx context.Context) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, h := range m.running {
-		if m.owners[name].Node != m.opts.Node {
+		if m.owners[name].Node != m.opts.Node && (h.claimed || m.leaving || m.heldElsewhereLocked(name)) {
 			h.cancel()
 			delete(m.running, name)
 		}
--- a/internal/shards/members.go
+++ b/internal/shards/members.go
@@ -50,6 +50,11 @@
 	m.mu.Lock()
 	m.departed[name] = true
 	m.mu.Unlock()
+	m.wake()
+}
+
+// wake lets Run spread and assign the duties at once.
+func (m *Manager) wake() {
 	select {
 	case m.kick <- struct{}{}:
 	default: // one is enough
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -94,8 +94,8 @@
 type Rivals interface {
 	// Known is the epoch of the newest claim that the claimant knows of, 0 for none.
 	Known() int64
-	// Learn takes in a newer claim, and reports whether the topic is the claimant's
-	// all the same.
+	// Learn takes in a newer claim, also the claimant's own, and reports whether the
+	// topic is the claimant's with it.
 	Learn(owner string, epoch int64) bool
 }
 
@@ -144,7 +144,14 @@
 		return nil, nil, &HeldError{Topic: topic, Owner: holder, Epoch: last}
 	}
 	t := &Tenure{store: store, topic: topic, log: log, Epoch: last + 1}
-	if err := t.take(ctx, page.Next, owner); err != nil {
+	err = t.take(ctx, page.Next, owner)
+	if !errors.HasType(err, (*platform.MovedOnError)(nil)) {
+		// The record is stored, or may be yet, though this claim is given up: others
+		// learn from it that the topic is the claimant's, who has to know it too, or
+		// all leave the topic to each other.
+		rivals.Learn(owner, t.Epoch)
+	}
+	if err != nil {
 		return nil, nil, err
 	}
 	sent := planlease.Boottime()
