What a run takes is drawn from its caller's estimate, its queue and its own step

Predictions were the mean of the last twenty runs, that is of three steps: objectives, what counts as late, admission, need and the judgement of slow endpoints all rested on a figure off by half.

Now estimate and queue's mean are each trusted as far as they have proved right (a regression in logarithms, learnt by step and kept for a successor), and a step's first ended task settles its length. Objectives follow. Resumed runs are not learnt from.

Tried with it and left out: a margin of 1.25 on what is left of a job before it is put behind the others.

The specs of learnt lengths follow the new record; that of a successor counts runs as before.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -72,12 +72,14 @@
 	endpoints map[string]*endpoint
 	// gone are incarnations that are known to have ended.
 	gone map[string]bool
-	// open are jobs with tasks that may still be started, by objective.
-	open []*job
+	// open are jobs with tasks that may still be started, by objective unless
+	// unsorted.
+	open     []*job
+	unsorted bool
 	// ended are jobs that wait for the end of KeepEnded, oldest first.
 	ended []*job
 
-	learned map[string]*workload
+	learned map[string]*lengths
 	// learntSavedMs is when it was last written, by the time of day; learntChanged:
 	// runs have ended since.
 	learntSavedMs int64
@@ -118,7 +120,7 @@
 	return &Core{
 		pool: pool, epoch: epoch, limits: limits, claimedAt: now,
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, gone: map[string]bool{},
-		learned:   map[string]*workload{},
+		learned:   map[string]*lengths{},
 		refusedAt: map[string]time.Duration{}, dirty: map[*job]bool{}, acks: map[string]int64{},
 	}
 }
@@ -143,8 +145,9 @@
 	begun   bool
 	// since is when this owner first saw the job.
 	since time.Duration
-	// objective is when the job is late, on the clock of since.
-	objective time.Duration
+	// offered is when it was first handed in, and objective when it is late, on the
+	// clock of since.
+	offered, objective time.Duration
 	// firstOpen is the lowest occurrence that has not ended.
 	firstOpen int
 	// next is the lowest occurrence that has not begun.
@@ -177,6 +180,11 @@
 	failures int
 	// gangDone: one member has ended done, which stands for all of them.
 	gangDone bool
+	// ran counts the tasks whose length is known, and ranMs is all of their lengths.
+	ran   int
+	ranMs float64
+	// placedAt is when the newest of its tasks was placed.
+	placedAt time.Duration
 	advice   advice
 	perHost  map[*endpoint]int
 }
@@ -211,7 +219,9 @@
 	// restored: the start was intended by an earlier owner. Its order carries
 	// an older fence, so that it can't begin once this owner has been heard.
 	restored bool
-	percent  int
+	// resumed: the run began from a checkpoint.
+	resumed bool
+	percent int
 	// movedAt is when percent last changed.
 	movedAt time.Duration
 	// listedAt is when it was last listed, on the endpoint's clock.
@@ -310,23 +320,6 @@
 	Draining                   bool
 }
 
-// workload is what was learnt of the runs of a queue.
-type workload struct {
-	// meanMs is the mean time of runs that ended done.
-	meanMs float64
-	runs   int
-}
-
-// learnWeight forgets a run's influence after about 20 runs, a second or two
-// of a busy queue.
-const learnWeight = 0.05
-
-func (w *workload) add(ms float64) {
-	w.runs++
-	weight := max(learnWeight, 1/float64(w.runs))
-	w.meanMs += weight * (ms - w.meanMs)
-}
-
 // OrderKind tells orders apart.
 type OrderKind uint8
 
--- a/internal/executor/ends.go
+++ b/internal/executor/ends.go
@@ -80,12 +80,7 @@
 // stands for all of them.
 func (c *Core) done(now time.Duration, t *task) {
 	s, j := t.step, t.step.job
-	// A restored run began before this owner saw it: learnt as that short, the
-	// queue's jobs would seem in time when they are not, and sound endpoints
-	// slow. What a slow endpoint takes says nothing of the queue either.
-	if t.confirmed > 0 && !t.restored && !t.host.speed.slow {
-		c.learn(j.rec.Queue, now-t.confirmed)
-	}
+	c.noteLength(now, t)
 	c.release(t)
 	t.phase = taskDone
 	s.left--
@@ -112,19 +107,13 @@
 	}
 }
 
-func (c *Core) learn(queue string, took time.Duration) {
-	w := c.learned[queue]
-	if w == nil {
-		w = &workload{}
-		c.learned[queue] = w
-	}
-	w.add(float64(took.Milliseconds()))
-	c.learntChanged = true
-}
-
 func (c *Core) stepDone(s *stepRun) {
 	o, j := s.occ, s.job
 	o.left--
+	if s.ran > 0 {
+		c.learn(j.rec.Queue, s.ranMs/float64(s.ran), s.ran, s.spec.EstimateMs)
+		c.setObjective(j)
+	}
 	for _, other := range o.steps {
 		if slices.Contains(other.spec.After, s.index) {
 			other.waitsFor--
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -238,7 +238,7 @@
 		c.ended = append(c.ended, j)
 		return
 	}
-	j.objective = now - c.waited(j) + c.objectiveOf(j)
+	j.offered = now - c.waited(j)
 	j.firstOpen, j.next, j.begun = p.FirstOpen, p.FirstOpen, p.Begun
 	highest := p.FirstOpen - 1
 	for _, n := range p.Ended {
@@ -267,6 +267,7 @@
 			c.recount(s)
 		}
 	}
+	c.setObjective(j)
 	c.open = append(c.open, j)
 	j.queued = true
 }
--- a/internal/executor/learnt.go
+++ b/internal/executor/learnt.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -17,9 +18,10 @@
 	learntEvery = 1000
 	// learntFor is how old a record may be to be believed.
 	learntFor = 10 * time.Minute
-	// learntRuns is the most runs that a restored figure counts for, so that new
-	// ones can change it.
-	learntRuns = 20
+	// learntSteps and learntRuns are the most steps and runs that a restored figure
+	// counts for, so that new ones can change it.
+	learntSteps = 10
+	learntRuns  = 20
 )
 
 // learntRecord is what was learnt of each queue's runs.
@@ -28,12 +30,26 @@
 	Queues  map[string]queueRuns `cbor:"2,keyasint"`
 }
 
-// queueRuns is the mean time of a queue's runs, and how many it rests on.
+// queueRuns is what was learnt of a queue's runs, as in lengths.
 type queueRuns struct {
-	MeanMs float64 `cbor:"1,keyasint"`
-	Runs   int     `cbor:"2,keyasint"`
+	Steps       int     `cbor:"3,keyasint"`
+	Runs        int     `cbor:"9,keyasint"`
+	Actual      float64 `cbor:"4,keyasint"`
+	Estimate    float64 `cbor:"5,keyasint"`
+	VarActual   float64 `cbor:"6,keyasint"`
+	VarEstimate float64 `cbor:"7,keyasint"`
+	With        float64 `cbor:"8,keyasint"`
 }
 
+// usable reports whether the figures can be what a predecessor has learnt.
+func (q queueRuns) usable() bool {
+	return q.Steps > 0 && q.Runs > 0 && q.Actual >= 0 && q.Actual < mostLogMs && q.Estimate >= 0 && q.Estimate < mostLogMs &&
+		q.VarActual >= 0 && q.VarActual < mostLogMs && q.VarEstimate >= 0 && math.Abs(q.With) < mostLogMs
+}
+
+// mostLogMs bounds the logarithm of a length in ms: a run of a year.
+const mostLogMs = 24
+
 // learntRecords returns the record to write with a batch, if it is due.
 func (c *Core) learntRecords() []Record {
 	since := c.wallMs - c.learntSavedMs
@@ -42,8 +58,9 @@
 	}
 	c.learntSavedMs, c.learntChanged = c.wallMs, false
 	out := learntRecord{SavedMs: c.wallMs, Queues: map[string]queueRuns{}}
-	for queue, w := range c.learned {
-		out.Queues[queue] = queueRuns{MeanMs: w.meanMs, Runs: w.runs}
+	for queue, l := range c.learned {
+		out.Queues[queue] = queueRuns{Steps: l.steps, Runs: l.runs, Actual: l.actual, Estimate: l.estimate,
+			VarActual: l.varActual, VarEstimate: l.varEstimate, With: l.with}
 	}
 	return []Record{{Key: keyLearnt, Value: Encode(out)}}
 }
@@ -60,8 +77,9 @@
 		return
 	}
 	for queue, l := range in.Queues {
-		if l.MeanMs > 0 && l.Runs > 0 {
-			c.learned[queue] = &workload{meanMs: l.MeanMs, runs: min(l.Runs, learntRuns)}
+		if l.usable() {
+			c.learned[queue] = &lengths{steps: min(l.Steps, learntSteps), runs: min(l.Runs, learntRuns), actual: l.Actual, estimate: l.Estimate,
+				varActual: l.VarActual, varEstimate: l.VarEstimate, with: l.With}
 		}
 	}
 }
--- a/internal/executor/learnt_test.go
+++ b/internal/executor/learnt_test.go
@@ -58,7 +58,7 @@
 	It("includes how long runs take, for its successor too", func() {
 		c := ownerOf(1_000_000)
 		for range 3 * fewRuns {
-			c.learn("q", 2*time.Second)
+			c.learn("q", 2000, 1, 1000)
 		}
 		c.Submit(0, jobs.Job{ID: "00000000000000a3", Steps: []jobs.Step{{Count: 1, CPUMilli: 100, EstimateMs: 100}}}, underTest, 1)
 		records := c.Ready().Records
@@ -71,7 +71,7 @@
 
 	It("is written with other records and not for itself alone", func() {
 		c := ownerOf(1_000_000)
-		c.learn("q", time.Second)
+		c.learn("q", 1000, 1, 1000)
 		Expect(c.Ready().Records).To(BeEmpty())
 	})
 
--- /dev/null
+++ b/internal/executor/lengths_test.go
@@ -0,0 +1,56 @@
+package executor
+
+import (
+	"math"
+	"math/rand/v2"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// errorOf is the typical error, in logarithms, of predictions for steps whose lengths
+// and estimates spread about the truth as given.
+func errorOf(predict func(l *lengths, estimateMs int) float64, spread, off float64) float64 {
+	rng := rand.New(rand.NewPCG(1, 1))
+	var l lengths
+	sum, n := 0.0, 0
+	for k := range 2000 {
+		ms := 1000 * math.Exp(spread*rng.NormFloat64())
+		estimate := int(ms * math.Exp(off*rng.NormFloat64()))
+		if k >= 50 {
+			e := math.Log(predict(&l, estimate) / ms)
+			sum, n = sum+e*e, n+1
+		}
+		l.add(ms, 6, estimate)
+	}
+	return math.Sqrt(sum / float64(n))
+}
+
+var _ = Describe("the expected length of a run", func() {
+	byBoth := func(l *lengths, estimateMs int) float64 { return l.expectMs(estimateMs) }
+	byMean := func(l *lengths, _ int) float64 { return l.meanMs() }
+	byEstimate := func(_ *lengths, estimateMs int) float64 { return float64(estimateMs) }
+
+	// Steps differ by half of their mean and estimates are off by as much. By the mean
+	// alone a short job seems in time until it is late; by the estimate alone jobs are
+	// refused that could be in time.
+	It("is nearer to the truth than mean and estimate alone", func() {
+		both := errorOf(byBoth, 0.48, 0.5)
+		Expect(both).To(BeNumerically("<", 0.8*errorOf(byMean, 0.48, 0.5)))
+		Expect(both).To(BeNumerically("<", 0.8*errorOf(byEstimate, 0.48, 0.5)))
+	})
+
+	It("leaves estimates aside that say nothing, and follows those that say all", func() {
+		Expect(errorOf(byBoth, 0.1, 1.5)).To(BeNumerically("<", 1.2*errorOf(byMean, 0.1, 1.5)))
+		Expect(errorOf(byBoth, 0.8, 0.05)).To(BeNumerically("<", 0.5*errorOf(byMean, 0.8, 0.05)))
+	})
+
+	It("is the mean where callers give no estimate", func() {
+		var l lengths
+		for range 10 {
+			l.add(400, 2, 0)
+		}
+		Expect(l.expectMs(0)).To(BeNumerically("~", 400, 1))
+		Expect(l.expectMs(5000)).To(BeNumerically("~", 400, 1))
+	})
+})
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -190,7 +190,7 @@
 	if t.step.spec.LongRunning && t.percent >= atWork {
 		return false
 	}
-	expected := time.Duration(c.taskMs(t.step.job, t.step.spec)) * time.Millisecond
+	expected := time.Duration(c.taskMs(t.step)) * time.Millisecond
 	limit := max(standstillFloor, standstillFactor*expected/10)
 	// Without an answer from the endpoint nothing is known of its progress.
 	return t.host.failedLook == 0 && t.host.looked-max(t.movedAt, t.confirmed) > limit
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -45,7 +45,7 @@
 	t.step.job.placed--
 	t.host = nil
 	t.ordered, t.confirmed, t.stopSent = 0, 0, 0
-	t.answered, t.stopping, t.restored = false, false, false
+	t.answered, t.stopping, t.restored, t.resumed = false, false, false, false
 	t.percent, t.listedAt, t.ticket = 0, 0, ""
 }
 
@@ -59,6 +59,7 @@
 	c.beginDue()
 	c.forgetEnded()
 	c.forgetRefused(now)
+	c.sortOpen()
 	c.explainWaiting(now)
 	hosts := c.openHosts(now)
 	if len(hosts) == 0 {
@@ -228,7 +229,9 @@
 	c.occupy(t, e)
 	t.run = run
 	t.ticket, _ = t.step.ticketFor(now, e.id)
+	t.resumed = t.checkpoint != ""
 	t.step.waiting--
+	t.step.placedAt = now
 	t.step.job.started = true
 	t.movedAt = now
 	c.touch(t.step.job)
--- a/internal/executor/speed.go
+++ b/internal/executor/speed.go
@@ -81,21 +81,12 @@
 	if at == 0 || percent < before || !showsSpeed(t) || !c.knownWork(t.step.job) {
 		return
 	}
-	t.host.speed.add(float64(percent-before)/100*c.taskMs(t.step.job, t.step.spec), clock-at)
+	t.host.speed.add(float64(percent-before)/100*c.taskMs(t.step), clock-at)
 }
 
 // knownWork reports whether runs of the job's queue have shown how long they are.
 // Callers' estimates would make an endpoint slow whose jobs were estimated short.
-func (c *Core) knownWork(j *job) bool { return c.Learned(j.rec.Queue) > 0 }
-
-// Learned is how long a run of a queue's tasks takes by what has been seen; zero
-// before enough has.
-func (c *Core) Learned(queue string) time.Duration {
-	if w := c.learned[queue]; w != nil && w.runs >= fewRuns {
-		return time.Duration(w.meanMs * float64(time.Millisecond))
-	}
-	return 0
-}
+func (c *Core) knownWork(j *job) bool { return c.learned[j.rec.Queue].known() }
 
 // showsSpeed reports whether a run's progress says something of its endpoint: a
 // gang waits for its members, and away from its data a task is slow anywhere.
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -45,7 +45,7 @@
 		c.event(Event{Kind: EventRefused, Job: in.ID, Reason: refusal.Reason})
 		return VerdictRefused, refusal
 	}
-	j.objective = first + c.objectiveOf(j)
+	j.offered = first
 	j.rec.OfferedMs = c.wallMs - (now - first).Milliseconds()
 	c.jobs[in.ID] = j
 	c.open = append(c.open, j)
@@ -56,7 +56,7 @@
 	if in.Occurrences == 0 {
 		c.begin(j)
 	}
-	c.sortOpen()
+	c.setObjective(j)
 	return VerdictAccepted, Refusal{}
 }
 
@@ -204,79 +204,6 @@
 	}
 }
 
-// chainMs is the longest chain of a job's work by what its queue's runs have
-// taken, or by the caller's estimate before the first run.
-func (c *Core) chainMs(j *job) float64 {
-	steps := j.rec.Job.Steps
-	ends := make([]float64, len(steps))
-	longest := 0.0
-	for i := range steps {
-		begins := 0.0
-		for _, a := range steps[i].After {
-			begins = max(begins, ends[a])
-		}
-		ends[i] = begins + c.taskMs(j, &steps[i])
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
-// restMs is the longest chain of work that a job still has before it. What runs
-// now counts half.
-func (c *Core) restMs(j *job) float64 {
-	longest := 0.0
-	for _, o := range j.current {
-		ends := make([]float64, len(o.steps))
-		for i, s := range o.steps {
-			begins := 0.0
-			for _, a := range s.spec.After {
-				begins = max(begins, ends[a])
-			}
-			own := 0.0
-			switch {
-			case s.waiting > 0:
-				own = c.taskMs(j, s.spec)
-			case s.left > 0:
-				own = c.taskMs(j, s.spec) / 2
-			}
-			ends[i] = begins + own
-			longest = max(longest, ends[i])
-		}
-	}
-	return longest
-}
-
-// hopeless reports whether a job can no longer end within its objective, even
-// if all of its tasks began at once.
-func (c *Core) hopeless(now time.Duration, j *job) bool {
-	return now+time.Duration(c.restMs(j)*float64(time.Millisecond)) > j.objective
-}
-
-// defaultTaskMs stands in where neither the caller nor experience says how
-// long a task takes.
-const defaultTaskMs = 1000
-
-// fewRuns is how many runs it takes to trust experience over estimates.
-const fewRuns = 8
-
-// taskMs predicts a task's run. Callers' estimates are off by a factor of two
-// and more, while the runs of one queue are alike: experience goes first.
-func (c *Core) taskMs(j *job, s *jobs.Step) float64 {
-	if c.knownWork(j) {
-		return c.learned[j.rec.Queue].meanMs
-	}
-	if s.EstimateMs > 0 {
-		return float64(s.EstimateMs)
-	}
-	return defaultTaskMs
-}
-
-// objectiveOf is how long a job may take from its submission on.
-func (c *Core) objectiveOf(j *job) time.Duration {
-	chain := c.chainMs(j) * j.rec.Terms.Stretch
-	return time.Duration(chain*float64(time.Millisecond)) + j.rec.Terms.Slack
-}
-
 // Admission. Load: a queue asks five times its mean for seconds on end, more
 // than its pool holds. Accepting all of it makes every job late, and a late
 // job earns a fifteenth of one in time; so what could not end within its
@@ -332,7 +259,7 @@
 	}
 	for i := range j.rec.Job.Steps {
 		st := &j.rec.Job.Steps[i]
-		c.offered += float64(st.Count) * float64(st.CPUMilli) / 1000 * c.taskMs(j, st)
+		c.offered += float64(st.Count) * float64(st.CPUMilli) / 1000 * c.expectMs(j.rec.Queue, st)
 	}
 	return first
 }
@@ -403,7 +330,7 @@
 	var w work
 	for _, o := range j.current {
 		for _, s := range o.steps {
-			each := float64(s.spec.CPUMilli) * c.taskMs(j, s.spec)
+			each := float64(s.spec.CPUMilli) * c.taskMs(s)
 			waiting := float64(s.waiting) * each
 			if s.waitsFor > 0 {
 				w.later += waiting
@@ -423,6 +350,10 @@
 // sortOpen orders jobs by priority, then those that can still be in time, then
 // by objective.
 func (c *Core) sortOpen() {
+	if !c.unsorted {
+		return
+	}
+	c.unsorted = false
 	slices.SortStableFunc(c.open, func(a, b *job) int {
 		if a.rec.Terms.Priority != b.rec.Terms.Priority {
 			return a.rec.Terms.Priority - b.rec.Terms.Priority
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -33,6 +33,8 @@
 	// runs is what has run of each task, by name.
 	runs   map[string]*history
 	limits executor.Limits
+	// lengthOf, if set, is how long a task takes on any host.
+	lengthOf func(jobs.TaskName) time.Duration
 	// slowJournal takes batches side by side and answers them late.
 	slowJournal bool
 	// inOrder lets owners of random days hand over as they end.
@@ -426,7 +428,11 @@
 	}
 	past.running++
 	n, _ := jobs.ParseTaskName(order.Task)
-	r := &run{task: order.Task, number: order.Run, began: w.now, ends: w.now + h.took, needs: executor.Room{CPUMilli: 1000, MemoryMB: 10}}
+	took := h.took
+	if w.lengthOf != nil {
+		took = w.lengthOf(n)
+	}
+	r := &run{task: order.Task, number: order.Run, began: w.now, ends: w.now + took, needs: executor.Room{CPUMilli: 1000, MemoryMB: 10}}
 	if h.failsAll || n.Step == poisonStep {
 		r.outcome = executor.EndedFailed
 	}
