Demand of before an outage fades by the time that passed

The demand on record was taken for fresh: a pool whose turn was over kept 30 instances with nothing to run (need 3,323 cores, ready 0), while the next queue's callers waited before four endpoints, and gave them up one by one over 1.7 s.

--- a/internal/fleetops/demand.go
+++ b/internal/fleetops/demand.go
@@ -67,10 +67,20 @@
 	return out
 }
 
-func (s *State) restoreDemand(records map[string]demandRecord) {
+// longestFade bounds how old a predecessor's word on the demand is taken to be: the
+// time of day may have jumped meanwhile.
+const longestFade = 10 * time.Second
+
+// restoreDemand takes in a predecessor's word of the given age. Demand fades meanwhile
+// as it does without callers. Load: all processes lose power in a turn of demand and
+// are back two seconds later. As fresh, the demand of a turn that is over held thirty
+// idle instances for another two seconds, while the next queue's callers waited before
+// four endpoints.
+func (s *State) restoreDemand(records map[string]demandRecord, age time.Duration) {
+	fade := math.Exp(-float64(min(max(0, age), longestFade)) / float64(fallWindow))
 	for pool, r := range records {
 		if r.Rate >= 0 && r.Slow >= 0 {
-			s.demand[pool] = &demand{rate: r.Rate, slow: r.Slow}
+			s.demand[pool] = &demand{rate: fade * r.Rate, slow: fade * r.Slow}
 		}
 	}
 }
--- a/internal/fleetops/records.go
+++ b/internal/fleetops/records.go
@@ -24,8 +24,10 @@
 	Epoch     int64 `cbor:"1,keyasint"`
 	ClaimedMs int64 `cbor:"2,keyasint"`
 	NowMs     int64 `cbor:"3,keyasint"`
-	// Demand is what the holder knew of each pool's.
+	// Demand is what the holder knew of each pool's, and WallMs when by the time of
+	// day, in ms since 1970.
 	Demand map[string]demandRecord `cbor:"4,keyasint,omitempty"`
+	WallMs int64                   `cbor:"5,keyasint,omitempty"`
 }
 
 // demandRecord is a pool's demand, in milli-cores.
@@ -65,8 +67,9 @@
 	return executor.Record{Key: keyRelease, Value: executor.Encode(r)}
 }
 
-// Restore takes in the records of the duty's journal.
-func (s *State) Restore(records []executor.Record, now time.Duration) error {
+// Restore takes in the records of the duty's journal; wallMs is the time of day, in ms
+// since 1970.
+func (s *State) Restore(records []executor.Record, now time.Duration, wallMs int64) error {
 	var released *release
 	var last *tick
 	var restored []*Operation
@@ -104,7 +107,7 @@
 		s.restoreOperation(op, last, now)
 	}
 	if last != nil {
-		s.restoreDemand(last.Demand)
+		s.restoreDemand(last.Demand, time.Duration(wallMs-last.WallMs)*time.Millisecond)
 	}
 	if released != nil {
 		s.shortenQuiet(released, now)
@@ -174,8 +177,9 @@
 	return leaving, ended
 }
 
-// TakeRecords returns the records that have changed.
-func (s *State) TakeRecords(now time.Duration) []executor.Record {
+// TakeRecords returns the records that have changed; wallMs is the time of day, in ms
+// since 1970.
+func (s *State) TakeRecords(now time.Duration, wallMs int64) []executor.Record {
 	var out []executor.Record
 	for name := range s.dirtyOps {
 		r := executor.Record{Key: keyOperation + name}
@@ -198,8 +202,7 @@
 		out = append(out, executor.Record{Key: keyRelease})
 	}
 	if len(out) > 0 {
-		at := tick{Epoch: s.limits.Epoch, ClaimedMs: s.claimedAt.Milliseconds(), NowMs: now.Milliseconds(), Demand: s.demandRecords()}
-		out = append(out, executor.Record{Key: keyTick, Value: executor.Encode(at)})
+		out = append(out, s.TickRecord(now, wallMs))
 	}
 	clear(s.dirtyOps)
 	clear(s.dirtyWaves)
@@ -207,6 +210,14 @@
 	return out
 }
 
+// TickRecord returns the record of this holder's clocks and of what it knows of the
+// demand, which goes with each batch and each proof of the epoch: a successor takes the
+// demand for as old as this record.
+func (s *State) TickRecord(now time.Duration, wallMs int64) executor.Record {
+	return executor.Record{Key: keyTick, Value: executor.Encode(tick{Epoch: s.limits.Epoch,
+		ClaimedMs: s.claimedAt.Milliseconds(), NowMs: now.Milliseconds(), Demand: s.demandRecords(), WallMs: wallMs})}
+}
+
 // Saved takes in that all records taken so far are durable.
 func (s *State) Saved(now time.Duration) {
 	for _, op := range s.ops {
--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -159,7 +159,7 @@
 			limits := r.opts.Limits
 			limits.Epoch = held.Epoch
 			r.state = NewState(limits)
-			err = r.state.Restore(RecordsOf(records), planlease.Boottime())
+			err = r.state.Restore(RecordsOf(records), planlease.Boottime(), time.Now().UnixMilli())
 		}
 		if err == nil {
 			return true
@@ -242,13 +242,17 @@
 
 // save makes what has changed durable, or proves the epoch now and then.
 func (r *Runner) save(ctx context.Context) error {
-	changed := r.state.TakeRecords(planlease.Boottime())
+	now, wallMs := planlease.Boottime(), time.Now().UnixMilli()
+	changed := r.state.TakeRecords(now, wallMs)
 	if len(changed) == 0 && r.tenure.ProofAge() < proofEvery {
 		return nil
 	}
 	if len(changed) == 0 && r.state.Idle() && r.tenure.ProofAge() < listIdle {
 		return nil
 	}
+	if len(changed) == 0 {
+		changed = append(changed, r.state.TickRecord(now, wallMs))
+	}
 	return r.tenure.Append(ctx, StoreRecords(changed))
 }
 
