--- a/internal/shards/runner_test.go
+++ b/internal/shards/runner_test.go
@@ -109,11 +109,17 @@
 
 // startRunner lets a runner own a pool with one endpoint, until ctx ends.
 func startRunner(ctx context.Context, g *WithT, journal *memoryJournal, endpoints Endpoints, limits executor.Limits) (r *Runner, ended chan struct{}) {
+	return startOn(ctx, g, journal, endpoints, limits,
+		executor.EndpointInfo{ID: "i-1", Addr: "i-1", Capacity: executor.Room{CPUMilli: 4000, MemoryMB: 4000}})
+}
+
+// startOn lets a runner own a pool with the endpoints that are listed.
+func startOn(ctx context.Context, g *WithT, journal tenure.Journal, endpoints Endpoints, limits executor.Limits, listed ...executor.EndpointInfo) (r *Runner, ended chan struct{}) {
 	m := NewManager(Options{Node: "n-1", Member: "n-1", Store: tenure.Store{Journal: journal, Attempts: attempts.NewPolicy()}, Endpoints: endpoints, Limits: limits,
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), OnPeers: func(map[string]string) {}})
 	r = newRunner(m, "pool")
 	g.Expect(r.claim(ctx, Duty{m, "pool"})).To(Succeed())
-	r.core.ObserveEndpoints(r.now(), []executor.EndpointInfo{{ID: "i-1", Addr: "i-1", Capacity: executor.Room{CPUMilli: 4000, MemoryMB: 4000}}})
+	r.core.ObserveEndpoints(r.now(), listed)
 	ended = make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -197,16 +203,7 @@
 	journal := &heldJournal{held: make(chan chan struct{}, 16)}
 	limits := executor.Limits{Lease: 3 * time.Second, ProofAge: 20 * time.Second, KeepEnded: time.Minute, StopTimeout: time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
-	policy := attempts.NewPolicy()
-	m := NewManager(Options{Node: "n-1", Member: "n-1", Store: tenure.Store{Journal: journal, Attempts: policy},
-		Endpoints: &obedientEndpoint{started: map[string]int{}}, Limits: limits, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), OnPeers: func(map[string]string) {}})
-	r := newRunner(m, "pool")
-	g.Expect(r.claim(ctx, Duty{m, "pool"})).To(Succeed())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		r.run(ctx)
-	}()
+	r, ended := startOn(ctx, g, journal, &obedientEndpoint{started: map[string]int{}}, limits)
 	answers := make(chan string, 2)
 	handIn := func(id string) chan struct{} {
 		go func() {
@@ -219,7 +216,7 @@
 		return through
 	}
 	for range 8 { // as the store has answered lately
-		policy.Answered(0, 300*time.Millisecond, true)
+		r.store.Attempts.Answered(0, 300*time.Millisecond, true)
 	}
 	first := handIn("00000000000000b1")
 	second := handIn("00000000000000b2")
