A claim that is found is told to the others

Its finder leaves the pool, by the spread of duties, to a third node; that one has heard of an earlier holder only and leaves it to the finder, for as long as no member comes or goes.

Test red before.

--- a/internal/shards/duel_test.go
+++ b/internal/shards/duel_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"cyclamenwheel/internal/attempts"
@@ -68,6 +69,31 @@
 	g.Expect(settledAt).To(BeNumerically("<=", 3))
 }
 
+// Two pools have no owner for eight seconds while every node lives. One node gave its
+// claim up half-way; the holder finds the record and, as that node has enough duties,
+// leaves the pool to a third, which has heard of neither and leaves it to the holder.
+// Whoever finds a claim tells the others of it.
+func TestAClaimThatIsFoundIsToldToTheOthers(t *testing.T) {
+	g := NewWithT(t)
+	stand, err := wire.New(map[string]int{"tabs": 1}, 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer stand.Close()
+	client := platform.NewClient(stand.Addr(), stand.Addr(), "")
+	store := tenure.Store{Journal: client, Attempts: attempts.NewPolicy()}
+	finder, silent := rival("n-1", store), rival("n-2", store)
+	finder.keepRows(map[int]string{0: finder.opts.Member, 1: silent.opts.Member})
+	_, _, err = tenure.Claim(context.Background(), store, TopicOf("tabs"), silent.opts.Member, Duty{silent, "tabs"}, silent.opts.Logger)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, _, err = tenure.Claim(context.Background(), store, TopicOf("tabs"), finder.opts.Member, Duty{finder, "tabs"}, finder.opts.Logger)
+	var held *tenure.HeldError
+	g.Expect(errors.As(err, &held)).To(BeTrue(), "%v", err)
+	g.Eventually(func() map[string]holder {
+		page, err := client.Newest(context.Background(), topicHolders)
+		g.Expect(err).NotTo(HaveOccurred())
+		return holdersOf(page.Records)
+	}, 10*time.Second).Should(HaveKeyWithValue("tabs", holder{Member: silent.opts.Member, Epoch: 1}))
+}
+
 func epochOfTopic(g *WithT, client *platform.Client) int64 {
 	page, err := client.Newest(context.Background(), TopicOf("tabs"))
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/shards/holders.go
+++ b/internal/shards/holders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -39,8 +40,16 @@
 
 // Learn implements tenure.Rivals: the duties are spread anew with the claim that
 // this process did not know of.
+//
+// A claim that was given up half-way is published by nobody. Whoever finds its record
+// tells the others: a node that does not try to claim the duty would go on taking an
+// earlier holder for its owner, and that one leaves it to the node.
 func (d Duty) Learn(owner string, epoch int64) bool {
-	d.m.mergeHolders(map[string]holder{d.name: {Member: owner, Epoch: epoch}})
+	claim := holder{Member: owner, Epoch: epoch}
+	d.m.mergeHolders(map[string]holder{d.name: claim})
+	if owner != d.m.opts.Member {
+		go d.m.publishClaim(context.Background(), d.name, claim)
+	}
 	d.m.spreadAgain()
 	d.m.wake()
 	next, ok := d.m.OwnerOf(d.name)
@@ -59,8 +68,14 @@
 	go d.m.publishClaim(ctx, d.name, claim)
 }
 
-// publishClaim records that this process has claimed a duty.
+// publishLimit bounds the writing of a claim: one that was not published is learnt of
+// from its duty's own topic.
+const publishLimit = 2 * time.Second
+
+// publishClaim records who has claimed a duty last, as far as this process knows.
 func (m *Manager) publishClaim(ctx context.Context, duty string, claim holder) {
+	ctx, cancel := context.WithTimeout(ctx, publishLimit)
+	defer cancel()
 	value, err := cbor.Marshal(claim)
 	if err == nil {
 		err = m.opts.Store.Put(ctx, topicHolders, platform.Writer{}, []platform.Record{{Key: keyDuty + duty, Value: value}})
--- a/internal/standin/wire/platform.go
+++ b/internal/standin/wire/platform.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -29,6 +30,8 @@
 type Faults struct {
 	// LostAnswers of appends, LostOrders of orders: carried out, not answered.
 	LostAnswers, LostOrders float64
+	// StoreDelay is how long the store holds each answer back.
+	StoreDelay time.Duration
 }
 
 type instance struct {
@@ -78,7 +81,7 @@
 	mux.HandleFunc("GET /cyclamenwheel/machines", p.handleMachines)
 	mux.HandleFunc("POST /cyclamenwheel/machine-move", p.handleChange(false))
 	mux.HandleFunc("POST /cyclamenwheel/machine-upkeep", p.handleChange(true))
-	p.server = &http.Server{Handler: mux}
+	p.server = &http.Server{Handler: p.delayed(mux)}
 	go func() { _ = p.server.Serve(listener) }() // ends with Close
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -97,6 +100,20 @@
 	return p, nil
 }
 
+// delayed holds the store's answers back while it is slow. What was asked for is done
+// meanwhile.
+func (p *Platform) delayed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/cyclamenwheel/log-") {
+			p.mu.Lock()
+			delay := p.faults.StoreDelay
+			p.mu.Unlock()
+			defer time.Sleep(delay)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Addr is where the store and the instance list answer.
 func (p *Platform) Addr() string { return p.listener.Addr().String() }
 
