--- a/internal/shards/duel_test.go
+++ b/internal/shards/duel_test.go
@@ -29,17 +29,22 @@
 	return m
 }
 
+// storeOf returns a stand-in's store for as long as the test runs.
+func storeOf(t *testing.T, g *WithT) (*platform.Client, tenure.Store) {
+	stand, err := wire.New(map[string]int{"tabs": 1}, 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(stand.Close)
+	client := platform.NewClient(stand.Addr(), stand.Addr(), "")
+	return client, tenure.Store{Journal: client, Attempts: attempts.NewPolicy()}
+}
+
 // A pool's callers are sent away again and again, for as long as both nodes live.
 // Two nodes start together and read the group while only one of them is in it: each
 // finds that the pool is its own, claims it, is fenced by the other's claim, and
 // claims it again, as nothing tells it that the other has it.
 func TestTwoNodesThatClaimOnePoolSettle(t *testing.T) {
 	g := NewWithT(t)
-	stand, err := wire.New(map[string]int{"tabs": 1}, 1)
-	g.Expect(err).NotTo(HaveOccurred())
-	defer stand.Close()
-	client := platform.NewClient(stand.Addr(), stand.Addr(), "")
-	store := tenure.Store{Journal: client, Attempts: attempts.NewPolicy()}
+	client, store := storeOf(t, g)
 	ctx, cancel := context.WithCancel(context.Background())
 	a, b := rival("n-1", store), rival("n-2", store)
 	defer func() {
@@ -75,14 +80,10 @@
 // Whoever finds a claim tells the others of it.
 func TestAClaimThatIsFoundIsToldToTheOthers(t *testing.T) {
 	g := NewWithT(t)
-	stand, err := wire.New(map[string]int{"tabs": 1}, 1)
-	g.Expect(err).NotTo(HaveOccurred())
-	defer stand.Close()
-	client := platform.NewClient(stand.Addr(), stand.Addr(), "")
-	store := tenure.Store{Journal: client, Attempts: attempts.NewPolicy()}
+	client, store := storeOf(t, g)
 	finder, silent := rival("n-1", store), rival("n-2", store)
 	finder.keepRows(map[int]string{0: finder.opts.Member, 1: silent.opts.Member})
-	_, _, err = tenure.Claim(context.Background(), store, TopicOf("tabs"), silent.opts.Member, Duty{silent, "tabs"}, silent.opts.Logger)
+	_, _, err := tenure.Claim(context.Background(), store, TopicOf("tabs"), silent.opts.Member, Duty{silent, "tabs"}, silent.opts.Logger)
 	g.Expect(err).NotTo(HaveOccurred())
 	_, _, err = tenure.Claim(context.Background(), store, TopicOf("tabs"), finder.opts.Member, Duty{finder, "tabs"}, finder.opts.Logger)
 	var held *tenure.HeldError
