--- a/internal/ctl/checksettings.go
+++ b/internal/ctl/checksettings.go
@@ -15,7 +15,7 @@
 	return &Command{
 		Name:    "check-settings",
 		Summary: "Check settings files of a daemon.",
-		Args:    "entry|control FILE...",
+		Args:    "entry|control|node FILE...",
 		Flags: func(sub *flaggy.Subcommand) {
 			sub.Bool(&asJSON, "", "json", "Print the result as JSON.")
 		},
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -83,6 +83,17 @@
 		}
 	})
 
+	It("serves nodes as well", func() {
+		code, out, _ := run("", "settings", "node")
+		Expect(code).To(Equal(ctl.ExitOK))
+		Expect(out).To(ContainSubstring("keep_ended"))
+		bad := filepath.Join(GinkgoT().TempDir(), "node.ini")
+		Expect(os.WriteFile(bad, []byte("[process]\nnode = n-1\n[bounds]\ngrace = soon\n"), 0o600)).To(Succeed())
+		code, out, _ = run("", "check-settings", "node", bad)
+		Expect(code).To(Equal(ctl.ExitInvalidInput))
+		Expect(out).To(And(ContainSubstring("grace"), ContainSubstring("zone")))
+	})
+
 	It("names the faults of the wrong daemon's file", func() {
 		code, out, _ := run("", "check-settings", "control", examples+"/portlouis/entry.ini")
 		Expect(code).To(Equal(ctl.ExitInvalidInput))
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -17,11 +17,13 @@
 func explainCommand() *Command {
 	var conn connection
 	var asJSON bool
+	var nodes string
 	return &Command{
 		Name: "explain", Summary: "Tell why something is as it is, what it waits for, and what would unblock it.",
 		Args: "instance|pool|job|manifest [NAME]",
 		Flags: func(sub *flaggy.Subcommand) {
 			conn.flags(sub)
+			nodesFlag(sub, &nodes)
 			sub.Bool(&asJSON, "", "json", "Print as JSON.")
 		},
 		Run: func(ctx context.Context, streams Streams, args []string) error {
@@ -32,15 +34,11 @@
 			if err != nil {
 				return err
 			}
-			st, err := conn.fold(ctx, hc)
-			if err != nil {
-				return err
-			}
 			name := ""
 			if len(args) == 2 {
 				name = args[1]
 			}
-			e, err := explain.Of(st, plannerView(ctx, hc, st), explain.Kind(args[0]), name)
+			e, err := explanation(ctx, hc, &conn, nodes, explain.Kind(args[0]), name)
 			if err != nil {
 				return err
 			}
@@ -52,6 +50,18 @@
 	}
 }
 
+// explanation asks the nodes if they are named, and the log and the planner otherwise.
+func explanation(ctx context.Context, hc *http.Client, conn *connection, nodes string, kind explain.Kind, name string) (explain.Explanation, error) {
+	if nodes != "" {
+		return explain.OfNodes(askNodes(ctx, hc, nodes), kind, name)
+	}
+	st, err := conn.fold(ctx, hc)
+	if err != nil {
+		return explain.Explanation{}, err
+	}
+	return explain.Of(st, plannerView(ctx, hc, st), kind, name)
+}
+
 // fold returns the folded state: from the log, or from the named process.
 func (c *connection) fold(ctx context.Context, hc *http.Client) (*fleetlog.State, error) {
 	if c.process != "" {
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -47,10 +47,12 @@
 func statusCommand() *Command {
 	var conn connection
 	var asJSON bool
+	var nodes string
 	return &Command{
 		Name: "status", Summary: "Show every process: generation in force, offset, readiness.",
 		Flags: func(sub *flaggy.Subcommand) {
 			conn.flags(sub)
+			nodesFlag(sub, &nodes)
 			sub.Bool(&asJSON, "", "json", "Print as JSON.")
 		},
 		Run: func(ctx context.Context, streams Streams, _ []string) error {
@@ -58,6 +60,9 @@
 			if err != nil {
 				return err
 			}
+			if nodes != "" {
+				return showNodes(ctx, streams.Out, hc, nodes, asJSON)
+			}
 			members, err := conn.members(ctx, hc)
 			if err != nil {
 				return err
--- a/internal/executor/dump.go
+++ b/internal/executor/dump.go
@@ -36,6 +36,8 @@
 	Running     int      `json:"running"`
 	ObjectiveMs int64    `json:"objective_in_ms"`
 	Waiting     []string `json:"waiting,omitempty"`
+	// Unblock is what would let the waiting tasks go on.
+	Unblock []string `json:"unblock,omitempty"`
 }
 
 // dumpJobs bounds a dump.
@@ -61,8 +63,17 @@
 	state, _ := c.State(j.rec.Job.ID) // an unknown one is still being accepted
 	d := JobDump{ID: j.rec.Job.ID, Queue: j.rec.Queue, State: state.String(), Running: j.placed,
 		ObjectiveMs: (j.objective - now).Milliseconds()}
+	met := map[string]bool{}
 	for _, t := range j.waitingTasks() {
 		d.Waiting = append(d.Waiting, t.name()+": endpoints "+c.WhyWaiting(now, t))
+		for _, e := range c.endpoints {
+			met[c.obstacle(now, t, e)] = true
+		}
+	}
+	for _, o := range obstacles {
+		if met[o] && unblocks[o] != "" {
+			d.Unblock = append(d.Unblock, unblocks[o])
+		}
 	}
 	return d
 }
--- a/internal/executor/explain.go
+++ b/internal/executor/explain.go
@@ -90,6 +90,22 @@
 var obstacles = []string{obstacleNone, obstacleRoom, obstacleLabel, obstacleSpread, obstacleSharing, obstacleTicket, obstacleUnlisted,
 	obstacleDraining, obstacleVacating, obstacleUnknown, obstacleSilent, obstacleStrangers, obstacleQuiet, obstacleKept, obstacleSlow}
 
+// unblocks is what ends an obstacle, where something does.
+var unblocks = map[string]string{
+	obstacleRoom:      "a task that ends on a full endpoint, or an instance that comes to the pool",
+	obstacleSpread:    "one more endpoint, for a step whose tasks must be apart",
+	obstacleSharing:   "an endpoint without tasks that serve or fill, whichever the other is",
+	obstacleTicket:    "an answer of the advice service",
+	obstacleUnlisted:  "an entry in service discovery that can be read",
+	obstacleVacating:  "the end of the operation on the endpoint's instance",
+	obstacleUnknown:   "the endpoint's first answer to this owner",
+	obstacleSilent:    "the endpoint's answer, or the end of its lease",
+	obstacleStrangers: "the end of runs that this owner does not know",
+	obstacleQuiet:     "the end of the quarantine",
+	obstacleKept:      "the lasting task that the endpoint is kept for",
+	obstacleSlow:      "progress of the one task that tries the slow endpoint",
+}
+
 // obstacle returns what keeps a task from an endpoint.
 func (c *Core) obstacle(now time.Duration, t *task, e *endpoint) string {
 	if closed := e.closedBy(now); closed != obstacleNone {
--- /dev/null
+++ b/internal/explain/nodes.go
@@ -0,0 +1,136 @@
+package explain
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/shards"
+)
+
+// NodeDump is what a node on the users' platform says of itself.
+type NodeDump struct {
+	// Node is where the node was asked, and Err why it has not answered.
+	Node   string              `json:"node"`
+	Err    string              `json:"error,omitempty"`
+	Duties shards.Status       `json:"duties"`
+	Pools  []executor.PoolDump `json:"pools"`
+}
+
+// NotFoundError says that no node that answered knows of something.
+type NotFoundError struct {
+	Kind Kind
+	Name string
+	// Silent are the nodes that have not answered.
+	Silent []string
+}
+
+func (e *NotFoundError) Error() string {
+	text := fmt.Sprintf("no node that answered has %s %q", e.Kind, e.Name)
+	if e.Kind == KindJob {
+		text += " open: it has ended, was never accepted, or its pool has no owner"
+	}
+	if len(e.Silent) > 0 {
+		text += "; not answered: " + strings.Join(e.Silent, ", ")
+	}
+	return text
+}
+
+// OfNodes explains a job or a pool by what nodes have said.
+func OfNodes(dumps []NodeDump, kind Kind, name string) (Explanation, error) {
+	missing := &NotFoundError{Kind: kind, Name: name}
+	for _, d := range dumps {
+		if d.Err != "" {
+			missing.Silent = append(missing.Silent, d.Node)
+		}
+	}
+	switch kind {
+	case KindJob:
+		for _, d := range dumps {
+			for _, p := range d.Pools {
+				if i := slices.IndexFunc(p.Jobs, func(j executor.JobDump) bool { return j.ID == name }); i >= 0 {
+					return ofOpenJob(d, p, p.Jobs[i]), nil
+				}
+			}
+		}
+	case KindPool:
+		if e, found := ofOwnedPool(dumps, name); found {
+			return e, nil
+		}
+	default:
+		return Explanation{}, &UnknownKindError{kind}
+	}
+	return Explanation{}, missing
+}
+
+func ofOpenJob(d NodeDump, p executor.PoolDump, j executor.JobDump) Explanation {
+	e := Explanation{Kind: KindJob, Name: j.ID, Is: []string{
+		fmt.Sprintf("%s in pool %s, queue %s; owner %s, epoch %d", j.State, p.Summary.Pool, j.Queue, d.Node, p.Epoch),
+		fmt.Sprintf("%d tasks placed, %d waiting", j.Running, len(j.Waiting)),
+		objective(j.ObjectiveMs),
+	}}
+	e.WaitsFor, e.Unblock = j.Waiting, j.Unblock
+	return e
+}
+
+func objective(ms int64) string {
+	if ms < 0 {
+		return fmt.Sprintf("late by %d ms: it comes after jobs that can still be in time", -ms)
+	}
+	return fmt.Sprintf("in time if it ends within %d ms", ms)
+}
+
+// ofOwnedPool explains a pool by its owner's word, or by whom the nodes take for it.
+func ofOwnedPool(dumps []NodeDump, name string) (Explanation, bool) {
+	e := Explanation{Kind: KindPool, Name: name}
+	for _, d := range dumps {
+		for _, p := range d.Pools {
+			if p.Summary.Pool == name {
+				e.Is = append(e.Is, fmt.Sprintf("owner %s, epoch %d", d.Node, p.Epoch), loadOf(p.Summary))
+				e.WaitsFor = append(e.WaitsFor, closedEndpoints(p.Endpoints)...)
+			}
+		}
+	}
+	if len(e.Is) > 0 {
+		return e, true
+	}
+	for _, d := range dumps {
+		for _, duty := range d.Duties.Duties {
+			if duty.Duty == name {
+				e.Why = append(e.Why, fmt.Sprintf("%s takes %s for its owner", d.Node, duty.Owner))
+			}
+		}
+	}
+	if len(e.Why) == 0 {
+		return e, false
+	}
+	e.Is = []string{"no node that answered owns it"}
+	e.Unblock = []string{"a claim: see the claimants' lines \"claim failed\", and whether they reach the store"}
+	return e, true
+}
+
+func loadOf(s executor.Summary) string {
+	return fmt.Sprintf("%d endpoints with %.1f of %.1f cores in use, %.1f by lasting tasks; %d jobs open, %d tasks waiting",
+		s.Endpoints, cores(s.RunningCPUMilli), cores(s.CapacityMilli), cores(s.LastingCPUMilli), s.Jobs, s.WaitingTasks)
+}
+
+func cores(milli int) float64 { return float64(milli) / 1000 }
+
+// closedEndpoints says which endpoints take no tasks, and why.
+func closedEndpoints(endpoints []executor.EndpointDump) []string {
+	var out []string
+	for _, e := range endpoints {
+		switch {
+		case e.Vacating:
+			out = append(out, fmt.Sprintf("endpoint %s is cleared for an operation, %d tasks left", e.ID, e.Tasks))
+		case e.Draining:
+			out = append(out, fmt.Sprintf("endpoint %s drains, %d tasks left", e.ID, e.Tasks))
+		case e.Silent > 0:
+			out = append(out, fmt.Sprintf("endpoint %s has left %d calls unanswered; its lease ends in %d ms", e.ID, e.Silent, e.LeaseEndsMs))
+		case e.QuarantineMs > 0:
+			out = append(out, fmt.Sprintf("endpoint %s is quarantined for %d ms more", e.ID, e.QuarantineMs))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/explain/nodes_test.go
@@ -0,0 +1,48 @@
+package explain_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/explain"
+	"cyclamenwheel/internal/shards"
+)
+
+var _ = Describe("what nodes say", func() {
+	waits := executor.JobDump{ID: "00000000000000a1", Queue: "q", State: "queued", ObjectiveMs: -300,
+		Waiting: []string{"00000000000000a1.0.0.0: endpoints 4 full"}, Unblock: []string{"a task that ends"}}
+	owner := explain.NodeDump{Node: "127.0.0.1:1", Pools: []executor.PoolDump{{Epoch: 3, Summary: executor.Summary{Pool: "tabs", Endpoints: 4, CapacityMilli: 64000, Jobs: 1},
+		Jobs: []executor.JobDump{waits}, Endpoints: []executor.EndpointDump{{ID: "i-1", Silent: 2, LeaseEndsMs: 900}, {ID: "i-2"}}}}}
+	other := explain.NodeDump{Node: "127.0.0.1:2", Duties: shards.Status{Duties: []shards.DutyStatus{{Duty: "rooms", Owner: "n-9"}}}}
+	silent := explain.NodeDump{Node: "127.0.0.1:3", Err: "no answer"}
+
+	It("explains an open job by its owner's word", func() {
+		e, err := explain.OfNodes([]explain.NodeDump{other, owner}, explain.KindJob, waits.ID)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(e.Is).To(ContainElements(ContainSubstring("queued in pool tabs"), ContainSubstring("late by 300 ms")))
+		Expect(e.WaitsFor).To(Equal(waits.Waiting))
+		Expect(e.Unblock).To(Equal(waits.Unblock))
+	})
+
+	It("explains a pool by its owner's word, and its endpoints that take nothing", func() {
+		e, err := explain.OfNodes([]explain.NodeDump{owner}, explain.KindPool, "tabs")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(e.Is).To(ContainElement(ContainSubstring("owner 127.0.0.1:1, epoch 3")))
+		Expect(e.WaitsFor).To(ConsistOf(ContainSubstring("i-1 has left 2 calls unanswered")))
+	})
+
+	It("says whom nodes take for the owner of a pool that nobody owns", func() {
+		e, err := explain.OfNodes([]explain.NodeDump{owner, other}, explain.KindPool, "rooms")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(e.Is).To(ConsistOf("no node that answered owns it"))
+		Expect(e.Why).To(ConsistOf(ContainSubstring("takes n-9 for its owner")))
+	})
+
+	It("names the nodes that have not answered where nothing is known", func() {
+		_, err := explain.OfNodes([]explain.NodeDump{owner, silent}, explain.KindJob, "00000000000000ff")
+		Expect(err).To(MatchError(And(ContainSubstring("never accepted"), ContainSubstring("not answered: 127.0.0.1:3"))))
+		_, err = explain.OfNodes([]explain.NodeDump{owner}, explain.KindManifest, "")
+		Expect(err).To(MatchError(ContainSubstring("can't explain")))
+	})
+})
--- a/internal/shards/status.go
+++ b/internal/shards/status.go
@@ -1,7 +1,9 @@
 package shards
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"cyclamenwheel/internal/executor"
@@ -46,6 +48,7 @@
 		}
 		s.Duties = append(s.Duties, d)
 	}
+	slices.SortFunc(s.Duties, func(a, b DutyStatus) int { return cmp.Compare(a.Duty, b.Duty) })
 	return s
 }
 
--- a/internal/standin/trial/cluster.go
+++ b/internal/standin/trial/cluster.go
@@ -30,9 +30,11 @@
 // Node is one process.
 type Node struct {
 	Name, Front, ready string
-	settings, log      string
-	cmd                *exec.Cmd
-	done               chan struct{}
+	// Operator is where it answers operators.
+	Operator      string
+	settings, log string
+	cmd           *exec.Cmd
+	done          chan struct{}
 }
 
 // StartError says that a process could not be started.
@@ -72,20 +74,21 @@
 
 // Ports on a node's own loopback address.
 const (
-	portCallers = 8100
-	portReady   = 8101
-	portPeer    = 8200
-	portMetrics = 8300
+	portCallers   = 8100
+	portReady     = 8101
+	portPeer      = 8200
+	portMetrics   = 8300
+	portOperators = 8301
 )
 
 // prepare writes the settings of the i-th node.
 func (c *Cluster) prepare(i int) (*Node, error) {
 	name := fmt.Sprintf("node-%d", i+1)
 	on := func(port int) string { return fmt.Sprintf("%s:%d", c.net.IP(i+2), port) }
-	n := &Node{Name: name, Front: on(portCallers), ready: on(portReady),
+	n := &Node{Name: name, Front: on(portCallers), ready: on(portReady), Operator: on(portOperators),
 		settings: filepath.Join(c.dir, name+".ini"), log: filepath.Join(c.dir, name+".log")}
-	text := fmt.Sprintf("[process]\nnode = %s\nzone = z\n[callers]\nlisten = %s\nready = %s\n[peer]\nlisten = %s\n[store]\naddress = %s\ninstances = %s\n[operator]\nmetrics = %s\n[bounds]\nmove = 300ms\nlease_ttl = 500ms\n",
-		name, n.Front, n.ready, on(portPeer), c.Platform.Addr(), c.Platform.Addr(), on(portMetrics))
+	text := fmt.Sprintf("[process]\nnode = %s\nzone = z\n[callers]\nlisten = %s\nready = %s\n[peer]\nlisten = %s\n[store]\naddress = %s\ninstances = %s\n[operator]\nlisten = %s\nmetrics = %s\n[bounds]\nmove = 300ms\nlease_ttl = 500ms\n",
+		name, n.Front, n.ready, on(portPeer), c.Platform.Addr(), c.Platform.Addr(), n.Operator, on(portMetrics))
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		return nil, &StartError{What: name, Cause: err}
 	}
--- a/test/platform/suite_test.go
+++ b/test/platform/suite_test.go
@@ -3,10 +3,13 @@
 package platform_test
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -14,6 +17,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"cyclamenwheel/internal/ctl"
 	"cyclamenwheel/internal/standin/trial"
 	"cyclamenwheel/internal/standin/wire"
 )
@@ -214,6 +218,36 @@
 		Expect(status).To(Equal(http.StatusOK), "the last good configuration holds")
 	})
 
+	// A user asks why a job takes so long. Its tasks find no endpoint, as each takes
+	// more than one has; any operator can tell from the nodes who owns the job's pool,
+	// what the job waits for, and that a job that nobody has is not open.
+	It("tell operators what a job waits for", func() {
+		c, caller := start(3, 10)
+		status, _ := caller.Do(http.MethodPost, "/tabs/0000000000000abc", `{"spec":"100","steps":[{"count":2,"cpu":900000,"memMb":64,"estMs":100}]}`)
+		Expect(status).To(Equal(http.StatusOK))
+		var nodes []string
+		for _, n := range c.Nodes() {
+			nodes = append(nodes, n.Operator)
+		}
+		ask := func(args ...string) (int, string) {
+			var out bytes.Buffer
+			code := ctl.Main(context.Background(), append(args, "--nodes", strings.Join(nodes, ",")), ctl.Streams{Out: &out, Err: &out})
+			GinkgoWriter.Println(strings.Join(args, " ") + "\n" + out.String())
+			return code, out.String()
+		}
+		Eventually(func() string { _, text := ask("explain", "job", "0000000000000abc"); return text }, soon).Should(And(
+			ContainSubstring("queued in pool tabs"), ContainSubstring("endpoints 4 full"), ContainSubstring("to unblock")))
+		code, text := ask("explain", "pool", "tabs")
+		Expect(code).To(Equal(ctl.ExitOK))
+		Expect(text).To(ContainSubstring("4 endpoints"))
+		code, text = ask("status")
+		Expect(code).To(Equal(ctl.ExitOK))
+		Expect(text).To(And(ContainSubstring("instances"), ContainSubstring("here, epoch")))
+		code, text = ask("explain", "job", "0000000000000fff")
+		Expect(code).To(Equal(ctl.ExitFailure))
+		Expect(text).To(ContainSubstring("never accepted"))
+	})
+
 	// A planned stop answers what is in flight, hands the pools over and ends
 	// with 0.
 	It("stop in order", func() {
