--- a/internal/explain/nodes.go
+++ b/internal/explain/nodes.go
@@ -67,7 +67,7 @@
 func ofOpenJob(d NodeDump, p executor.PoolDump, j executor.JobDump) Explanation {
 	e := Explanation{Kind: KindJob, Name: j.ID, Is: []string{
 		fmt.Sprintf("%s in pool %s, queue %s; owner %s, epoch %d", j.State, p.Summary.Pool, j.Queue, d.Node, p.Epoch),
-		fmt.Sprintf("%d tasks placed, %d waiting", j.Running, len(j.Waiting)),
+		fmt.Sprintf("%d tasks placed, tasks of %d steps waiting", j.Running, len(j.Waiting)),
 		objective(j.ObjectiveMs),
 	}}
 	e.WaitsFor, e.Unblock = j.Waiting, j.Unblock
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -113,6 +113,8 @@
 	// claimed is set once the claim has succeeded, and ready once a pool's state is
 	// restored.
 	claimed, ready bool
+	// epoch is that of the claim.
+	epoch int64
 }
 
 // NewManager returns a manager that owns nothing.
--- a/internal/shards/status.go
+++ b/internal/shards/status.go
@@ -41,10 +41,7 @@
 			d.Duty = fleetName
 		}
 		if h := m.running[name]; h != nil {
-			d.Here, d.Ready = true, h.ready
-			if h.ready && h.runner != nil {
-				d.Epoch = h.runner.epoch
-			}
+			d.Here, d.Ready, d.Epoch = true, h.ready || name == fleetDuty && h.claimed, h.epoch
 		}
 		s.Duties = append(s.Duties, d)
 	}
