--- a/internal/executor/learnt.go
+++ b/internal/executor/learnt.go
@@ -38,13 +38,13 @@
 	Estimate    float64 `cbor:"5,keyasint"`
 	VarActual   float64 `cbor:"6,keyasint"`
 	VarEstimate float64 `cbor:"7,keyasint"`
-	With        float64 `cbor:"8,keyasint"`
+	Covariance  float64 `cbor:"8,keyasint"`
 }
 
 // usable reports whether the figures can be what a predecessor has learnt.
 func (q queueRuns) usable() bool {
 	return q.Steps > 0 && q.Runs > 0 && q.Actual >= 0 && q.Actual < mostLogMs && q.Estimate >= 0 && q.Estimate < mostLogMs &&
-		q.VarActual >= 0 && q.VarActual < mostLogMs && q.VarEstimate >= 0 && math.Abs(q.With) < mostLogMs
+		q.VarActual >= 0 && q.VarActual < mostLogMs && q.VarEstimate >= 0 && math.Abs(q.Covariance) < mostLogMs
 }
 
 // mostLogMs bounds the logarithm of a length in ms: a run of a year.
@@ -60,7 +60,7 @@
 	out := learntRecord{SavedMs: c.wallMs, Queues: map[string]queueRuns{}}
 	for queue, l := range c.learned {
 		out.Queues[queue] = queueRuns{Steps: l.steps, Runs: l.runs, Actual: l.actual, Estimate: l.estimate,
-			VarActual: l.varActual, VarEstimate: l.varEstimate, With: l.with}
+			VarActual: l.varActual, VarEstimate: l.varEstimate, Covariance: l.covariance}
 	}
 	return []Record{{Key: keyLearnt, Value: Encode(out)}}
 }
@@ -79,7 +79,7 @@
 	for queue, l := range in.Queues {
 		if l.usable() {
 			c.learned[queue] = &lengths{steps: min(l.Steps, learntSteps), runs: min(l.Runs, learntRuns), actual: l.Actual, estimate: l.Estimate,
-				varActual: l.VarActual, varEstimate: l.VarEstimate, with: l.With}
+				varActual: l.VarActual, varEstimate: l.VarEstimate, covariance: l.Covariance}
 		}
 	}
 }
--- a/internal/executor/lengths.go
+++ b/internal/executor/lengths.go
@@ -40,9 +40,12 @@
 // lengths is what was learnt of the lengths of a queue's runs: means, variances and
 // the covariance of the logarithms of lengths and callers' estimates, in ms.
 type lengths struct {
-	steps, runs                  int
-	actual, estimate             float64
-	varActual, varEstimate, with float64
+	// steps and runs are how many it rests on.
+	steps, runs int
+	// actual and estimate are the means, the others spread about them.
+	actual, estimate       float64
+	varActual, varEstimate float64
+	covariance             float64
 }
 
 // add takes in a step of which runs tasks took ms each. An estimate of zero says
@@ -63,7 +66,7 @@
 	offEstimate := math.Log(float64(estimateMs)) - l.estimate
 	l.estimate += w * offEstimate
 	l.varEstimate = (1 - w) * (l.varEstimate + w*offEstimate*offEstimate)
-	l.with = (1 - w) * (l.with + w*off*offEstimate)
+	l.covariance = (1 - w) * (l.covariance + w*off*offEstimate)
 }
 
 // known reports whether enough was seen to trust it.
@@ -78,9 +81,9 @@
 		return l.meanMs()
 	}
 	prior := firstTrustWeight / float64(l.steps)
-	trust := (l.with + prior*firstTrust) / (l.varEstimate + prior)
+	trust := (l.covariance + prior*firstTrust) / (l.varEstimate + prior)
 	trust = min(1, max(0, trust))
-	left := max(0, l.varActual-trust*l.with)
+	left := max(0, l.varActual-trust*l.covariance)
 	return math.Exp(l.actual + trust*(math.Log(float64(estimateMs))-l.estimate) + left/2)
 }
 
--- a/internal/shards/holders.go
+++ b/internal/shards/holders.go
@@ -51,7 +51,7 @@
 		go d.m.publishClaim(context.Background(), d.name, claim)
 	}
 	d.m.spreadAgain()
-	d.m.wake()
+	d.m.wake() // Run may have another duty to begin or to end by that
 	next, ok := d.m.OwnerOf(d.name)
 	return ok && next.Node == d.m.opts.Node
 }
