Operators' ports are asked in the clear without a CA, also side by side

Calls side by side raced with it; later calls of one command to ports beyond loopback went over TLS without a CA. Now the client keeps what it was made with. Test with the race detector.

--- a/internal/ctl/connect.go
+++ b/internal/ctl/connect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -73,8 +72,16 @@
 	return platform.NewClient(c.platformURL, &http.Client{Transport: &http.Transport{}})
 }
 
+// operatorsClient asks operators' ports.
+type operatorsClient struct {
+	*http.Client
+	// secure reports whether ports beyond loopback are asked over TLS. The transport's
+	// own configuration can't tell: its first call sets that, CA or not.
+	secure bool
+}
+
 // httpClient returns the client for operators' ports.
-func (c *connection) httpClient() (*http.Client, error) {
+func (c *connection) httpClient() (*operatorsClient, error) {
 	t := &http.Transport{}
 	if c.ca != "" {
 		conf, err := certs.LoadTLS(c.ca, c.cert, c.key, certs.RoleEntry, certs.RoleControl)
@@ -83,11 +90,11 @@
 		}
 		t.TLSClientConfig = conf
 	}
-	return &http.Client{Transport: t, Timeout: callLimit}, nil
+	return &operatorsClient{Client: &http.Client{Transport: t, Timeout: callLimit}, secure: c.ca != ""}, nil
 }
 
 // ask gets JSON from an operators' port.
-func ask(ctx context.Context, hc *http.Client, addr, path string, into any) error {
+func ask(ctx context.Context, hc *operatorsClient, addr, path string, into any) error {
 	data, err := askBytes(ctx, hc, addr, path)
 	if err != nil {
 		return err
@@ -98,7 +105,7 @@
 	return nil
 }
 
-func askBytes(ctx context.Context, hc *http.Client, addr, path string) ([]byte, error) {
+func askBytes(ctx context.Context, hc *operatorsClient, addr, path string) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, operatorURL(hc, addr)+path, nil)
 	if err != nil {
 		return nil, &UnreachableError{Addr: addr, Cause: err}
@@ -118,15 +125,13 @@
 	return data, nil
 }
 
-func operatorURL(hc *http.Client, addr string) string {
-	scheme := "https://"
-	if ap, err := netip.ParseAddrPort(addr); err == nil && ap.Addr().IsLoopback() {
-		scheme = "http://"
-	}
-	if t, ok := hc.Transport.(*http.Transport); ok && t.TLSClientConfig == (*tls.Config)(nil) {
-		scheme = "http://"
+func operatorURL(hc *operatorsClient, addr string) string {
+	ap, err := netip.ParseAddrPort(addr)
+	loopback := err == nil && ap.Addr().IsLoopback()
+	if hc.secure && !loopback {
+		return "https://" + addr
 	}
-	return scheme + addr
+	return "http://" + addr
 }
 
 // follower folds the log for a command.
--- a/internal/ctl/dump.go
+++ b/internal/ctl/dump.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 
 	"github.com/integrii/flaggy"
 )
@@ -51,7 +50,7 @@
 }
 
 // dumpAll asks each process, by name and address, for its dump.
-func dumpAll(ctx context.Context, hc *http.Client, path string, addrs map[string]string) map[string]any {
+func dumpAll(ctx context.Context, hc *operatorsClient, path string, addrs map[string]string) map[string]any {
 	all := make(map[string]any, len(addrs))
 	for name, addr := range addrs {
 		var one json.RawMessage
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 
 	"github.com/integrii/flaggy"
 
@@ -51,7 +50,7 @@
 }
 
 // explanation asks the nodes if they are named, and the log and the planner otherwise.
-func explanation(ctx context.Context, hc *http.Client, conn *connection, nodes string, kind explain.Kind, name string) (explain.Explanation, error) {
+func explanation(ctx context.Context, hc *operatorsClient, conn *connection, nodes string, kind explain.Kind, name string) (explain.Explanation, error) {
 	if nodes != "" {
 		return explain.OfNodes(askNodes(ctx, hc, nodes), kind, name)
 	}
@@ -63,7 +62,7 @@
 }
 
 // fold returns the folded state: from the log, or from the named process.
-func (c *connection) fold(ctx context.Context, hc *http.Client) (*fleetlog.State, error) {
+func (c *connection) fold(ctx context.Context, hc *operatorsClient) (*fleetlog.State, error) {
 	if c.process != "" {
 		encoded, err := askBytes(ctx, hc, c.process, "/fold")
 		if err != nil {
@@ -80,7 +79,7 @@
 
 // plannerView asks the holder of the planner lease for its last decisions; the
 // zero View where it does not answer.
-func plannerView(ctx context.Context, hc *http.Client, st *fleetlog.State) planner.View {
+func plannerView(ctx context.Context, hc *operatorsClient, st *fleetlog.State) planner.View {
 	var dump struct {
 		Planner planner.View `json:"planner"`
 	}
--- a/internal/ctl/nodes.go
+++ b/internal/ctl/nodes.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"strings"
 	"sync"
 
@@ -19,7 +18,7 @@
 }
 
 // askNodes asks all nodes side by side. One that does not answer is told of.
-func askNodes(ctx context.Context, hc *http.Client, addrs string) []explain.NodeDump {
+func askNodes(ctx context.Context, hc *operatorsClient, addrs string) []explain.NodeDump {
 	list := strings.Split(addrs, ",")
 	dumps := make([]explain.NodeDump, len(list))
 	var wg sync.WaitGroup
@@ -46,7 +45,7 @@
 }
 
 // showNodes prints what nodes know of the duties.
-func showNodes(ctx context.Context, out io.Writer, hc *http.Client, addrs string, asJSON bool) error {
+func showNodes(ctx context.Context, out io.Writer, hc *operatorsClient, addrs string, asJSON bool) error {
 	dumps := askNodes(ctx, hc, addrs)
 	if asJSON {
 		return encode(out, dumps)
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"text/tabwriter"
 
 	"github.com/integrii/flaggy"
@@ -23,7 +22,7 @@
 
 // members returns the processes: as one of them knows them, or as the log
 // says.
-func (c *connection) members(ctx context.Context, hc *http.Client) ([]node.MemberStatus, error) {
+func (c *connection) members(ctx context.Context, hc *operatorsClient) ([]node.MemberStatus, error) {
 	if c.process != "" {
 		var st processStatus
 		if err := ask(ctx, hc, c.process, "/status", &st); err != nil {
@@ -76,7 +75,7 @@
 	}
 }
 
-func askAll(ctx context.Context, hc *http.Client, members []node.MemberStatus) []processStatus {
+func askAll(ctx context.Context, hc *operatorsClient, members []node.MemberStatus) []processStatus {
 	all := make([]processStatus, len(members))
 	for i, m := range members {
 		if err := ask(ctx, hc, m.OperatorAddr, "/status", &all[i]); err != nil {
