--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -83,7 +83,7 @@
 	Limits Limits
 	// Member is this process's name to other claimants of the duty.
 	Member string
-	Rivals tenure.Rivals
+	Claims tenure.Claims
 	// Claimed is told the epoch of a claim.
 	Claimed func(ctx context.Context, epoch int64)
 }
@@ -153,7 +153,7 @@
 
 func (r *Runner) claim(ctx context.Context) bool {
 	for ctx.Err() == nil {
-		held, records, err := tenure.Claim(ctx, r.opts.Store, Topic, r.opts.Member, r.opts.Rivals, r.opts.Logger)
+		held, records, err := tenure.Claim(ctx, r.opts.Store, Topic, r.opts.Member, r.opts.Claims, r.opts.Logger)
 		if err == nil {
 			r.tenure = held
 			limits := r.opts.Limits
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -255,7 +255,7 @@
 		Membership: n.client, Store: store, Endpoints: n.client, Logger: n.log,
 		Limits: executor.Limits{Lease: lease, ProofAge: proofAge, KeepEnded: n.set.Bounds.KeepEnded, StopTimeout: n.set.Bounds.StopTimeout},
 		Fleet: func(ctx context.Context, duty shards.Duty) {
-			fleetops.Run(ctx, fleetops.Options{Holder: n.set.Node, Member: member, Rivals: duty, Claimed: duty.Claimed,
+			fleetops.Run(ctx, fleetops.Options{Holder: n.set.Node, Member: member, Claims: duty, Claimed: duty.Claimed,
 				Store: store, Cloud: n.client, Pools: calls, Facts: n.facts, Logger: n.log,
 				Limits: fleetops.Limits{Holder: n.set.Node, MoveTime: n.set.Bounds.Move, MaintainTime: n.set.Bounds.Maintain, HolderTTL: n.set.Bounds.LeaseTTL}})
 		},
--- a/internal/shards/duel_test.go
+++ b/internal/shards/duel_test.go
@@ -18,8 +18,8 @@
 	"cyclamenwheel/platform"
 )
 
-// rival returns a manager that knows its own member only.
-func rival(node string, store tenure.Store) *Manager {
+// managerOf returns a manager that knows its own member only.
+func managerOf(node string, store tenure.Store) *Manager {
 	member := MemberName(node, "127.0.0.1:1", "boot", time.UnixMilli(1), 0.4)
 	m := NewManager(Options{Node: node, Addr: "127.0.0.1:1", Member: member, Store: store,
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), OnPeers: func(map[string]string) {},
@@ -46,7 +46,7 @@
 	g := NewWithT(t)
 	client, store := storeOf(t, g)
 	ctx, cancel := context.WithCancel(context.Background())
-	a, b := rival("n-1", store), rival("n-2", store)
+	a, b := managerOf("n-1", store), managerOf("n-2", store)
 	defer func() {
 		cancel()
 		a.wg.Wait()
@@ -81,7 +81,7 @@
 func TestAClaimThatIsFoundIsToldToTheOthers(t *testing.T) {
 	g := NewWithT(t)
 	client, store := storeOf(t, g)
-	finder, silent := rival("n-1", store), rival("n-2", store)
+	finder, silent := managerOf("n-1", store), managerOf("n-2", store)
 	finder.keepRows(map[int]string{0: finder.opts.Member, 1: silent.opts.Member})
 	_, _, err := tenure.Claim(context.Background(), store, TopicOf("tabs"), silent.opts.Member, Duty{silent, "tabs"}, silent.opts.Logger)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -128,7 +128,7 @@
 func TestAClaimUnderWayGoesOn(t *testing.T) {
 	g := NewWithT(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	m := rival("n-1", tenure.Store{Journal: muteJournal{}, Attempts: attempts.NewPolicy()})
+	m := managerOf("n-1", tenure.Store{Journal: muteJournal{}, Attempts: attempts.NewPolicy()})
 	defer m.wg.Wait()
 	defer cancel()
 	other := MemberName("n-2", "127.0.0.1:2", "boot", time.UnixMilli(1), 0.4)
--- a/internal/shards/holders.go
+++ b/internal/shards/holders.go
@@ -25,20 +25,20 @@
 	Epoch  int64  `cbor:"2,keyasint"`
 }
 
-// Duty is a duty that this process is about to claim. It implements tenure.Rivals.
+// Duty is a duty that this process is about to claim. It implements tenure.Claims.
 type Duty struct {
 	m    *Manager
 	name string
 }
 
-// Known implements tenure.Rivals.
+// Known implements tenure.Claims.
 func (d Duty) Known() int64 {
 	d.m.mu.Lock()
 	defer d.m.mu.Unlock()
 	return d.m.holders[d.name].Epoch
 }
 
-// Learn implements tenure.Rivals: the duties are spread anew with the claim that
+// Learn implements tenure.Claims: the duties are spread anew with the claim that
 // this process did not know of.
 //
 // A claim that was given up half-way is published by nobody. Whoever finds its record
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -108,11 +108,11 @@
 // TopicOf is the topic of a pool's records.
 func TopicOf(pool string) string { return topicPrefix + pool }
 
-// claim takes the pool over and restores its jobs, unless a rival keeps it. The
+// claim takes the pool over and restores its jobs, unless another member keeps it. The
 // runner lives as long as ctx.
-func (r *Runner) claim(ctx context.Context, rivals tenure.Rivals) error {
+func (r *Runner) claim(ctx context.Context, claims tenure.Claims) error {
 	r.ctx = ctx
-	held, records, err := tenure.Claim(ctx, r.store, r.topic, r.owner, rivals, r.log)
+	held, records, err := tenure.Claim(ctx, r.store, r.topic, r.owner, claims, r.log)
 	if err != nil {
 		return err
 	}
--- a/internal/shards/settle_test.go
+++ b/internal/shards/settle_test.go
@@ -20,23 +20,23 @@
 	"cyclamenwheel/platform"
 )
 
-// town is some managers on one store that reach each other directly.
-type town struct {
+// cluster is some managers on one store that reach each other directly.
+type cluster struct {
 	client *platform.Client
 	mu     sync.Mutex
-	here   map[string]*resident
+	here   map[string]*process
 }
 
-type resident struct {
+type process struct {
 	m    *Manager
 	stop context.CancelFunc
 	done chan struct{}
 }
 
-func (t *town) of(node string) *Manager {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if r := t.here[node]; r != nil {
+func (c *cluster) of(node string) *Manager {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.here[node]; r != nil {
 		return r.m
 	}
 	return nil
@@ -47,42 +47,42 @@
 
 func (absentError) Error() string { return "not there" }
 
-func (t *town) start(node string, pools []string) {
+func (c *cluster) start(node string, pools []string) {
 	member := MemberName(node, "127.0.0.1:1", uuid.NewString(), time.Now(), 0.4)
-	store := tenure.Store{Journal: t.client, Attempts: attempts.NewPolicy()}
-	m := NewManager(Options{Node: node, Addr: "127.0.0.1:1", Member: member, Store: store, Membership: t.client,
+	store := tenure.Store{Journal: c.client, Attempts: attempts.NewPolicy()}
+	m := NewManager(Options{Node: node, Addr: "127.0.0.1:1", Member: member, Store: store, Membership: c.client,
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), OnPeers: func(map[string]string) {},
 		Limits: executor.Limits{Lease: time.Second, ProofAge: 3 * time.Second, KeepEnded: time.Minute},
 		Fleet:  func(ctx context.Context, _ Duty) { <-ctx.Done() },
 		AskMembers: func(_ context.Context, peer string) (MembersResult, error) {
-			if m := t.of(peer); m != nil {
+			if m := c.of(peer); m != nil {
 				return m.lastRows(), nil
 			}
 			return MembersResult{}, absentError{}
 		},
 		SayLeft: func(_ context.Context, peer string) {
-			if m := t.of(peer); m != nil {
+			if m := c.of(peer); m != nil {
 				m.left(member)
 			}
 		},
 	})
 	m.SetPools(pools)
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &resident{m: m, stop: cancel, done: make(chan struct{})}
-	t.mu.Lock()
-	t.here[node] = r
-	t.mu.Unlock()
+	r := &process{m: m, stop: cancel, done: make(chan struct{})}
+	c.mu.Lock()
+	c.here[node] = r
+	c.mu.Unlock()
 	go func() {
 		defer close(r.done)
 		m.Run(ctx)
 	}()
 }
 
-func (t *town) stop(node string) {
-	t.mu.Lock()
-	r := t.here[node]
-	delete(t.here, node)
-	t.mu.Unlock()
+func (c *cluster) stop(node string) {
+	c.mu.Lock()
+	r := c.here[node]
+	delete(c.here, node)
+	c.mu.Unlock()
 	if r != nil {
 		r.stop()
 		<-r.done
@@ -91,18 +91,18 @@
 
 // ask is a caller's call at each node, for each pool: it returns how many of them find
 // an owner, and lets nodes that don't look again as Calls does.
-func (t *town) ask(pools []string) (served, asked int) {
-	t.mu.Lock()
-	managers := make([]*Manager, 0, len(t.here))
-	for _, r := range t.here {
+func (c *cluster) ask(pools []string) (served, asked int) {
+	c.mu.Lock()
+	managers := make([]*Manager, 0, len(c.here))
+	for _, r := range c.here {
 		managers = append(managers, r.m)
 	}
-	t.mu.Unlock()
+	c.mu.Unlock()
 	for _, m := range managers {
 		for _, pool := range pools {
 			asked++
 			owner, ok := m.OwnerOf(pool)
-			at := t.of(owner.Node)
+			at := c.of(owner.Node)
 			if ok && at != nil && at.local(pool) != nil {
 				served++
 				continue
@@ -128,26 +128,26 @@
 			stand, err := wire.New(map[string]int{}, seed)
 			g.Expect(err).NotTo(HaveOccurred())
 			defer stand.Close()
-			town := &town{client: platform.NewClient(stand.Addr(), stand.Addr(), ""), here: map[string]*resident{}}
+			managers := &cluster{client: platform.NewClient(stand.Addr(), stand.Addr(), ""), here: map[string]*process{}}
 			nodes := []string{"n-1", "n-2", "n-3", "n-4", "n-5"}
 			for _, node := range nodes {
-				town.start(node, pools)
+				managers.start(node, pools)
 			}
 			stand.SetFaults(wire.Faults{LostAnswers: 0.5 * rng.Float64(), StoreDelay: time.Duration(rng.IntN(300)) * time.Millisecond})
 			for _, node := range nodes {
-				town.stop(node)
+				managers.stop(node)
 				time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
-				town.start(node, pools)
+				managers.start(node, pools)
 				time.Sleep(time.Duration(rng.IntN(600)) * time.Millisecond)
-				town.ask(pools)
+				managers.ask(pools)
 			}
 			stand.SetFaults(wire.Faults{})
 			g.Eventually(func() string {
-				served, asked := town.ask(pools)
+				served, asked := managers.ask(pools)
 				return fmt.Sprintf("%d of %d", served, asked)
 			}, 30*time.Second, 100*time.Millisecond).Should(Equal("20 of 20"))
 			for _, node := range nodes {
-				town.stop(node)
+				managers.stop(node)
 			}
 		})
 	}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -90,8 +90,8 @@
 	return err
 }
 
-// Rivals are the others who may claim a topic, as far as a claimant knows of them.
-type Rivals interface {
+// Claims is what a claimant knows of a topic's claims.
+type Claims interface {
 	// Known is the epoch of the newest claim that the claimant knows of, 0 for none.
 	Known() int64
 	// Learn takes in a newer claim, also the claimant's own, and reports whether the
@@ -110,7 +110,8 @@
 	return fmt.Sprintf("%s: held by %s under epoch %d", e.Topic, e.Owner, e.Epoch)
 }
 
-// Claim takes a topic over, unless rivals want it left to whoever claimed it last.
+// Claim takes a topic over, unless it finds a claim that it did not know of, by an owner
+// whom claims leave the topic to.
 //
 // Two nodes that know different members both find a topic to be theirs. Each claim
 // fences the other's, and without a word on who has it now the loser would claim it
@@ -128,7 +129,7 @@
 // each lost answer needs two answered in a row: with half of them lost it took
 // 2.1 s at the median and 10.5 s at the 95th percentile, and takes 0.09 s and
 // 0.75 s (200 claims of this package's test, on a store that answers in 4 ms).
-func Claim(ctx context.Context, store Store, topic, owner string, rivals Rivals, log *slog.Logger) (*Tenure, []platform.Record, error) {
+func Claim(ctx context.Context, store Store, topic, owner string, claims Claims, log *slog.Logger) (*Tenure, []platform.Record, error) {
 	page, err := store.Journal.Newest(ctx, topic)
 	if err != nil {
 		return nil, nil, err
@@ -140,7 +141,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if last > rivals.Known() && holder != owner && !rivals.Learn(holder, last) {
+	if last > claims.Known() && holder != owner && !claims.Learn(holder, last) {
 		return nil, nil, &HeldError{Topic: topic, Owner: holder, Epoch: last}
 	}
 	t := &Tenure{store: store, topic: topic, log: log, Epoch: last + 1}
@@ -149,7 +150,7 @@
 		// The record is stored, or may be yet, though this claim is given up: others
 		// learn from it that the topic is the claimant's, who has to know it too, or
 		// all leave the topic to each other.
-		rivals.Learn(owner, t.Epoch)
+		claims.Learn(owner, t.Epoch)
 	}
 	if err != nil {
 		return nil, nil, err
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -102,8 +102,8 @@
 func TestAClaimantLearnsOfTheNewestClaim(t *testing.T) {
 	g := NewWithT(t)
 	store := Store{Journal: &forgetfulStore{rng: rand.New(rand.NewPCG(1, 1))}, Attempts: attempts.NewPolicy()}
-	claim := func(owner string, rivals Rivals) error {
-		_, _, err := Claim(context.Background(), store, "t", owner, rivals, quiet)
+	claim := func(owner string, claims Claims) error {
+		_, _, err := Claim(context.Background(), store, "t", owner, claims, quiet)
 		return err
 	}
 	g.Expect(claim("a", &knows{})).To(Succeed())
@@ -126,12 +126,12 @@
 	silent := &forgetfulStore{rng: rand.New(rand.NewPCG(1, 1)), lost: 1}
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer cancel()
-	rivals := &knows{}
-	_, _, err := Claim(ctx, Store{Journal: silent, Attempts: attempts.NewPolicy()}, "t", "a", rivals, quiet)
+	claims := &knows{}
+	_, _, err := Claim(ctx, Store{Journal: silent, Attempts: attempts.NewPolicy()}, "t", "a", claims, quiet)
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(silent.records).NotTo(BeEmpty(), "the claim's record is there")
-	g.Expect(rivals.learned).To(Equal([]string{"a"}))
-	g.Expect(rivals.Known()).To(Equal(int64(1)))
+	g.Expect(claims.learned).To(Equal([]string{"a"}))
+	g.Expect(claims.Known()).To(Equal(int64(1)))
 }
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
