Read again: what keeps a task waiting is counted once, a claim's epoch says that it is made

Refactoring, behaviour as before: a dump worked out each task's obstacles twice, on the pool's control goroutine; a held duty kept a flag beside the epoch that says the same, and the end of duties asked for a stop that has ended them itself.

--- a/internal/ctl/nodes.go
+++ b/internal/ctl/nodes.go
@@ -23,7 +23,6 @@
 	dumps := make([]explain.NodeDump, len(list))
 	var wg sync.WaitGroup
 	for i, addr := range list {
-		dumps[i].Node = addr
 		wg.Go(func() {
 			if err := ask(ctx, hc, addr, "/dump?section=duties&section=pools", &dumps[i]); err != nil {
 				dumps[i].Err = err.Error()
--- a/internal/executor/dump.go
+++ b/internal/executor/dump.go
@@ -65,9 +65,10 @@
 		ObjectiveMs: (j.objective - now).Milliseconds()}
 	met := map[string]bool{}
 	for _, t := range j.waitingTasks() {
-		d.Waiting = append(d.Waiting, t.name()+": endpoints "+c.WhyWaiting(now, t))
-		for _, e := range c.endpoints {
-			met[c.obstacle(now, t, e)] = true
+		counts := c.obstaclesOf(now, t)
+		d.Waiting = append(d.Waiting, t.name()+": endpoints "+whyWaiting(now, t, counts))
+		for o := range counts {
+			met[o] = true
 		}
 	}
 	for _, o := range obstacles {
--- a/internal/executor/explain.go
+++ b/internal/executor/explain.go
@@ -34,7 +34,7 @@
 			}
 			shown++
 			c.event(Event{Kind: EventWaits, Job: j.rec.Job.ID, Task: t.name(), Run: t.run,
-				Reason: c.WhyWaiting(now, t), AgeMs: (now - j.since).Milliseconds()})
+				Reason: whyWaiting(now, t, c.obstaclesOf(now, t)), AgeMs: (now - j.since).Milliseconds()})
 		}
 	}
 }
@@ -50,12 +50,17 @@
 	return out
 }
 
-// WhyWaiting counts the pool's endpoints by what keeps a task from them.
-func (c *Core) WhyWaiting(now time.Duration, t *task) string {
+// obstaclesOf counts the pool's endpoints by what keeps a task from them.
+func (c *Core) obstaclesOf(now time.Duration, t *task) map[string]int {
 	counts := map[string]int{}
 	for _, e := range c.endpoints {
 		counts[c.obstacle(now, t, e)]++
 	}
+	return counts
+}
+
+// whyWaiting tells people what keeps a task waiting.
+func whyWaiting(now time.Duration, t *task, counts map[string]int) string {
 	var parts []string
 	for _, name := range obstacles {
 		if counts[name] > 0 {
--- a/internal/shards/holders.go
+++ b/internal/shards/holders.go
@@ -62,7 +62,7 @@
 	d.m.mergeHolders(map[string]holder{d.name: claim})
 	d.m.mu.Lock()
 	if h := d.m.running[d.name]; h != nil {
-		h.claimed, h.epoch = true, epoch
+		h.epoch = epoch
 	}
 	d.m.mu.Unlock()
 	go d.m.publishClaim(ctx, d.name, claim)
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -110,11 +110,10 @@
 type held struct {
 	cancel context.CancelFunc
 	runner *Runner
-	// claimed is set once the claim has succeeded, and ready once a pool's state is
-	// restored.
-	claimed, ready bool
-	// epoch is that of the claim.
+	// epoch is that of the claim, 0 before it has succeeded.
 	epoch int64
+	// ready is set once a pool's state is restored.
+	ready bool
 }
 
 // NewManager returns a manager that owns nothing.
@@ -195,7 +194,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, h := range m.running {
-		if m.owners[name].Node != m.opts.Node && (h.claimed || m.leaving || m.heldElsewhereLocked(name)) {
+		if m.owners[name].Node != m.opts.Node && (h.epoch > 0 || m.heldElsewhereLocked(name)) {
 			h.cancel()
 			delete(m.running, name)
 		}
--- a/internal/shards/status.go
+++ b/internal/shards/status.go
@@ -41,7 +41,7 @@
 			d.Duty = fleetName
 		}
 		if h := m.running[name]; h != nil {
-			d.Here, d.Ready, d.Epoch = true, h.ready || name == fleetDuty && h.claimed, h.epoch
+			d.Here, d.Ready, d.Epoch = true, h.ready || name == fleetDuty && h.epoch > 0, h.epoch
 		}
 		s.Duties = append(s.Duties, d)
 	}
