--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 KNOWN_RED := $(shell [ -f KNOWN-RED.txt ] && grep -v '^\#' KNOWN-RED.txt | cut -d: -f1 | paste -sd '|')
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)',)
 
-.PHONY: build test demo platform-demo soak measure fuzz trial
+.PHONY: build test demo platform-demo soak cost measure fuzz trial
 
 build:
 	go build -o bin/ ./cmd/...
@@ -27,6 +27,10 @@
 soak: build
 	bin/cyclamen-trial soak --seed $(SEED) --seconds $(SECONDS) --nodes 5
 
+# Processor time for each task on a node with one core, with a profile of it.
+cost: build
+	bin/cyclamen-trial cost --nodes 1 --seconds 10
+
 # Figures of the pages in docs: minutes in all, fixed seeds.
 measure: build
 	bin/cyclamen-measure load
--- a/cmd/cyclamen-trial/main.go
+++ b/cmd/cyclamen-trial/main.go
@@ -48,13 +48,18 @@
 	flaggy.Int(&o.nodes, "n", "nodes", "number of nodes")
 	flaggy.Int(&o.seconds, "s", "seconds", "how long jobs are handed in")
 	flaggy.UInt64(&o.seed, "", "seed", "seed of jobs and faults")
-	demo, soak := flaggy.NewSubcommand("demo"), flaggy.NewSubcommand("soak")
+	demo, soak, cost := flaggy.NewSubcommand("demo"), flaggy.NewSubcommand("soak"), flaggy.NewSubcommand("cost")
 	demo.Description, soak.Description = "a wave, and the loss of an endpoint and a node", "random faults of a seed"
-	flaggy.AttachSubcommand(demo, 1)
-	flaggy.AttachSubcommand(soak, 1)
+	cost.Description = "processor time for each task of a steady load, with a profile of each node"
+	for _, sub := range []*flaggy.Subcommand{demo, soak, cost} {
+		flaggy.AttachSubcommand(sub, 1)
+	}
 	flaggy.Parse()
+	if cost.Used {
+		os.Exit(measure(o))
+	}
 	if !demo.Used && !soak.Used || shapes[o.shape] == nil {
-		flaggy.ShowHelp("name demo or soak, and a known shape")
+		flaggy.ShowHelp("name demo, soak or cost, and a known shape")
 		os.Exit(exitUsage)
 	}
 	os.Exit(run(o, soak.Used))
@@ -80,39 +85,78 @@
 	return 0
 }
 
-func play(o options, random bool) (trial.Report, string, error) {
-	dir := o.logs
+func play(o options, random bool) (report trial.Report, dir string, err error) {
+	dir, err = deploy(o, shapes[o.shape], func(c *trial.Cluster, pools []string, _ string) error {
+		if !random {
+			go planned(c, pools[0])
+		}
+		report = trial.Soak(c, host, pools, o.seed, time.Duration(o.seconds)*time.Second, random)
+		return nil
+	})
+	return report, dir, err
+}
+
+// costlyShape is a pool that is large enough to fill a node in its turn of demand.
+var costlyShape = map[string]int{"pool": 96}
+
+// Load of the measurement: tasks as short and as many as a large pool's.
+const (
+	costJobs   = 100
+	costWidth  = 8
+	costWorkMs = 300
+)
+
+// measure prints what a task costs the nodes.
+func measure(o options) int {
+	var cost trial.Cost
+	_, err := deploy(o, costlyShape, func(c *trial.Cluster, pools []string, dir string) (err error) {
+		cost, err = trial.MeasureCost(c, host, trial.Load{Pool: pools[0], JobsPerSecond: costJobs, Width: costWidth,
+			WorkMs: costWorkMs, Lasts: time.Duration(o.seconds) * time.Second}, dir)
+		return err
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	fmt.Printf("%d of %d jobs accepted, %d tasks begun, %.0f us of processor time a task\n",
+		cost.Accepted, cost.Jobs, cost.Tasks, cost.ProcessorMicros)
+	for _, path := range cost.Profiles {
+		fmt.Println("profile:", path)
+	}
+	return 0
+}
+
+// deploy runs a platform and its nodes for as long as use takes, and returns where
+// their logs are.
+func deploy(o options, shape map[string]int, use func(c *trial.Cluster, pools []string, dir string) error) (dir string, err error) {
+	dir = o.logs
 	if dir == "" {
-		var err error
 		if dir, err = os.MkdirTemp("", "cyclamen-trial-"); err != nil {
-			return trial.Report{}, "", err
+			return "", err
 		}
 	}
-	platform, err := wire.New(shapes[o.shape], o.seed)
+	platform, err := wire.New(shape, o.seed)
 	if err != nil {
-		return trial.Report{}, dir, err
+		return dir, err
 	}
 	defer platform.Close()
 	var pools []string
-	for pool := range shapes[o.shape] {
+	for pool := range shape {
 		if pool != wire.SparePool {
 			pools = append(pools, pool)
 		}
 	}
 	slices.Sort(pools) // one seed, one run
 	if err := platform.Publish(1, host, pools...); err != nil {
-		return trial.Report{}, dir, err
+		return dir, err
 	}
 	c, err := trial.Start(o.program, dir, platform, o.nodes)
 	if err != nil {
-		return trial.Report{}, dir, err
+		return dir, err
 	}
 	defer c.Close()
 	awaitReady(c)
-	if !random {
-		go planned(c, pools[0])
-	}
-	return trial.Soak(c, host, pools, o.seed, time.Duration(o.seconds)*time.Second, random), dir, nil
+	return dir, use(c, pools, dir)
 }
 
 func awaitReady(c *trial.Cluster) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -189,6 +190,9 @@
 	op.RegisterDump("pools", func() any { return n.manager.Dump() })
 	op.RegisterDump("configuration", func() any { return n.ingress.Config() })
 	op.RegisterDump("peers", func() any { return n.peers.Status() })
+	// Profiles of a live process: the operators' port is on loopback.
+	op.Handle("/debug/pprof/profile", http.HandlerFunc(pprof.Profile))
+	op.Handle("/debug/pprof/heap", pprof.Handler("heap"))
 	if err := op.Start(); err != nil {
 		return nil, err
 	}
--- a/internal/standin/trial/cluster.go
+++ b/internal/standin/trial/cluster.go
@@ -31,10 +31,10 @@
 type Node struct {
 	Name, Front, ready string
 	// Operator is where it answers operators.
-	Operator      string
-	settings, log string
-	cmd           *exec.Cmd
-	done          chan struct{}
+	Operator               string
+	settings, log, metrics string
+	cmd                    *exec.Cmd
+	done                   chan struct{}
 }
 
 // StartError says that a process could not be started.
@@ -85,7 +85,7 @@
 func (c *Cluster) prepare(i int) (*Node, error) {
 	name := fmt.Sprintf("node-%d", i+1)
 	on := func(port int) string { return fmt.Sprintf("%s:%d", c.net.IP(i+2), port) }
-	n := &Node{Name: name, Front: on(portCallers), ready: on(portReady), Operator: on(portOperators),
+	n := &Node{Name: name, Front: on(portCallers), ready: on(portReady), Operator: on(portOperators), metrics: on(portMetrics),
 		settings: filepath.Join(c.dir, name+".ini"), log: filepath.Join(c.dir, name+".log")}
 	text := fmt.Sprintf("[process]\nnode = %s\nzone = z\n[callers]\nlisten = %s\nready = %s\n[peer]\nlisten = %s\n[store]\naddress = %s\ninstances = %s\n[operator]\nlisten = %s\nmetrics = %s\n[bounds]\nmove = 300ms\nlease_ttl = 500ms\n",
 		name, n.Front, n.ready, on(portPeer), c.Platform.Addr(), c.Platform.Addr(), n.Operator, on(portMetrics))
@@ -102,7 +102,8 @@
 		return &StartError{What: n.Name, Cause: err}
 	}
 	n.cmd = exec.Command(c.program)
-	n.cmd.Env = append(os.Environ(), "CYCLAMENWHEEL_NODE_FILE="+n.settings)
+	// A node has one core on the platform.
+	n.cmd.Env = append(os.Environ(), "CYCLAMENWHEEL_NODE_FILE="+n.settings, "GOMAXPROCS=1")
 	n.cmd.Stdout, n.cmd.Stderr = log, log
 	if err := n.cmd.Start(); err != nil {
 		return &StartError{What: n.Name, Cause: err}
