As many starts are under way as the owner carries

Cause: every start that was decided left at once. Above what the owner's processor or link carries each waits behind the others; answers come after the timeout, starts are sent again, renewals and the store's answers wait in the same line.

Admission counts the time that the tasks ahead take to leave. Renewals and stops are not paced.

Ruled out: a limit for each endpoint (the line is the owner's, not theirs).

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -6,9 +6,10 @@
 // Contract with the caller:
 //   - Records of one Ready are appended in order, all or none, under the epoch
 //     that the Core was built with, and after those of every earlier Ready.
-//   - Orders and replies of a Ready leave only after that append, and Advance is
-//     called for each Ready in order. Urgent orders
-//     (TakeUrgent) need no record and may leave at once.
+//   - Replies of a Ready leave only after that append, and Advance is called for
+//     each Ready in order. Starts leave as NextStart hands them out, as many at a
+//     time as the owner carries. Stops (TakeStops) need no record and may leave at
+//     once.
 //   - Nothing is sent any more once Fenced reports true or the caller's own
 //     proof of the epoch has grown older than Limits.ProofAge.
 //
@@ -97,11 +98,20 @@
 	dirty   map[*job]bool
 	order   []*job
 	removed []string
-	starts  []Order
-	replies []Reply
-	acks    map[string]int64
-	urgent  []Order
-	events  []Event
+	// starts are decided and not yet in a Ready; leaving are durable and wait for
+	// their turn to leave, and undurable counts those in between.
+	starts    []Order
+	leaving   []Order
+	undurable int
+	pace      pace
+	// placeable is how many more starts this round may decide.
+	placeable int
+	// storeTook is how long the journal takes, a moving average.
+	storeTook time.Duration
+	replies   []Reply
+	acks      map[string]int64
+	stops     []Order
+	events    []Event
 
 	claimedAt time.Duration
 	// handedOver is how many ms the predecessor's leases lasted at the claim at
@@ -122,6 +132,7 @@
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, gone: map[string]bool{},
 		learned:   map[string]*lengths{},
 		refusedAt: map[string]time.Duration{}, dirty: map[*job]bool{}, acks: map[string]int64{},
+		pace: newPace(now),
 	}
 }
 
@@ -216,6 +227,8 @@
 	confirmed time.Duration
 	// answered reports whether the newest start order was answered.
 	answered bool
+	// resending: the order waits to leave once more.
+	resending bool
 	// restored: the start was intended by an earlier owner. Its order carries
 	// an older fence, so that it can't begin once this owner has been heard.
 	restored bool
@@ -339,7 +352,9 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string
-	task       *task
+	// Sent is when a start left.
+	Sent time.Duration
+	task *task
 }
 
 // Reply answers a call of Submit or Cancel by its token.
@@ -437,4 +452,4 @@
 func (c *Core) Dirty() bool { return len(c.dirty) > 0 || len(c.starts) > 0 || len(c.replies) > 0 }
 
 // Busy reports whether anything runs, waits or is to be written.
-func (c *Core) Busy() bool { return len(c.open) > 0 || len(c.dirty) > 0 || len(c.urgent) > 0 }
+func (c *Core) Busy() bool { return len(c.open) > 0 || len(c.dirty) > 0 || len(c.stops) > 0 }
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -126,10 +126,12 @@
 // Ready is a batch of records, and what may happen once they are durable.
 type Ready struct {
 	Records []Record
-	Orders  []Order
 	Replies []Reply
+	starts  []Order
 	acks    map[string]int64
 	shown   []shownState
+	// taken is when it was made.
+	taken time.Duration
 }
 
 type shownState struct {
@@ -139,12 +141,13 @@
 
 // Empty reports whether there is nothing to do.
 func (r *Ready) Empty() bool {
-	return len(r.Records) == 0 && len(r.Orders) == 0 && len(r.Replies) == 0 && len(r.acks) == 0
+	return len(r.Records) == 0 && len(r.starts) == 0 && len(r.Replies) == 0 && len(r.acks) == 0
 }
 
 // Ready returns the changes since the last call.
-func (c *Core) Ready() Ready {
-	r := Ready{Orders: c.starts, Replies: c.replies, acks: c.acks}
+func (c *Core) Ready(now time.Duration) Ready {
+	r := Ready{starts: c.starts, Replies: c.replies, acks: c.acks, taken: now}
+	c.undurable += len(c.starts)
 	c.starts, c.replies, c.acks = nil, nil, map[string]int64{}
 	for _, j := range c.order {
 		r.Records = append(r.Records, j.records()...)
@@ -184,7 +187,12 @@
 }
 
 // Advance takes in that the records of r are durable.
-func (c *Core) Advance(r Ready) {
+func (c *Core) Advance(now time.Duration, r Ready) {
+	c.leaving = append(c.leaving, r.starts...)
+	c.undurable -= len(r.starts)
+	if len(r.Records) > 0 {
+		c.storeTook += (now - r.taken - c.storeTook) / storeTookShare
+	}
 	for _, s := range r.shown {
 		s.job.accepted = true
 		s.job.durable = max(s.job.durable, s.state)
--- a/internal/executor/learnt_test.go
+++ b/internal/executor/learnt_test.go
@@ -35,7 +35,7 @@
 		old := jobs.Job{ID: "00000000000000a1", Steps: []jobs.Step{{Count: 1, CPUMilli: 100, EstimateMs: 1000}}}
 		verdict, _ := c.Submit(0, old, underTest, 1)
 		Expect(verdict).To(Equal(VerdictAccepted))
-		records := c.Ready().Records
+		records := c.Ready(0).Records
 		soon, late := successor(c, records, 200*time.Millisecond), successor(c, records, 4*time.Second)
 		Expect(soon.hopeless(time.Hour, soon.jobs[old.ID])).To(BeFalse())
 		Expect(late.hopeless(time.Hour, late.jobs[old.ID])).To(BeTrue())
@@ -47,7 +47,7 @@
 		c := ownerOf(1_000_000)
 		j := jobs.Job{ID: "00000000000000a2", Steps: []jobs.Step{{Count: 1, CPUMilli: 100, EstimateMs: 1000}}}
 		c.Submit(0, j, underTest, 1)
-		records := c.Ready().Records
+		records := c.Ready(0).Records
 		back, ahead := successor(c, records, -5*time.Second), successor(c, records, time.Hour)
 		Expect(back.waited(back.jobs[j.ID])).To(BeZero())
 		Expect(ahead.waited(ahead.jobs[j.ID])).To(Equal(longestWait))
@@ -61,7 +61,7 @@
 			c.learn("q", 2000, 1, 1000)
 		}
 		c.Submit(0, jobs.Job{ID: "00000000000000a3", Steps: []jobs.Step{{Count: 1, CPUMilli: 100, EstimateMs: 100}}}, underTest, 1)
-		records := c.Ready().Records
+		records := c.Ready(0).Records
 		next := successor(c, records, time.Second)
 		Expect(next.Learned("q")).To(BeNumerically("~", 2*time.Second, 10*time.Millisecond))
 		Expect(next.learned["q"].runs).To(BeNumerically("<=", learntRuns))
@@ -72,7 +72,7 @@
 	It("is written with other records and not for itself alone", func() {
 		c := ownerOf(1_000_000)
 		c.learn("q", 1000, 1, 1000)
-		Expect(c.Ready().Records).To(BeEmpty())
+		Expect(c.Ready(0).Records).To(BeEmpty())
 	})
 
 	It("is left aside where it can't be read", func() {
--- a/internal/executor/leases.go
+++ b/internal/executor/leases.go
@@ -21,22 +21,6 @@
 	return until
 }
 
-// GrantFor returns the lease for an order that is about to leave. ok is false
-// where the endpoint or the task's run is no longer there.
-func (c *Core) GrantFor(now time.Duration, o Order) (until time.Duration, ok bool) {
-	e := c.endpoints[o.Endpoint]
-	if e == nil || o.task == nil || o.task.host != e || o.task.run != o.Run {
-		return 0, false
-	}
-	if o.Kind == OrderStart {
-		if o.task.stopping {
-			return 0, false
-		}
-		o.task.ordered, o.task.answered = now, false
-	}
-	return c.grant(e, now), true
-}
-
 // expiryOf is when all leases on an endpoint have surely run out. Its clock
 // may be slow, so that a second of its time lasts a little longer here. For an
 // endpoint that has not answered this owner, a predecessor may have renewed
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -265,7 +265,7 @@
 // while its endpoint lived on; it must not go on beside its successor.
 func (c *Core) stopStranger(e *endpoint, r ListedRun) {
 	c.event(Event{Kind: EventStranger, Task: r.Task, Run: r.Run, Endpoint: e.id})
-	c.urgent = append(c.urgent, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Task: r.Task, Run: r.Run})
+	c.stops = append(c.stops, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Task: r.Task, Run: r.Run})
 }
 
 func (c *Core) seeRunning(now, clock time.Duration, t *task, r ListedRun) {
@@ -318,11 +318,12 @@
 	}
 	// Before the first order has left there is nothing to repeat, and the
 	// intent may not be durable yet.
-	if t.stopping || t.ordered == 0 || sent < t.ordered {
+	if t.stopping || t.resending || t.ordered == 0 || sent < t.ordered {
 		return
 	}
 	if !t.answered && now-t.ordered < resendAfter {
 		return
 	}
-	c.urgent = append(c.urgent, c.startOrder(t))
+	t.resending = true
+	c.leaving = append(c.leaving, c.startOrder(t))
 }
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -44,16 +44,39 @@
 	refusedPause = 300 * time.Millisecond
 )
 
-// TakeUrgent returns orders that need no record: stops, and repeated
-// starts of a run whose record is durable.
-func (c *Core) TakeUrgent() []Order {
-	out := c.urgent
-	c.urgent = nil
+// TakeStops returns the stops that are due. They need no record.
+func (c *Core) TakeStops() []Order {
+	out := c.stops
+	c.stops = nil
 	return out
 }
 
+// NextStart returns the next start that may leave now, and its lease. It is answered by
+// OrderDone. ok is false once as many are under way as the owner carries.
+func (c *Core) NextStart(now time.Duration) (o Order, lease time.Duration, ok bool) {
+	for len(c.leaving) > 0 && c.pace.free() > 0 {
+		o, c.leaving = c.leaving[0], c.leaving[1:]
+		if !o.current() || o.task.stopping {
+			continue
+		}
+		o.Sent = now
+		o.task.ordered, o.task.answered, o.task.resending = now, false, false
+		c.pace.sent()
+		return o, c.grant(o.task.host, now), true
+	}
+	return Order{}, 0, false
+}
+
+// current reports whether the order is about the newest run of its task.
+func (o *Order) current() bool {
+	return o.task != nil && o.task.host != nil && o.task.host.id == o.Endpoint && o.task.run == o.Run
+}
+
 // OrderDone takes in the result of an order.
 func (c *Core) OrderDone(now time.Duration, o Order, result OrderResult, clock time.Duration) {
+	if o.Kind == OrderStart {
+		c.pace.answered(now, now-o.Sent)
+	}
 	e := c.endpoints[o.Endpoint]
 	if e == nil {
 		return
@@ -175,7 +198,7 @@
 		return
 	}
 	t.stopSent = now
-	c.urgent = append(c.urgent, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Task: t.name(), Run: t.run, task: t})
+	c.stops = append(c.stops, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Task: t.name(), Run: t.run, task: t})
 }
 
 // Standstill. Load: tasks on some endpoints stand still while their leases are
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -45,7 +45,7 @@
 	t.step.job.placed--
 	t.host = nil
 	t.ordered, t.confirmed, t.stopSent = 0, 0, 0
-	t.answered, t.stopping, t.restored, t.resumed = false, false, false, false
+	t.answered, t.resending, t.stopping, t.restored, t.resumed = false, false, false, false, false
 	t.percent, t.listedAt, t.ticket = 0, 0, ""
 }
 
@@ -68,6 +68,7 @@
 		return
 	}
 	c.reserve(now, hosts)
+	c.placeable = c.mostPlaced()
 	var late []*job
 	for _, j := range c.open {
 		if j.rec.State.Ended() || !j.waits() {
@@ -152,6 +153,9 @@
 
 func (c *Core) placeStep(now time.Duration, s *stepRun, hosts []*endpoint) {
 	for _, t := range s.tasks {
+		if !c.mayPlace(s) {
+			return
+		}
 		if t.phase != taskWaiting || now < t.notBefore {
 			continue
 		}
@@ -163,9 +167,16 @@
 	}
 }
 
+// mayPlace reports whether a task of the step may be placed in this round. Lasting
+// tasks are few and always may.
+func (c *Core) mayPlace(s *stepRun) bool { return c.placeable > 0 || s.spec.LongRunning }
+
 // placeGang places all tasks of a gang or none: a part of it would hold room
 // and work on nothing. All members run under one number.
 func (c *Core) placeGang(now time.Duration, s *stepRun, hosts []*endpoint) {
+	if !c.mayPlace(s) {
+		return
+	}
 	run := 0
 	for _, t := range s.tasks {
 		if t.phase != taskWaiting || now < t.notBefore {
@@ -238,6 +249,7 @@
 	t.movedAt = now
 	c.touch(t.step.job)
 	c.starts = append(c.starts, c.startOrder(t))
+	c.placeable--
 	c.event(Event{Kind: EventPlaced, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: run, Endpoint: e.id})
 }
 
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -229,7 +229,8 @@
 	if pool <= 0 {
 		return Refusal{}, false
 	}
-	wait := c.waitMs(now, c.backlogMs(now, j.rec.Terms.Priority), pool)
+	backlog, tasks := c.backlog(now, j.rec.Terms.Priority)
+	wait := max(c.waitMs(now, backlog, pool), float64(c.pace.startsWait(tasks+len(c.leaving)).Milliseconds()))
 	chain := c.chainMs(j)
 	slack := (j.rec.Terms.Stretch-1)*chain + float64(j.rec.Terms.Slack.Milliseconds())
 	if wait <= slack {
@@ -304,19 +305,19 @@
 	return cpu
 }
 
-// backlogMs is the accepted work that has not begun, of this priority or
-// before it, in milli-core-milliseconds. Jobs that are late anyway don't stand
-// before a new one.
-func (c *Core) backlogMs(now time.Duration, priority int) float64 {
-	sum := 0.0
+// backlog is the accepted work that has not begun, of this priority or
+// before it, in milli-core-milliseconds, and the tasks of it that wait. Jobs that are
+// late anyway don't stand before a new one.
+func (c *Core) backlog(now time.Duration, priority int) (sum float64, tasks int) {
 	for _, j := range c.open {
 		if j.rec.State.Ended() || j.rec.Terms.Priority > priority || lasting(&j.rec.Job) || c.hopeless(now, j) {
 			continue
 		}
 		w := c.remaining(j)
 		sum += w.ready + w.running + laterShare*w.later
+		tasks += w.tasks
 	}
-	return sum
+	return sum, tasks
 }
 
 // work is what a job still has to run, in milli-core-milliseconds.
@@ -324,6 +325,8 @@
 	// ready could run at once; later waits for earlier steps; running is half
 	// of what runs now.
 	ready, later, running float64
+	// tasks could start at once.
+	tasks int
 }
 
 func (c *Core) remaining(j *job) work {
@@ -336,6 +339,7 @@
 				w.later += waiting
 			} else {
 				w.ready += waiting
+				w.tasks += s.waiting
 			}
 			w.running += float64(s.left-s.waiting) * each / 2
 		}
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -286,9 +286,10 @@
 		for _, l := range c.DueLooks(w.now) {
 			w.look(o, l)
 		}
-		for _, order := range c.TakeUrgent() {
-			w.send(o, order)
+		for _, order := range c.TakeStops() {
+			w.send(o, order, 0)
 		}
+		w.sendStarts(o)
 	}
 	w.flush(o)
 }
@@ -307,7 +308,7 @@
 		return
 	}
 	o.proof = w.now
-	ready := o.core.Ready()
+	ready := o.core.Ready(w.now)
 	w.store(ready)
 	w.release(o, ready)
 }
@@ -323,9 +324,17 @@
 }
 
 func (w *world) release(o *owner, ready executor.Ready) {
-	o.core.Advance(ready)
-	for _, order := range ready.Orders {
-		w.send(o, order)
+	o.core.Advance(w.now, ready)
+	w.sendStarts(o)
+}
+
+func (w *world) sendStarts(o *owner) {
+	for {
+		order, lease, ok := o.core.NextStart(w.now)
+		if !ok {
+			return
+		}
+		w.send(o, order, lease)
 	}
 }
 
@@ -351,7 +360,7 @@
 	if !o.core.Dirty() && len(o.batches) > 0 {
 		return
 	}
-	ready := o.core.Ready()
+	ready := o.core.Ready(w.now)
 	if ready.Empty() {
 		o.proof = w.now
 		return
@@ -364,11 +373,7 @@
 	o.batches, o.flushed = append(o.batches, b), w.now
 }
 
-func (w *world) send(o *owner, order executor.Order) {
-	lease, ok := o.core.GrantFor(w.now, order)
-	if !ok && order.Kind != executor.OrderStop {
-		return
-	}
+func (w *world) send(o *owner, order executor.Order, lease time.Duration) {
 	h := w.hosts[order.Endpoint]
 	if h == nil || !h.hears(o.epoch) || w.chance("lost", order.Kind, order.Task, order.Run, o.epoch) < w.loseOrders {
 		if w.chance("late", order.Kind, order.Task, order.Run, o.epoch) < w.lateOrders {
--- a/internal/shards/append.go
+++ b/internal/shards/append.go
@@ -61,7 +61,7 @@
 	if !r.core.Dirty() && len(r.batches) > 0 && len(r.proofs) == 0 {
 		return // a batch on its way proves the epoch as well
 	}
-	ready := r.core.Ready()
+	ready := r.core.Ready(now)
 	if ready.Empty() && proven {
 		return
 	}
@@ -125,24 +125,24 @@
 
 // release carries out what a durable batch allows.
 func (r *Runner) release(ready executor.Ready) {
-	r.core.Advance(ready)
+	r.core.Advance(r.now(), ready)
 	for _, reply := range ready.Replies {
 		r.reply(reply.Token, Result{Outcome: OutcomeDone})
 	}
-	r.unsent = append(r.unsent, ready.Orders...)
 	if r.proven() && r.ctx.Err() == nil {
-		r.sendUnsent(r.now())
+		r.sendStarts(r.now())
 	}
 }
 
-// sendUnsent sends the orders whose records are durable. A process that was
-// suspended between an append and its answer finds its proof too old to send
-// them; dropped there, their tasks would be placed and never begin, since an
-// order that has not left is never repeated.
-func (r *Runner) sendUnsent(now time.Duration) {
-	orders := r.unsent
-	r.unsent = nil
-	for _, o := range orders {
-		r.send(now, o)
+// sendStarts sends the starts that may leave. A process that was suspended between an
+// append and its answer finds its proof too old to send any; dropped there, their tasks
+// would be placed and never begin, since an order that has not left is never repeated.
+func (r *Runner) sendStarts(now time.Duration) {
+	for {
+		o, lease, ok := r.core.NextStart(now)
+		if !ok {
+			return
+		}
+		r.send(o, lease)
 	}
 }
--- a/internal/shards/orders.go
+++ b/internal/shards/orders.go
@@ -10,12 +10,8 @@
 )
 
 // send carries out an order in the background and reports how it went.
-func (r *Runner) send(now time.Duration, o executor.Order) {
+func (r *Runner) send(o executor.Order, lease time.Duration) {
 	to := platform.EndpointRef{ID: o.Endpoint, Addr: o.Addr}
-	lease, ok := r.core.GrantFor(now, o)
-	if !ok && o.Kind != executor.OrderStop {
-		return
-	}
 	go func() {
 		clock, err := r.carryOut(to, o, lease)
 		result := resultOf(err)
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -87,10 +87,7 @@
 	proofs []func()
 	// done is closed once the runner has ended and answered whom it could.
 	done chan struct{}
-	// unsent are orders whose records are durable, kept while the proof of the
-	// epoch is too old to send anything.
-	unsent []executor.Order
-	over   bool
+	over bool
 }
 
 func newRunner(m *Manager, pool string) *Runner {
@@ -201,10 +198,10 @@
 		for _, l := range r.core.DueLooks(now) {
 			r.look(l)
 		}
-		for _, o := range r.core.TakeUrgent() {
-			r.send(now, o)
+		for _, o := range r.core.TakeStops() {
+			r.send(o, 0)
 		}
-		r.sendUnsent(now)
+		r.sendStarts(now)
 	}
 	if call, due := r.core.DueAdvice(now); due {
 		r.advise(call)
