Requests of a node that stops are answered before their connections close

The owner of the job's pool was overrun; a call to it may take 1.8 s, connections close 4.1 s after the signal, and a request that comes 2.36 s after it has 1.77 s left.

Now a request that comes while the node stops has until 0.3 s before its connection closes; its answer is that of any other whose owner was silent.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -81,6 +81,7 @@
 	manager  *shards.Manager
 	ingress  *ingress.Ingress
 	stopping atomic.Bool
+	inFlight inFlight
 
 	mu        sync.Mutex
 	endpoints map[string]platform.EndpointEntry
@@ -118,7 +119,7 @@
 	boot := uuid.NewString()
 	calls := &shards.Calls{}
 	n.ingress = ingress.New(calls, n.log)
-	front, err := n.serve(n.set.Front.String(), &platform.Front{Service: n.ingress})
+	front, err := n.serve(n.set.Front.String(), n.inFlight.bound(&platform.Front{Service: n.ingress}))
 	if err != nil {
 		return err
 	}
@@ -328,11 +329,13 @@
 // stop ends the node in order: pools go to others at once, while requests are
 // still taken until the balancer sends no more.
 func (n *Node) stop(front, ready *http.Server, leave context.CancelFunc) error {
+	limit := closeLimit(n.set.Bounds.Grace)
+	n.inFlight.closeAt(planlease.Boottime() + balancerNotice + limit)
 	n.stopping.Store(true)
 	leave()
 	return shutdown.Run(context.Background(), n.log, []shutdown.Step{
 		shutdown.Wait("balancer notices", balancerNotice),
-		{Name: "requests end", Limit: closeLimit(n.set.Bounds.Grace), Run: front.Shutdown},
+		{Name: "requests end", Limit: limit, Run: front.Shutdown},
 		{Name: "links close", Limit: linksLimit, Run: func(context.Context) error { return n.peers.Close() }},
 		{Name: "readiness ends", Limit: logLimit, Run: ready.Shutdown},
 	})
