A start on its way is waited for, not asked after

Cause: a renewal that leaves while some start of its endpoint has no answer yet waited for 80 ms only; in a turn of demand there is always one, and renewals came to 0.9 for each run. An answer takes 3 to 9 ms and says more. Now such a renewal waits for 300 ms, and 80 ms only where the answer has not come for 200 ms.

--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -17,6 +17,11 @@
 	// startingWait is the wait while a lasting task starts up: that it is at work
 	// shows in a listing only, and others of its step wait to be moved till then.
 	startingWait = 200 * time.Millisecond
+	// unconfirmedWait is the wait while the answer to a start is on its way: it says
+	// more, and sooner, than a listing that does not have the run yet. Only where it
+	// does not come for unsureAfter is the endpoint asked.
+	unconfirmedWait = 300 * time.Millisecond
+	unsureAfter     = 200 * time.Millisecond
 	// lookRetry follows a renewal without an answer.
 	lookRetry = 120 * time.Millisecond
 	// unsureWait is the gap before asking after a start without an answer.
@@ -99,7 +104,7 @@
 		}
 		e.lookOut, e.lookSent = true, now
 		due = append(due, Look{Endpoint: e.id, Addr: e.addr, Acknowledged: e.acknowledged,
-			LeaseUntil: c.grant(e, now), Wait: c.lookWait(e)})
+			LeaseUntil: c.grant(e, now), Wait: c.lookWait(now, e)})
 	}
 	return due
 }
@@ -111,22 +116,30 @@
 	return len(e.tasks) > 0 || e.strangers > 0 || e.acknowledgeable() > e.acknowledged || e.failedLook > 0
 }
 
-func (c *Core) lookWait(e *endpoint) time.Duration {
+func (c *Core) lookWait(now time.Duration, e *endpoint) time.Duration {
 	if !e.lookedEver || e.failedLook > 0 {
 		return 0
 	}
 	wait := lookWait
 	for t := range e.tasks {
-		if t.confirmed == 0 || t.stopping {
-			return unsureWait
-		}
-		if t.step.spec.LongRunning && t.percent < atWork {
-			wait = startingWait
-		}
+		wait = min(wait, t.lookWait(now))
 	}
 	return wait
 }
 
+// lookWait is how long a renewal of the task's endpoint may wait for an end.
+func (t *task) lookWait(now time.Duration) time.Duration {
+	switch {
+	case t.stopping, t.ordered > 0 && t.confirmed == 0 && now-t.ordered > unsureAfter:
+		return unsureWait
+	case t.step.spec.LongRunning && t.percent < atWork:
+		return startingWait
+	case t.confirmed == 0:
+		return unconfirmedWait
+	}
+	return lookWait
+}
+
 // Listed is what an endpoint listed in answer to a renewal.
 type Listed struct {
 	Clock   time.Duration
