Starts are paced from 25 ms, down to two at a time

A full link drops datagrams; the links between peers ran into their idle timeout, and for ten seconds and more nobody reached the owner, while 50 handshakes in four seconds, of which one in five came through, filled the link further.

--- a/internal/executor/pace.go
+++ b/internal/executor/pace.go
@@ -17,8 +17,9 @@
 const (
 	// paceFirst is allowed before anything is known of the answers.
 	paceFirst = 64
-	// paceLeast lets an owner go on that is slow for reasons of its own.
-	paceLeast = 8
+	// paceLeast lets an owner go on whose link is full of other things: a few starts at a
+	// time leave it room for its peers, whose datagrams a full link drops.
+	paceLeast = 2
 	// paceMost is far above what one process carries.
 	paceMost = 2048
 	// paceWindow and paceAnswers end a window: as many answers make a median, and a
@@ -29,7 +30,7 @@
 	paceEnough = 6
 	// slowFactor times the best median of late is slow, and below slowFloor nothing is.
 	slowFactor = 4
-	slowFloor  = 60 * time.Millisecond
+	slowFloor  = 25 * time.Millisecond
 	// paceCut follows a slow window. paceRise and paceStep follow one in which the
 	// limit was reached and answers were fast.
 	paceCut  = 0.7
