--- a/internal/attempts/attempts.go
+++ b/internal/attempts/attempts.go
@@ -21,12 +21,10 @@
 )
 
 const (
-	// shortest is the least wait: some ten times what a quiet store takes (4 ms,
-	// and as much again on the way), so that a node short of processor time does
-	// not repeat each call.
+	// shortest is the least wait: some ten times what a quiet store takes, so that a
+	// node short of processor time does not repeat each call.
 	shortest = 80 * time.Millisecond
-	// longest bounds the wait for a store that is slow: 50 times its usual answer
-	// is 200 ms.
+	// longest bounds the wait for a store that is slow.
 	longest = 900 * time.Millisecond
 	// patience is how many times the usual answer's time an attempt waits, and
 	// usual is the percentile that counts as usual.
@@ -177,8 +175,7 @@
 // first answer of any attempt counts.
 //
 // Where each attempt is given up for the next one, none is answered by a store that
-// has just become slow: 0.7 s a batch with answers of 0.2 s, and 0.07 of what a day
-// is worth with a store 76 times as slow for four seconds (four seeds, paired).
+// has just become slow.
 func Repeat[T any](ctx context.Context, p *Policy, judge func(error) Verdict, call func(context.Context) (T, error)) (out T, tries int, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -19,8 +19,7 @@
 	bufferLines = 4096
 	// flushEvery gathers lines into one write: each write is a system call.
 	flushEvery = 40 * time.Millisecond
-	// ratePerMessage and burstPerMessage bound each kind of line. An owner at
-	// full load logs some 300 lines a second of the most frequent kind.
+	// ratePerMessage and burstPerMessage bound each kind of line.
 	ratePerMessage  = 400
 	burstPerMessage = 1200
 	// writeBytes bounds one write.
--- a/internal/executor/handover.go
+++ b/internal/executor/handover.go
@@ -16,7 +16,7 @@
 // predecessor may believe in itself, and a lease more. Load: nodes are restarted
 // one after the other, and a pool changes its owner every few seconds; the wait
 // begins anew with each, and the tasks of an endpoint that has died stay away for
-// as long as the restarts go on (31 s on a day of 36 restarts).
+// as long as the restarts go on.
 type handoverRecord struct {
 	// Epoch is the owner's; the record counts for its direct successor only.
 	Epoch int64 `cbor:"1,keyasint"`
--- a/internal/executor/lengths.go
+++ b/internal/executor/lengths.go
@@ -16,9 +16,7 @@
 // and the queue's mean, each trusted as far as it has proved right; from then on it
 // is what that task took.
 //
-// Gain: 0.057 (+-0.010) of a day's worth (five days, four seeds, paired); of jobs that
-// come by turns of half as much again as there is, 0.72 are in time, beside 0.67 by the
-// queue's mean (24 seeds of this package's replay).
+// Gain: more of the jobs of a turn are in time than by the queue's mean.
 const (
 	// learnWeight forgets a step's influence after some 30 others.
 	learnWeight = 0.03
--- a/internal/executor/loans.go
+++ b/internal/executor/loans.go
@@ -9,10 +9,8 @@
 // Room that is on its way. Load: a queue's turn begins with more than its pool
 // holds, instances are called at once and work two seconds later. A job that comes
 // while they are on their way can still be in time on them, and one that is refused
-// comes back a second later, when it can't.
-//
-// Gain: 0.028 (+-0.009) of a day's worth on two deployments (eight paired days); within
-// noise on a third.
+// comes back a second later, when it can't. Counted in, the room takes the jobs of a
+// turn's first seconds.
 
 // Loan is processor room that will come to a pool.
 type Loan struct {
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -53,9 +53,7 @@
 // that can no longer end within their objective come after all others. Load: a
 // turn of demand begins with two seconds of backlog. First come, first served
 // makes every job of it late by as much; leaving behind what is late anyway lets
-// the rest be in time, and a late job earns a fifteenth of one in time.
-//
-// Gain: 0.040 (+-0.017) of a day's worth, beside one order for all (15 paired days).
+// the rest be in time, and a job in time is worth many late ones.
 func (c *Core) Decide(now time.Duration) {
 	c.expire(now)
 	c.beginDue()
@@ -326,8 +324,6 @@
 // with the least room left. Load: as a queue's turn ends, its tasks end one by
 // one; spread over all endpoints they keep each of them busy, and none is free
 // for the queue whose turn begins. Packed, most endpoints are empty at once.
-// Gain: 0.110 (+-0.014), 0.086 (+-0.012) and 0.119 (+-0.025) of a day's worth on three
-// deployments (15, 4 and 4 paired days), beside the endpoint with the most room.
 func (c *Core) score(now time.Duration, t *task, e *endpoint) float64 {
 	s := t.step.spec
 	free := float64(e.free().CPUMilli) / float64(max(1, e.capacity.CPUMilli))
--- a/internal/executor/reserve.go
+++ b/internal/executor/reserve.go
@@ -6,11 +6,8 @@
 // end one by one, while an endpoint with lasting tasks dies or leaves. The holes
 // that short tasks leave are smaller than a lasting task and go to the next short
 // one, so that lasting tasks wait for as long as the turn goes on and their users
-// see them away. An endpoint kept for a lasting task takes no more short ones; as
-// these last about a second, its room comes together within a second or two.
-//
-// Gain: a task of three quarters of an endpoint starts within 2.5 s in a pool of
-// three that is kept full, and not within 10 s without (this package's spec).
+// see them away. An endpoint kept for a lasting task takes no more short ones, so that
+// its room comes together within a run or two of these.
 const (
 	// reserveFor bounds a reservation: what has not ended on the endpoint by
 	// then does not end soon, and another endpoint may do better.
--- a/internal/executor/speed.go
+++ b/internal/executor/speed.go
@@ -17,14 +17,10 @@
 //
 // An endpoint is judged against the others of its pool: tasks that are long by
 // themselves are so everywhere.
-//
-// Gain: with one of five endpoints at a tenth of its speed, 0.93 of the jobs of
-// four tasks are in time, beside 0.80 (share of 60 jobs, this package's spec).
 const (
 	// slowBelow is the share of the usual speed below which an endpoint is slow,
 	// and fineAbove the share above which it no longer is. Runs of one queue
-	// differ by half of their mean: at 0.45 a dozen sound endpoints a day counted
-	// as slow, all of them above 0.32. What is truly slow works at a quarter.
+	// differ by half of their mean, so that sound endpoints seem slow now and then.
 	slowBelow = 0.3
 	fineAbove = 0.6
 	// speedWindow is the running time, of all tasks together, that a judgement
--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -16,15 +16,10 @@
 // instances first, then those that others do not need. What no pool needs for a
 // while is switched off. A move costs as much as a second of an instance in a
 // pool, so a wrong one is cheap and a missed one is not.
-//
-// Gain: 0.97 of the work offered by turns is served, beside 0.50 where instances
-// stay, with 238 moves of 44 instances in 32 s (the replay in this package's
-// tests, as core-seconds served of those offered).
 const (
 	// drainWithin is how fast a backlog should drain: about the slack of a job's
-	// objective. At 1.2 s pools in their turn call for more instances than there are
-	// and keep them from each other: 0.02 of a day's worth (five days, three seeds,
-	// paired).
+	// objective. Drained much faster, pools in their turn call for more instances than
+	// there are and keep them from each other.
 	drainWithin = 1800 * time.Millisecond
 	// headroom covers tasks that don't fill their endpoints evenly.
 	headroom = 1.15
@@ -34,8 +29,7 @@
 	riseWindow = 300 * time.Millisecond
 	fallWindow = 1200 * time.Millisecond
 	// riseLead and riseMost are how far a rise is drawn out, and the most that
-	// is believed of it: jobs come in clumps. Gain: 0.024 (+-0.007) of a day's worth
-	// (15 paired days) beside the rate as it is.
+	// is believed of it: jobs come in clumps.
 	riseLead = 1.0
 	riseMost = 1.8
 	// noticeTime is what passes beside the move itself until a called instance
--- a/internal/fleetops/waves.go
+++ b/internal/fleetops/waves.go
@@ -85,8 +85,7 @@
 // two to three seconds to come back elsewhere, so that the instances of a pool
 // are cleared one after the other however many are begun; those that only wait
 // for their turn are lost to short tasks. Begun with the wave and not at its pace,
-// they are through in time: 8 of 8 in the spec's wave of 25 s, where 5 were when
-// they began at 45% of it.
+// they are through in time.
 const lastingAtOnce = 3
 
 func (s *State) beginMaintenance(now time.Duration, w *Wave, due []Instance, underWay, behind int, a *Actions) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -38,8 +38,8 @@
 
 const (
 	// lease is how far ahead leases are renewed: it outlasts the change of a
-	// pool's owner (membership lapses in 1.2 s, a claim and the first renewals
-	// take some 200 ms) with room for an answer that is lost.
+	// pool's owner (its membership lapses, a claim, the first renewals) with room for
+	// an answer that is lost.
 	lease = 3500 * time.Millisecond
 	// proofAge lets running tasks go on through an outage of the store as long
 	// as a successor is willing to wait for them.
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -19,8 +19,7 @@
 	// from the first unanswered keepalive. A shorter timeout would take an
 	// entry that is merely short of processor time for a dead one.
 	// The period is longer than that of the usual heartbeats, so that links in
-	// use send few keepalives: at 400 ms an idle entry among 14 processes took
-	// 2.6% of a core, at 700 ms 1.6%.
+	// use send few keepalives.
 	keepAlivePeriod = 700 * time.Millisecond
 	idleTimeout     = 1500 * time.Millisecond
 	// handshakeTimeout is quic-go's limit of silence in a handshake; it gives
--- a/internal/shards/append.go
+++ b/internal/shards/append.go
@@ -8,16 +8,12 @@
 	"cyclamenwheel/internal/fleetops"
 )
 
-// Batches on their way. Load: the store takes 300 ms for an answer for some seconds.
+// Batches on their way. Load: the store is slow for some seconds.
 // With one batch on its way at a time, what is decided meanwhile waits for that one
-// and then for its own, at each step of a job: a job of two steps spends 1.4 s in
-// the journal, of 2 s that it has beside its work. Sent side by side while the store
+// and then for its own, at each step of a job, which takes most of the time that a job
+// has beside its work. Sent side by side while the store
 // is slow, each batch waits for its own answer only. A store that loses answers gets
 // one at a time: each of several would have to be repeated in its turn.
-//
-// Gain: 0.05 of what a day is worth with a store 76 times as slow for four seconds,
-// 0.07 with one 60 times as slow for five (four seeds each, paired); nothing while it
-// is well.
 const (
 	// sideBySide bounds the batches on their way; the store recognises a repetition
 	// of the last five.
--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -26,16 +26,15 @@
 )
 
 const (
-	// attemptLimit bounds one attempt at a call. An owner answers within some
-	// 10 ms, and within some 600 ms while the store is slow; one that is silent for
-	// longer is gone or cut off.
+	// attemptLimit bounds one attempt at a call. An owner that is silent for longer,
+	// also while the store is slow, is gone or cut off.
 	attemptLimit = 700 * time.Millisecond
 	// callLimit bounds all attempts at a call: a member is taken for gone after
-	// memberTTL, and its successor answers some 300 ms later.
+	// memberTTL, and its successor answers a moment later.
 	callLimit = 1800 * time.Millisecond
 	// handOverWait is how long a pool without an owner is waited for. In order, it
-	// has the next one within some 50 ms, and within some 300 ms while the store
-	// loses answers; longer than that it may stay away for any time.
+	// has the next one well before, also while the store loses answers; longer than
+	// that it may stay away for any time.
 	handOverWait = 500 * time.Millisecond
 	// callPause spaces attempts.
 	callPause = 30 * time.Millisecond
@@ -201,7 +200,7 @@
 // second owner finds it or takes it in.
 //
 // Load: nodes are restarted in turn, and with each the pools that it owned change
-// hands within some 50 ms. A caller that is sent away then comes back a second
+// hands within a moment. A caller that is sent away then comes back a second
 // later, when its job can no longer end in time; one that is told that nobody knows
 // asks again in vain.
 func (c *Calls) call(ctx context.Context, pool, kind string, here func(context.Context) Result, there any) Result {
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -35,8 +35,7 @@
 	// stuckAfter is how long an append may be unanswered before new jobs are
 	// refused, where the store answers nothing else either: they could not be
 	// accepted in time. forgetfulAfter is the same where it does: a lost answer is
-	// asked for again within some 100 ms, and a caller that is sent away comes back
-	// a second later.
+	// asked for again much sooner than a caller that is sent away comes back.
 	stuckAfter     = 500 * time.Millisecond
 	forgetfulAfter = 1200 * time.Millisecond
 	// handOverLimit bounds what a runner that gives its pool up spends on its last
--- a/internal/shards/spread.go
+++ b/internal/shards/spread.go
@@ -15,10 +15,9 @@
 // Nodes that know other members, pools or holders may place a duty differently for
 // a moment; its epoch keeps that safe.
 //
-// Load: of 40 nodes two are restarted each second. Spread by rank alone, a duty
+// Load: of many nodes two are restarted each second. Spread by rank alone, a duty
 // goes back to a node that has just come, and the bound on each node's part moves
-// others in turn: three pools changed hands eight times in 11 s between nodes that
-// lived all the while. Each change stops its pool for a moment, and forgets which
+// others in turn, between nodes that live all the while. Each change stops its pool for a moment, and forgets which
 // endpoint was kept for which lasting task.
 func spread(pools []string, members []member, holders map[string]holder) map[string]Owner {
 	names := append([]string{fleetDuty}, pools...)
@@ -66,8 +65,7 @@
 //
 // Load: all nodes are restarted in turn. A duty that goes to one whose turn is
 // still to come changes hands again seconds later; those that have been through
-// stay. Gain: 1.15 changes of owner a duty while seven nodes are restarted, and
-// 1.43 by rank alone (mean of this package's test over 200 sets of names).
+// stay.
 func byAge(members []member) (restarted, others map[string]float64) {
 	restarted, others = map[string]float64{}, map[string]float64{}
 	oldest := int64(math.MaxInt64)
@@ -116,11 +114,10 @@
 }
 
 // wanted reports whether a process should be in the group, by the members last
-// read. Load: of 33 nodes and more, two are restarted each second. The group deals
-// its partitions anew with each of them, a member without a partition is not
-// seen, and the duties move among those that come into sight and go out of it:
-// one pool had three owners within 2.3 s, and each change stops its pool for a
-// moment. So nodes too weak for any duty stay outside, and so do those that come
+// read. Load: there are more nodes than partitions, and two are restarted each second.
+// The group deals its partitions anew with each of them, a member without a partition
+// is not seen, and the duties move among those that come into sight and go out of it;
+// each change stops its pool for a moment. So nodes too weak for any duty stay outside, and so do those that come
 // when there are enough. With no members read, everybody joins.
 func wanted(self member, joined bool, members []member) bool {
 	seen, most := false, self.processor
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -126,9 +126,8 @@
 // predecessor, and what it appended in between is read last.
 //
 // Both writes are repeated until they are answered. A claim that starts over at
-// each lost answer needs two answered in a row: with half of them lost it took
-// 2.1 s at the median and 10.5 s at the 95th percentile, and takes 0.09 s and
-// 0.75 s (200 claims of this package's test, on a store that answers in 4 ms).
+// each lost answer needs two answered in a row, and takes seconds where half of them
+// are lost.
 func Claim(ctx context.Context, store Store, topic, owner string, claims Claims, log *slog.Logger) (*Tenure, []platform.Record, error) {
 	page, err := store.Journal.Newest(ctx, topic)
 	if err != nil {
