Mute endpoints hold no place among the starts under way

Now a start without an answer holds its place for four times what counts as slow, and timeouts count only where no start has been answered for 300 ms; the best median is learnt from answers alone.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -357,9 +357,9 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string
-	// Sent is when a start left.
-	Sent time.Duration
-	task *task
+	task       *task
+	// slot is that of a start that has left.
+	slot *slot
 }
 
 // Reply answers a call of Submit or Cancel by its token.
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -54,14 +54,14 @@
 // NextStart returns the next start that may leave now, and its lease. It is answered by
 // OrderDone. ok is false once as many are under way as the owner carries.
 func (c *Core) NextStart(now time.Duration) (o Order, lease time.Duration, ok bool) {
+	c.pace.pass(now)
 	for len(c.leaving) > 0 && c.pace.free() > 0 {
 		o, c.leaving = c.leaving[0], c.leaving[1:]
 		if !o.current() || o.task.stopping {
 			continue
 		}
-		o.Sent = now
 		o.task.ordered, o.task.answered, o.task.resending = now, false, false
-		c.pace.sent()
+		o.slot = c.pace.sent(now)
 		return o, c.grant(o.task.host, now), true
 	}
 	return Order{}, 0, false
@@ -74,8 +74,12 @@
 
 // OrderDone takes in the result of an order.
 func (c *Core) OrderDone(now time.Duration, o Order, result OrderResult, clock time.Duration) {
-	if o.Kind == OrderStart {
-		c.pace.answered(now, now-o.Sent)
+	switch {
+	case o.slot == nil:
+	case result == OrderUnanswered:
+		c.pace.unanswered(now, o.slot)
+	default:
+		c.pace.answered(now, o.slot)
 	}
 	e := c.endpoints[o.Endpoint]
 	if e == nil {
--- a/internal/executor/pace.go
+++ b/internal/executor/pace.go
@@ -36,6 +36,14 @@
 	paceCut  = 0.7
 	paceRise = 0.1
 	paceStep = 4
+	// slotFactor times what counts as slow is how long a start without an answer holds
+	// its place among those under way. Load: a rack goes dark in a turn of demand. The
+	// starts that were sent there would hold all places until their timeout, and the
+	// rest of the pool would start nothing meanwhile.
+	slotFactor = 4
+	// hushed is how long no start may have been answered for timeouts to count as slow
+	// answers: they tell of the owner only where nobody answers it.
+	hushed = 300 * time.Millisecond
 	// bestFades lets the best median rise again, so that a lasting change of the
 	// network's delay is not taken for overload for ever.
 	bestFades = 1.01
@@ -63,12 +71,22 @@
 	return int(most) - len(c.leaving) - c.undurable - len(c.starts)
 }
 
+// slot is a start's place among those under way.
+type slot struct {
+	sent time.Duration
+	free bool
+}
+
 // pace decides how many starts may be under way. The median of their times tells an
-// owner that is overrun from endpoints that are slow or mute: a minority of those does
-// not move it.
+// owner that is overrun from endpoints that are slow: a minority of those does not move
+// it. Endpoints that are mute count only where none is heard.
 type pace struct {
 	limit    float64
 	underWay int
+	// slots are those of the starts sent last, the oldest first.
+	slots []*slot
+	// heard is when a start was last answered.
+	heard time.Duration
 	// reached: the limit was in the way in this window.
 	reached bool
 	took    []time.Duration
@@ -81,18 +99,54 @@
 
 func newPace(now time.Duration) pace { return pace{limit: paceFirst, began: now} }
 
+// slowFrom is the least time that counts as slow.
+func (p *pace) slowFrom() time.Duration { return max(slowFloor, slowFactor*p.best) }
+
 // free is how many more starts may leave.
 func (p *pace) free() int { return int(p.limit) - p.underWay }
 
 // sent takes in that a start has left.
-func (p *pace) sent() {
+func (p *pace) sent(now time.Duration) *slot {
+	s := &slot{sent: now}
+	p.slots = append(p.slots, s)
 	p.underWay++
 	p.reached = p.reached || p.free() <= 0
+	return s
 }
 
-// answered takes in how long a start took, to its answer or to the end of its timeout.
-func (p *pace) answered(now, took time.Duration) {
+// release gives a start's place back.
+func (p *pace) release(s *slot) {
+	if s.free {
+		return
+	}
+	s.free = true
 	p.underWay--
+}
+
+// pass gives back the places of starts that have waited for too long.
+func (p *pace) pass(now time.Duration) {
+	for len(p.slots) > 0 && (p.slots[0].free || now-p.slots[0].sent > slotFactor*p.slowFrom()) {
+		p.release(p.slots[0])
+		p.slots = p.slots[1:]
+	}
+}
+
+// unanswered takes in that a start's timeout is over.
+func (p *pace) unanswered(now time.Duration, s *slot) {
+	p.release(s)
+	if now-p.heard > hushed {
+		p.note(now, now-s.sent)
+	}
+}
+
+// answered takes in a start's answer.
+func (p *pace) answered(now time.Duration, s *slot) {
+	p.release(s)
+	p.heard = now
+	p.note(now, now-s.sent)
+}
+
+func (p *pace) note(now, took time.Duration) {
 	p.took = append(p.took, took)
 	due := len(p.took) >= paceAnswers || now-p.began >= paceWindow && len(p.took) >= paceEnough
 	if due {
@@ -103,7 +157,7 @@
 func (p *pace) judge(now time.Duration) {
 	slices.Sort(p.took)
 	median := p.took[len(p.took)/2]
-	slow := median > max(slowFloor, slowFactor*p.best)
+	slow := median > p.slowFrom()
 	if p.reached || slow {
 		p.noteRate(float64(len(p.took)) / max(time.Millisecond, now-p.began).Seconds())
 	}
@@ -114,7 +168,7 @@
 		p.limit = min(paceMost, p.limit+max(paceStep, p.limit*paceRise))
 	}
 	p.best = time.Duration(float64(p.best) * bestFades)
-	if p.best == 0 || median < p.best {
+	if answered := now-p.heard <= hushed; answered && (p.best == 0 || median < p.best) {
 		p.best = median
 	}
 	p.took, p.began, p.reached = p.took[:0], now, p.underWay >= int(p.limit)
--- a/internal/executor/pace_test.go
+++ b/internal/executor/pace_test.go
@@ -18,14 +18,35 @@
 }
 
 type answerDue struct {
-	at, sent time.Duration
-	heard    bool
+	at    time.Duration
+	slot  *slot
+	heard bool
 }
 
-func (l *line) send(now time.Duration) {
+func (l *line) send(now time.Duration, s *slot) {
 	l.busy = max(l.busy, now) + l.work
 	at := l.busy + 2*time.Millisecond
-	l.answers = append(l.answers, answerDue{at: min(at, now+l.timeout), sent: now, heard: at <= now+l.timeout})
+	l.answers = append(l.answers, answerDue{at: min(at, now+l.timeout), slot: s, heard: at <= now+l.timeout})
+}
+
+// mute sends a start that nobody answers.
+func (l *line) mute(now time.Duration, s *slot) {
+	l.answers = append(l.answers, answerDue{at: now + l.timeout, slot: s})
+}
+
+// hear takes in the answers and timeouts of this moment, and returns how many were heard.
+func (l *line) hear(now time.Duration, p *pace) (heard, timedOut int) {
+	for _, a := range l.due(now) {
+		if a.heard {
+			p.answered(now, a.slot)
+			heard++
+		} else {
+			p.unanswered(now, a.slot)
+			timedOut++
+		}
+	}
+	p.pass(now)
+	return heard, timedOut
 }
 
 // due hands out the answers and timeouts of this moment.
@@ -51,19 +72,12 @@
 	p := newPace(0)
 	waiting, heard := 0.0, 0
 	for now := time.Duration(0); now < lasts; now += tick {
-		for _, a := range l.due(now) {
-			p.answered(now, now-a.sent)
-			if a.heard {
-				heard++
-			} else {
-				waiting++
-			}
-		}
-		waiting += rate * tick.Seconds()
+		answered, again := l.hear(now, &p)
+		heard += answered
+		waiting += float64(again) + rate*tick.Seconds()
 		for waiting >= 1 && (!paced || p.free() > 0) {
 			waiting--
-			p.sent()
-			l.send(now)
+			l.send(now, p.sent(now))
 		}
 	}
 	return float64(heard) / lasts.Seconds()
@@ -83,23 +97,46 @@
 	g.Expect(goodput(3*carried, false)).To(BeNumerically("<", 0.5*carried), "without pace the load is not one that overruns")
 }
 
-// A pool starts nothing for seconds though its owner is idle: a third of its endpoints
-// is mute, and starts that were sent there wait for their timeout. They say nothing of
-// the owner.
+// A pool starts next to nothing for seconds though its owner is idle: a rack has gone
+// dark, and the starts that were sent there hold all places under way until their
+// timeout; then they count as slow answers, and the limit falls to its least.
 func TestMuteEndpointsDoNotSlowTheOthers(t *testing.T) {
 	g := NewWithT(t)
+	const rate, mute, lasts = 1000.0, 240, 3 * time.Second
+	l := &line{work: 200 * time.Microsecond, timeout: 700 * time.Millisecond}
 	p := newPace(0)
-	now := time.Duration(0)
-	for n := range 600 {
-		now += 5 * time.Millisecond
-		p.sent()
-		took := 4 * time.Millisecond
-		if n%3 == 0 {
-			took = 700 * time.Millisecond
+	waiting, dark, heard := 0.0, 0, 0
+	for now := time.Duration(0); now < lasts; now += time.Millisecond {
+		answered, _ := l.hear(now, &p)
+		heard += answered
+		waiting += rate * time.Millisecond.Seconds()
+		for waiting >= 1 && p.free() > 0 {
+			waiting--
+			if now > time.Second && dark < mute {
+				dark++
+				l.mute(now, p.sent(now))
+				continue
+			}
+			l.send(now, p.sent(now))
+		}
+	}
+	g.Expect(dark).To(Equal(mute))
+	g.Expect(heard).To(BeNumerically(">=", 0.95*(rate*lasts.Seconds()-mute)))
+}
+
+// Callers see no job begin for as long as an owner's link is full: nothing is answered in
+// time any more, so that no answer tells that there is too much under way.
+func TestAnOwnerThatHearsNothingSendsLess(t *testing.T) {
+	g := NewWithT(t)
+	l := &line{timeout: 700 * time.Millisecond}
+	p := newPace(0)
+	for now := time.Duration(0); now < 5*time.Second; now += time.Millisecond {
+		l.hear(now, &p)
+		for p.free() > 0 {
+			l.mute(now, p.sent(now))
 		}
-		p.answered(now, took)
 	}
-	g.Expect(p.limit).To(BeNumerically(">=", paceFirst))
+	g.Expect(int(p.limit)).To(Equal(paceLeast))
 }
 
 // A turn of demand takes longer than it must: the owner could carry ten times the starts
@@ -110,12 +147,12 @@
 	now := time.Duration(0)
 	for range 200 {
 		now += 10 * time.Millisecond
-		sent := 0
-		for ; p.free() > 0; sent++ {
-			p.sent()
+		var out []*slot
+		for p.free() > 0 {
+			out = append(out, p.sent(now))
 		}
-		for range sent {
-			p.answered(now, 6*time.Millisecond)
+		for _, s := range out {
+			p.answered(now+6*time.Millisecond, s)
 		}
 	}
 	g.Expect(p.limit).To(BeNumerically(">", 5*paceFirst))
