Seconds without starts say nothing of how many an owner carries

Cause, found on reading: a window of starts began when the one before had ended. After a quiet trough the first window of a turn counted the trough as time in which the owner could send no more, so that its rate came out as a few a second, and admission turned callers away whose jobs could start at once. The test fails with that (100 tasks seem to take 335 s).

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -132,7 +132,7 @@
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, gone: map[string]bool{},
 		learned:   map[string]*lengths{},
 		refusedAt: map[string]time.Duration{}, dirty: map[*job]bool{}, acks: map[string]int64{},
-		pace: newPace(now),
+		pace: newPace(),
 	}
 }
 
--- a/internal/executor/pace.go
+++ b/internal/executor/pace.go
@@ -89,15 +89,16 @@
 	heard time.Duration
 	// reached: the limit was in the way in this window.
 	reached bool
-	took    []time.Duration
-	began   time.Duration
+	// took are the times of this window's starts, the first of which was sent at began.
+	took  []time.Duration
+	began time.Duration
 	// best is the least median of late.
 	best time.Duration
 	// rate is how many starts a second were answered while the limit was in the way.
 	rate float64
 }
 
-func newPace(now time.Duration) pace { return pace{limit: paceFirst, began: now} }
+func newPace() pace { return pace{limit: paceFirst} }
 
 // slowFrom is the least time that counts as slow.
 func (p *pace) slowFrom() time.Duration { return max(slowFloor, slowFactor*p.best) }
@@ -147,6 +148,9 @@
 }
 
 func (p *pace) note(now, took time.Duration) {
+	if len(p.took) == 0 {
+		p.began = now - took // what passed without starts says nothing of their rate
+	}
 	p.took = append(p.took, took)
 	due := len(p.took) >= paceAnswers || now-p.began >= paceWindow && len(p.took) >= paceEnough
 	if due {
@@ -171,7 +175,7 @@
 	if answered := now-p.heard <= hushed; answered && (p.best == 0 || median < p.best) {
 		p.best = median
 	}
-	p.took, p.began, p.reached = p.took[:0], now, p.underWay >= int(p.limit)
+	p.took, p.reached = p.took[:0], p.free() <= 0
 }
 
 // noteRate keeps a moving average.
--- a/internal/executor/pace_test.go
+++ b/internal/executor/pace_test.go
@@ -69,7 +69,7 @@
 func goodput(rate float64, paced bool) float64 {
 	const lasts, tick = 10 * time.Second, time.Millisecond
 	l := &line{work: 5 * time.Millisecond, timeout: 700 * time.Millisecond}
-	p := newPace(0)
+	p := newPace()
 	waiting, heard := 0.0, 0
 	for now := time.Duration(0); now < lasts; now += tick {
 		answered, again := l.hear(now, &p)
@@ -104,7 +104,7 @@
 	g := NewWithT(t)
 	const rate, mute, lasts = 1000.0, 240, 3 * time.Second
 	l := &line{work: 200 * time.Microsecond, timeout: 700 * time.Millisecond}
-	p := newPace(0)
+	p := newPace()
 	waiting, dark, heard := 0.0, 0, 0
 	for now := time.Duration(0); now < lasts; now += time.Millisecond {
 		answered, _ := l.hear(now, &p)
@@ -129,7 +129,7 @@
 func TestAnOwnerThatHearsNothingSendsLess(t *testing.T) {
 	g := NewWithT(t)
 	l := &line{timeout: 700 * time.Millisecond}
-	p := newPace(0)
+	p := newPace()
 	for now := time.Duration(0); now < 5*time.Second; now += time.Millisecond {
 		l.hear(now, &p)
 		for p.free() > 0 {
@@ -139,11 +139,31 @@
 	g.Expect(int(p.limit)).To(Equal(paceLeast))
 }
 
+// Callers are refused as a turn of demand begins, though their jobs could start at once:
+// the pool has been quiet, and its owner takes the seconds without starts for a time in
+// which it could send no more than a few.
+func TestQuietSecondsSayNothingOfTheRate(t *testing.T) {
+	g := NewWithT(t)
+	p := newPace()
+	l := &line{work: 200 * time.Microsecond, timeout: 700 * time.Millisecond}
+	turn := func(from time.Duration) {
+		for now := from; now < from+100*time.Millisecond; now += time.Millisecond {
+			l.hear(now, &p)
+			for p.free() > 0 {
+				l.send(now, p.sent(now))
+			}
+		}
+	}
+	turn(0)
+	turn(20 * time.Second)
+	g.Expect(p.startsWait(100)).To(BeNumerically("<", time.Second))
+}
+
 // A turn of demand takes longer than it must: the owner could carry ten times the starts
 // that it began with, and goes on with as many as in the quiet before.
 func TestTheLimitFollowsAnOwnerThatCarriesMore(t *testing.T) {
 	g := NewWithT(t)
-	p := newPace(0)
+	p := newPace()
 	now := time.Duration(0)
 	for range 200 {
 		now += 10 * time.Millisecond
