--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 KNOWN_RED := $(shell [ -f KNOWN-RED.txt ] && grep -v '^\#' KNOWN-RED.txt | cut -d: -f1 | paste -sd '|')
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)',)
 
-.PHONY: build test demo platform-demo soak cost measure fuzz trial
+.PHONY: build test demo platform-demo soak cost regress measure fuzz trial
 
 build:
 	go build -o bin/ ./cmd/...
@@ -31,6 +31,11 @@
 cost: build
 	bin/cyclamen-trial cost --nodes 1 --seconds 10
 
+# The sites in force on the users' bench against the last means committed; needs
+# BENCH and SITES, see the script.
+regress:
+	./scripts/regress.sh
+
 # Figures of the pages in docs: minutes in all, fixed seeds.
 measure: build
 	bin/cyclamen-measure load
