--- a/internal/executor/ends.go
+++ b/internal/executor/ends.go
@@ -58,7 +58,7 @@
 	e.seen = end.Number
 	t := c.find(e, end.Task, end.Run)
 	if t == nil {
-		c.takeLateEnd(now, e, end)
+		c.takeLateEnd(e, end)
 		return
 	}
 	j := t.step.job
--- a/internal/executor/late.go
+++ b/internal/executor/late.go
@@ -37,7 +37,7 @@
 
 // takeLateEnd takes in the end of a run that is not a current one. An end that comes
 // before its task was placed again is as good as one in time.
-func (c *Core) takeLateEnd(now time.Duration, e *endpoint, end ListedEnd) {
+func (c *Core) takeLateEnd(e *endpoint, end ListedEnd) {
 	t := c.taskNamed(end.Task)
 	gaveUp := e.givenUp[end.Task] == end.Run
 	delete(e.givenUp, end.Task)
@@ -71,7 +71,7 @@
 	return e.seen
 }
 
-func (e *endpoint) lookGap() time.Duration {
+func (e *endpoint) lookPause() time.Duration {
 	if e.withheld > 0 {
 		return withheldLookGap
 	}
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -223,7 +223,7 @@
 		// the tasks would begin elsewhere beside the runs that go on here.
 		e.granted = max(e.granted, e.clock+c.limits.Lease)
 	}
-	e.nextLook = now + e.lookGap()
+	e.nextLook = now + e.lookPause()
 	if !e.lookedEver || e.failedLook > 0 {
 		e.nextLook = now // nothing was renewed
 	}
