The pace of starts is told: a log line, a section of the dump, what to do about it

An engineer who is asked why a job began late saw its task placed in time and started late, and no reason. No decision changed; the test fails without the line.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -104,6 +104,8 @@
 	leaving   []Order
 	undurable int
 	pace      pace
+	// pacedAt is when the log last said that fewer starts may be under way.
+	pacedAt time.Duration
 	// placeable is how many more starts this round may decide.
 	placeable int
 	// storeTook is how long the journal takes, a moving average.
@@ -401,6 +403,7 @@
 	EventSlow     EventKind = "endpoint slow"
 	EventFine     EventKind = "endpoint no longer slow"
 	EventWithheld EventKind = "end not acknowledged"
+	EventPaced    EventKind = "starts paced"
 )
 
 func (c *Core) event(e Event) { c.events = append(c.events, e) }
--- a/internal/executor/dump.go
+++ b/internal/executor/dump.go
@@ -10,10 +10,22 @@
 type PoolDump struct {
 	Summary   Summary        `json:"summary"`
 	Epoch     int64          `json:"epoch"`
+	Starts    StartsDump     `json:"starts"`
 	Endpoints []EndpointDump `json:"endpoints"`
 	Jobs      []JobDump      `json:"jobs"`
 }
 
+// StartsDump is how starts leave.
+type StartsDump struct {
+	UnderWay int `json:"under_way"`
+	// Limit is how many may be under way.
+	Limit int `json:"limit"`
+	// Waiting are decided and durable, and wait for their turn to leave.
+	Waiting int `json:"waiting"`
+	// MedianMs is how long the last ones took.
+	MedianMs int64 `json:"median_ms"`
+}
+
 // EndpointDump is an endpoint's state.
 type EndpointDump struct {
 	ID           string `json:"id"`
@@ -45,7 +57,8 @@
 
 // Dump returns the pool's state.
 func (c *Core) Dump(now time.Duration) PoolDump {
-	d := PoolDump{Summary: c.Summary(now), Epoch: c.epoch}
+	d := PoolDump{Summary: c.Summary(now), Epoch: c.epoch, Starts: StartsDump{UnderWay: c.pace.underWay,
+		Limit: int(c.pace.limit), Waiting: len(c.leaving), MedianMs: c.pace.median.Milliseconds()}}
 	for _, e := range c.endpoints {
 		d.Endpoints = append(d.Endpoints, EndpointDump{ID: e.id, Addr: e.addr, Free: e.free(), Tasks: len(e.tasks),
 			Draining: e.draining, Vacating: e.vacating, Silent: e.failedLook,
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -81,6 +81,7 @@
 	default:
 		c.pace.answered(now, o.slot)
 	}
+	c.explainPace(now)
 	e := c.endpoints[o.Endpoint]
 	if e == nil {
 		return
--- a/internal/executor/pace.go
+++ b/internal/executor/pace.go
@@ -71,6 +71,19 @@
 	return int(most) - len(c.leaving) - c.undurable - len(c.starts)
 }
 
+// pacedEvery spaces the log's lines on the limit.
+const pacedEvery = time.Second
+
+// explainPace says in the log that fewer starts may be under way, with the limit as run
+// and the median of their times as age.
+func (c *Core) explainPace(now time.Duration) {
+	if !c.pace.slow || now-c.pacedAt < pacedEvery {
+		return
+	}
+	c.pacedAt = now
+	c.event(Event{Kind: EventPaced, Run: int(c.pace.limit), Reason: "answers are slow", AgeMs: c.pace.median.Milliseconds()})
+}
+
 // slot is a start's place among those under way.
 type slot struct {
 	sent time.Duration
@@ -89,6 +102,9 @@
 	heard time.Duration
 	// reached: the limit was in the way in this window.
 	reached bool
+	// median is that of the last window; slow: it lowered the limit.
+	median time.Duration
+	slow   bool
 	// took are the times of this window's starts, the first of which was sent at began.
 	took  []time.Duration
 	began time.Duration
@@ -160,20 +176,20 @@
 
 func (p *pace) judge(now time.Duration) {
 	slices.Sort(p.took)
-	median := p.took[len(p.took)/2]
-	slow := median > p.slowFrom()
-	if p.reached || slow {
+	p.median = p.took[len(p.took)/2]
+	p.slow = p.median > p.slowFrom()
+	if p.reached || p.slow {
 		p.noteRate(float64(len(p.took)) / max(time.Millisecond, now-p.began).Seconds())
 	}
 	switch {
-	case slow:
+	case p.slow:
 		p.limit = max(paceLeast, p.limit*paceCut)
 	case p.reached:
 		p.limit = min(paceMost, p.limit+max(paceStep, p.limit*paceRise))
 	}
 	p.best = time.Duration(float64(p.best) * bestFades)
-	if answered := now-p.heard <= hushed; answered && (p.best == 0 || median < p.best) {
-		p.best = median
+	if answered := now-p.heard <= hushed; answered && (p.best == 0 || p.median < p.best) {
+		p.best = p.median
 	}
 	p.took, p.reached = p.took[:0], p.free() <= 0
 }
--- a/internal/executor/pace_test.go
+++ b/internal/executor/pace_test.go
@@ -137,6 +137,7 @@
 		}
 	}
 	g.Expect(int(p.limit)).To(Equal(paceLeast))
+	g.Expect(p.slow).To(BeTrue(), "people are told")
 }
 
 // Callers are refused as a turn of demand begins, though their jobs could start at once:
@@ -178,3 +179,28 @@
 	g.Expect(p.limit).To(BeNumerically(">", 5*paceFirst))
 	g.Expect(p.startsWait(100)).To(BeZero(), "nothing waits while the limit is not in the way")
 }
+
+// An engineer is asked why a job began late, and has the log and the dump only: its tasks
+// were decided in time and left late.
+func TestThePaceIsTold(t *testing.T) {
+	g := NewWithT(t)
+	c := New("pool", 1, Limits{}, 0)
+	now := time.Second
+	for range 3 * paceAnswers {
+		s := c.pace.sent(now)
+		now += 10 * time.Millisecond
+		c.OrderDone(now, Order{Kind: OrderStart, slot: s}, OrderDone, 0)
+	}
+	g.Expect(c.TakeEvents()).To(BeEmpty(), "answers are fast")
+	for range 3 * paceAnswers {
+		s := c.pace.sent(now)
+		now += 100 * time.Millisecond
+		c.OrderDone(now, Order{Kind: OrderStart, slot: s}, OrderDone, 0)
+	}
+	events := c.TakeEvents()
+	g.Expect(events).NotTo(BeEmpty())
+	g.Expect(events[0].Kind).To(Equal(EventPaced))
+	starts := c.Dump(now).Starts
+	g.Expect(starts.Limit).To(BeNumerically("<", paceFirst))
+	g.Expect(starts.MedianMs).To(BeNumerically("==", 100))
+}
