--- a/cmd/cyclamen-trial/main.go
+++ b/cmd/cyclamen-trial/main.go
@@ -104,6 +104,8 @@
 	costJobs   = 100
 	costWidth  = 8
 	costWorkMs = 300
+	// oneCore is what a node usually has on the platform.
+	oneCore = "GOMAXPROCS=1"
 )
 
 // measure prints what a task costs the nodes.
@@ -113,7 +115,7 @@
 		cost, err = trial.MeasureCost(c, host, trial.Load{Pool: pools[0], JobsPerSecond: costJobs, Width: costWidth,
 			WorkMs: costWorkMs, Lasts: time.Duration(o.seconds) * time.Second}, dir)
 		return err
-	})
+	}, oneCore)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
@@ -127,8 +129,8 @@
 }
 
 // deploy runs a platform and its nodes for as long as use takes, and returns where
-// their logs are.
-func deploy(o options, shape map[string]int, use func(c *trial.Cluster, pools []string, dir string) error) (dir string, err error) {
+// their logs are. env is added to the nodes' environment.
+func deploy(o options, shape map[string]int, use func(c *trial.Cluster, pools []string, dir string) error, env ...string) (dir string, err error) {
 	dir = o.logs
 	if dir == "" {
 		if dir, err = os.MkdirTemp("", "cyclamen-trial-"); err != nil {
@@ -150,7 +152,7 @@
 	if err := platform.Publish(1, host, pools...); err != nil {
 		return dir, err
 	}
-	c, err := trial.Start(o.program, dir, platform, o.nodes)
+	c, err := trial.Start(o.program, dir, platform, o.nodes, env...)
 	if err != nil {
 		return dir, err
 	}
--- a/internal/standin/trial/cluster.go
+++ b/internal/standin/trial/cluster.go
@@ -23,6 +23,7 @@
 	Platform *wire.Platform
 	program  string
 	dir      string
+	env      []string
 	net      *loopback.Network
 	nodes    []*Node
 }
@@ -48,13 +49,14 @@
 // Unwrap returns the cause.
 func (e *StartError) Unwrap() error { return e.Cause }
 
-// Start starts nodes of the program; dir takes their settings and logs.
-func Start(program, dir string, platform *wire.Platform, nodes int) (*Cluster, error) {
+// Start starts nodes of the program; dir takes their settings and logs, and env is
+// added to their environment.
+func Start(program, dir string, platform *wire.Platform, nodes int, env ...string) (*Cluster, error) {
 	network, err := loopback.Claim()
 	if err != nil {
 		return nil, &StartError{What: "network", Cause: err}
 	}
-	c := &Cluster{Platform: platform, program: program, dir: dir, net: network}
+	c := &Cluster{Platform: platform, program: program, dir: dir, env: env, net: network}
 	for i := range nodes {
 		n, err := c.prepare(i)
 		if err == nil {
@@ -102,8 +104,8 @@
 		return &StartError{What: n.Name, Cause: err}
 	}
 	n.cmd = exec.Command(c.program)
-	// A node has one core on the platform.
-	n.cmd.Env = append(os.Environ(), "CYCLAMENWHEEL_NODE_FILE="+n.settings, "GOMAXPROCS=1")
+	n.cmd.Env = append(os.Environ(), "CYCLAMENWHEEL_NODE_FILE="+n.settings)
+	n.cmd.Env = append(n.cmd.Env, c.env...)
 	n.cmd.Stdout, n.cmd.Stderr = log, log
 	if err := n.cmd.Start(); err != nil {
 		return &StartError{What: n.Name, Cause: err}
--- a/internal/standin/trial/cost.go
+++ b/internal/standin/trial/cost.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"cyclamenwheel/internal/operator"
 )
 
 // Cost is what the nodes spent on the tasks of a steady load.
@@ -155,7 +157,7 @@
 
 // metric reads one metric of a node.
 func metric(addr, name string) (float64, error) {
-	resp, err := http.Get("http://" + addr + "/metrics")
+	resp, err := http.Get("http://" + addr + operator.PathMetrics)
 	if err != nil {
 		return 0, &NotMeasuredError{What: name, Cause: err}
 	}
