Logs tell that an endpoint has restarted under its id

The logs named an endpoint by its id alone, so that a run that is lost since its endpoint restarted looked like one whose end got lost. The start of an incarnation is decoded from service discovery and from the lists of runs, and a line says when an id answers with another one. No decision goes by it yet.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -258,8 +258,10 @@
 // endpoint is one incarnation of an endpoint of the pool.
 type endpoint struct {
 	id, addr, zone, kind, rack string
-	capacity                   Room
-	used                       Room
+	// startedMs is when the incarnation started, in ms since 1970; 0 where not told.
+	startedMs int64
+	capacity  Room
+	used      Room
 	// listed reports whether service discovery has it.
 	listed   bool
 	draining bool
@@ -335,6 +337,8 @@
 
 // EndpointInfo is what service discovery says of an endpoint.
 type EndpointInfo struct {
+	// StartedMs is when this incarnation started, in ms since 1970; 0 where not told.
+	StartedMs                  int64
 	ID, Addr, Zone, Kind, Rack string
 	Capacity                   Room
 	Draining                   bool
@@ -380,6 +384,8 @@
 	Reason   string
 	// AgeMs is the age of what the decision rests on.
 	AgeMs int64
+	// StartedMs is when the endpoint's incarnation started, where that matters.
+	StartedMs int64
 }
 
 // Kinds of events.
@@ -404,6 +410,8 @@
 	EventFine     EventKind = "endpoint no longer slow"
 	EventWithheld EventKind = "end not acknowledged"
 	EventPaced    EventKind = "starts paced"
+	// EventRestarted: another incarnation answers under an endpoint's id.
+	EventRestarted EventKind = "endpoint restarted"
 )
 
 func (c *Core) event(e Event) { c.events = append(c.events, e) }
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"fmt"
 	"time"
 
 	"cyclamenwheel/internal/jobs"
@@ -142,9 +143,12 @@
 
 // Listed is what an endpoint listed in answer to a renewal.
 type Listed struct {
-	Clock   time.Duration
-	Running []ListedRun
-	Ended   []ListedEnd
+	Clock time.Duration
+	// StartedMs is when the incarnation that answered started, in ms since 1970; 0 where
+	// not told.
+	StartedMs int64
+	Running   []ListedRun
+	Ended     []ListedEnd
 }
 
 // ListedRun is a run that an endpoint lists as running.
@@ -215,6 +219,7 @@
 }
 
 func (c *Core) takeIn(now, sent time.Duration, e *endpoint, in Listed) {
+	c.noteStart(e, in.StartedMs)
 	e.noteClock(now, in.Clock)
 	if !e.lookedEver {
 		// What a predecessor granted goes on, for a lease at most: it can grant
@@ -252,6 +257,15 @@
 	}
 }
 
+// noteStart tells that another incarnation answers under the endpoint's id.
+func (c *Core) noteStart(e *endpoint, startedMs int64) {
+	if e.startedMs != 0 && startedMs != e.startedMs {
+		c.event(Event{Kind: EventRestarted, Endpoint: e.id, StartedMs: startedMs, Run: len(e.tasks),
+			Reason: fmt.Sprintf("ends up to %d acknowledged before", e.acknowledged)})
+	}
+	e.startedMs = startedMs
+}
+
 // fullListing is how many ends one answer lists at most; with as many, more
 // may follow and nothing can be concluded from what is missing.
 const fullListing = 500
--- a/internal/shards/orders.go
+++ b/internal/shards/orders.go
@@ -101,7 +101,7 @@
 }
 
 func listedOf(in platform.Look) executor.Listed {
-	out := executor.Listed{Clock: in.Clock}
+	out := executor.Listed{Clock: in.Clock, StartedMs: in.StartedMs}
 	for _, run := range in.Running {
 		out.Running = append(out.Running, executor.ListedRun{Task: run.Task, Run: run.Run, Checkpoint: run.Checkpoint,
 			Percent: run.Percent})
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -238,6 +238,6 @@
 	for _, e := range r.core.TakeEvents() {
 		metrics.GetOrCreateCounter(fmt.Sprintf("cyclamen_pool_events_total{event=%q}", e.Kind)).Inc()
 		r.log.Info(string(e.Kind), "epoch", r.epoch, "job", e.Job, "task", e.Task, "run", e.Run,
-			"instance", e.Endpoint, "reason", e.Reason, "age_ms", e.AgeMs)
+			"instance", e.Endpoint, "started_ms", e.StartedMs, "reason", e.Reason, "age_ms", e.AgeMs)
 	}
 }
