What an owner knows of an endpoint ends with its incarnation

Callers saw tasks run again after they had ended done, and more runs than their queue allows after failed ones. An endpoint that restarts under its id numbers its ends from 1 again; its owner kept the number of the last end by id, skipped the new ends as known, acknowledged them unread and took the runs for lost. Ruled out: an end that comes after its run was given up (no lease had run out), and a change of owner (one owner started all runs).

An owner now tells incarnations apart by id and start. With a new one, shown by a list of runs or by service discovery, it forgets the numbers of ends, what it acknowledged, clock, lease, speed and quarantine; a task whose order had left waits for the next listing; answers to renewals and orders that were meant for an earlier incarnation are left aside. Leases that the new one may have taken from orders for the one before end on another clock, so they count as long as the longest that endpoints grant (longest_lease, from the deployment's bounds). An endpoint is used only once service discovery shows the present incarnation, which may be smaller than the one before.

The test of renewals for an earlier incarnation has its restarts hidden from service discovery for a while and breaks the connections of the one that ends: it fails on this code as well, and that of late orders, which now get there in time by the new clock, too.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -35,6 +35,8 @@
 	KeepEnded time.Duration
 	// StopTimeout is the longest that a stop takes on an endpoint.
 	StopTimeout time.Duration
+	// LongestLease is what endpoints shorten longer leases to.
+	LongestLease time.Duration
 }
 
 const (
@@ -111,7 +113,7 @@
 	// storeTook is how long the journal takes, a moving average.
 	storeTook time.Duration
 	replies   []Reply
-	acks      map[string]int64
+	acks      map[Incarnation]int64
 	stops     []Order
 	events    []Event
 
@@ -133,7 +135,7 @@
 		pool: pool, epoch: epoch, limits: limits, claimedAt: now,
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, gone: map[string]bool{},
 		learned:   map[string]*lengths{},
-		refusedAt: map[string]time.Duration{}, dirty: map[*job]bool{}, acks: map[string]int64{},
+		refusedAt: map[string]time.Duration{}, dirty: map[*job]bool{}, acks: map[Incarnation]int64{},
 		pace: newPace(),
 	}
 }
@@ -255,13 +257,15 @@
 	return jobs.TaskName{Job: t.step.job.rec.Job.ID, Occurrence: t.step.occ.number, Step: t.step.index, Index: t.index}.String()
 }
 
-// endpoint is one incarnation of an endpoint of the pool.
+// endpoint is an endpoint of the pool in its present incarnation.
 type endpoint struct {
 	id, addr, zone, kind, rack string
 	// startedMs is when the incarnation started, in ms since 1970; 0 where not told.
 	startedMs int64
-	capacity  Room
-	used      Room
+	// term counts the incarnations that this owner has met.
+	term     int
+	capacity Room
+	used     Room
 	// listed reports whether service discovery has it.
 	listed   bool
 	draining bool
@@ -277,7 +281,6 @@
 	looked     time.Duration
 	lookedEver bool
 	lookOut    bool
-	lookSent   time.Duration
 	nextLook   time.Duration
 	failedLook int
 
@@ -286,6 +289,9 @@
 	clockAt time.Duration
 	// granted is the latest end of a lease that this owner asked for.
 	granted time.Duration
+	// heldUntil is how long runs may last whose orders were given to an earlier incarnation:
+	// the ends of their leases were times on another clock.
+	heldUntil time.Duration
 	// seen is the number of the newest end taken in; acknowledged the newest
 	// whose effect is durable.
 	seen         int64
@@ -364,6 +370,8 @@
 	Checkpoint string
 	Ticket     string
 	task       *task
+	// term is that of the endpoint as the order was made.
+	term int
 	// slot is that of a start that has left.
 	slot *slot
 }
--- /dev/null
+++ b/internal/executor/incarnation.go
@@ -0,0 +1,62 @@
+package executor
+
+import (
+	"fmt"
+	"time"
+)
+
+// Incarnation names one life of an endpoint. An endpoint may restart under its id: it then
+// holds nothing of before, numbers its ends from 1 again and has another clock.
+type Incarnation struct {
+	ID string
+	// StartedMs is when it started, in ms since 1970; 0 where that was not told.
+	StartedMs int64
+}
+
+func (e *endpoint) incarnation() Incarnation { return Incarnation{ID: e.id, StartedMs: e.startedMs} }
+
+// meet takes in the start of the incarnation that something was said of. It reports false
+// for one before the present incarnation.
+func (c *Core) meet(now time.Duration, e *endpoint, startedMs int64) bool {
+	switch {
+	case startedMs == 0:
+	case e.startedMs == 0:
+		e.startedMs = startedMs
+	case startedMs < e.startedMs:
+		return false
+	case startedMs > e.startedMs:
+		c.beginAnew(now, e, startedMs)
+	}
+	return true
+}
+
+// beginAnew forgets what was known of an endpoint's incarnation before, such as the number
+// of its last end: by that number the new ends would be taken for known and be acknowledged
+// unread, and their tasks run again. It counts as not listed, as the new one may have less
+// room. What belongs to the endpoint's instance is kept.
+func (c *Core) beginAnew(now time.Duration, e *endpoint, startedMs int64) {
+	c.event(Event{Kind: EventRestarted, Endpoint: e.id, StartedMs: startedMs, Run: len(e.tasks),
+		Reason: fmt.Sprintf("ends up to %d acknowledged before", e.acknowledged)})
+	*e = endpoint{
+		id: e.id, addr: e.addr, zone: e.zone, kind: e.kind, rack: e.rack, startedMs: startedMs, term: e.term + 1,
+		capacity: e.capacity, used: e.used, tasks: e.tasks,
+		vacating: e.vacating, vacateUntil: e.vacateUntil, dueUntil: e.dueUntil,
+		nextLook: now, heldUntil: now + stretched(c.limits.LongestLease),
+	}
+	for t := range e.tasks {
+		c.doubt(now, e, t)
+	}
+}
+
+// doubt deals with a task of an endpoint that has restarted. Where its order has left, the
+// run is over, or the order reached the new incarnation: its first listing tells.
+func (c *Core) doubt(now time.Duration, e *endpoint, t *task) {
+	if t.ordered == 0 && !t.restored {
+		c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: "incarnation ended"})
+		c.again(t)
+		return
+	}
+	t.restored = true
+	t.confirmed, t.stopSent, t.listedAt, t.percent, t.movedAt = 0, 0, 0, 0, now
+	t.answered, t.resending = false, false
+}
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -128,7 +128,7 @@
 	Records []Record
 	Replies []Reply
 	starts  []Order
-	acks    map[string]int64
+	acks    map[Incarnation]int64
 	shown   []shownState
 	// taken is when it was made.
 	taken time.Duration
@@ -148,7 +148,7 @@
 func (c *Core) Ready(now time.Duration) Ready {
 	r := Ready{starts: c.starts, Replies: c.replies, acks: c.acks, taken: now}
 	c.undurable += len(c.starts)
-	c.starts, c.replies, c.acks = nil, nil, map[string]int64{}
+	c.starts, c.replies, c.acks = nil, nil, map[Incarnation]int64{}
 	for _, j := range c.order {
 		r.Records = append(r.Records, j.records()...)
 		r.shown = append(r.shown, shownState{j, j.rec.State})
@@ -197,8 +197,8 @@
 		s.job.accepted = true
 		s.job.durable = max(s.job.durable, s.state)
 	}
-	for id, n := range r.acks {
-		if e := c.endpoints[id]; e != nil {
+	for to, n := range r.acks {
+		if e := c.endpoints[to.ID]; e != nil && e.incarnation() == to {
 			e.acknowledged = max(e.acknowledged, n)
 		}
 	}
--- a/internal/executor/leases.go
+++ b/internal/executor/leases.go
@@ -26,10 +26,10 @@
 // endpoint that has not answered this owner, a predecessor may have renewed
 // for as long as it was allowed to believe in itself.
 func (c *Core) expiryOf(e *endpoint) time.Duration {
-	if !e.lookedEver {
+	if !e.lookedEver && e.term == 0 {
 		return c.unheardExpiry(e)
 	}
-	return e.clockAt + stretched(e.granted-e.clock)
+	return max(e.heldUntil, e.clockAt+stretched(e.granted-e.clock))
 }
 
 // stretched is how long a time on an endpoint's clock may last.
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -1,7 +1,6 @@
 package executor
 
 import (
-	"fmt"
 	"time"
 
 	"cyclamenwheel/internal/jobs"
@@ -53,11 +52,16 @@
 	for _, e := range c.endpoints {
 		e.listed = false
 	}
+	shown := make(map[string]bool, len(list))
 	for _, info := range list {
+		shown[info.ID] = true
 		if c.gone[info.ID] {
 			continue
 		}
 		e := c.endpoint(info.ID)
+		if !c.meet(now, e, info.StartedMs) {
+			continue // the entry of an earlier incarnation
+		}
 		e.listed, e.draining = true, info.Draining
 		e.addr, e.zone, e.kind, e.rack = info.Addr, info.Zone, info.Kind, info.Rack
 		e.capacity = info.Capacity
@@ -66,7 +70,7 @@
 		}
 	}
 	for id, e := range c.endpoints {
-		if !e.listed && len(e.tasks) == 0 && !(e.vacating && now < e.vacateUntil) && !e.remembered(now) {
+		if !shown[id] && len(e.tasks) == 0 && !(e.vacating && now < e.vacateUntil) && !e.remembered(now) {
 			delete(c.endpoints, id)
 		}
 	}
@@ -94,6 +98,8 @@
 	Acknowledged int64
 	LeaseUntil   time.Duration
 	Wait         time.Duration
+	term         int
+	sent         time.Duration
 }
 
 // DueLooks returns the renewals to send now; each is answered by LookDone.
@@ -103,9 +109,9 @@
 		if e.lookOut || now < e.nextLook || e.addr == "" || !c.needsLook(now, e) {
 			continue
 		}
-		e.lookOut, e.lookSent = true, now
+		e.lookOut = true
 		due = append(due, Look{Endpoint: e.id, Addr: e.addr, Acknowledged: e.acknowledged,
-			LeaseUntil: c.grant(e, now), Wait: c.lookWait(now, e)})
+			LeaseUntil: c.grant(e, now), Wait: c.lookWait(now, e), term: e.term, sent: now})
 	}
 	return due
 }
@@ -196,30 +202,43 @@
 	LookGone
 )
 
-// LookDone takes in the result of a renewal that was sent at sent.
-func (c *Core) LookDone(now time.Duration, id string, result LookResult, in Listed) {
-	e := c.endpoints[id]
-	if e == nil {
-		return
+// LookDone takes in the result of a renewal.
+func (c *Core) LookDone(now time.Duration, l Look, result LookResult, in Listed) {
+	e := c.endpoints[l.Endpoint]
+	if e == nil || e.term != l.term {
+		return // about an earlier incarnation
 	}
-	sent := e.lookSent
 	e.lookOut = false
 	switch result {
 	case LookGone:
-		c.Gone(id)
+		c.Gone(e.id)
 	case LookFenced:
 		c.fenced = true
-		c.event(Event{Kind: EventFenced, Endpoint: id})
+		c.event(Event{Kind: EventFenced, Endpoint: e.id})
 	case LookUnanswered:
-		e.failedLook++
-		e.nextLook = now + lookRetry
+		e.lookFailed(now)
 	case LookAnswered:
-		c.takeIn(now, sent, e, in)
+		c.lookAnswered(now, l, e, in)
+	}
+}
+
+func (e *endpoint) lookFailed(now time.Duration) {
+	e.failedLook++
+	e.nextLook = now + lookRetry
+}
+
+// lookAnswered takes in a listing. One that shows a new incarnation only says that it lives:
+// orders for the one before may yet reach it.
+func (c *Core) lookAnswered(now time.Duration, l Look, e *endpoint, in Listed) {
+	switch met := c.meet(now, e, in.StartedMs); {
+	case !met:
+		e.lookFailed(now)
+	case e.term == l.term:
+		c.takeIn(now, l.sent, e, in)
 	}
 }
 
 func (c *Core) takeIn(now, sent time.Duration, e *endpoint, in Listed) {
-	c.noteStart(e, in.StartedMs)
 	e.noteClock(now, in.Clock)
 	if !e.lookedEver {
 		// What a predecessor granted goes on, for a lease at most: it can grant
@@ -250,22 +269,13 @@
 		c.takeEnd(now, e, end)
 	}
 	if upTo := e.acknowledgeable(); upTo > e.acknowledged {
-		c.acks[e.id] = upTo
+		c.acks[e.incarnation()] = upTo
 	}
 	if len(in.Ended) < fullListing {
 		c.settleUnlisted(now, sent, e, running)
 	}
 }
 
-// noteStart tells that another incarnation answers under the endpoint's id.
-func (c *Core) noteStart(e *endpoint, startedMs int64) {
-	if e.startedMs != 0 && startedMs != e.startedMs {
-		c.event(Event{Kind: EventRestarted, Endpoint: e.id, StartedMs: startedMs, Run: len(e.tasks),
-			Reason: fmt.Sprintf("ends up to %d acknowledged before", e.acknowledged)})
-	}
-	e.startedMs = startedMs
-}
-
 // fullListing is how many ends one answer lists at most; with as many, more
 // may follow and nothing can be concluded from what is missing.
 const fullListing = 500
@@ -297,7 +307,7 @@
 // while its endpoint lived on; it must not go on beside its successor.
 func (c *Core) stopStranger(e *endpoint, r ListedRun) {
 	c.event(Event{Kind: EventStranger, Task: r.Task, Run: r.Run, Endpoint: e.id})
-	c.stops = append(c.stops, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Task: r.Task, Run: r.Run})
+	c.stops = append(c.stops, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Task: r.Task, Run: r.Run, term: e.term})
 }
 
 func (c *Core) seeRunning(now, clock time.Duration, t *task, r ListedRun) {
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -253,7 +253,7 @@
 
 func (c *Core) startOrder(t *task) Order {
 	return Order{Kind: OrderStart, Endpoint: t.host.id, Addr: t.host.addr, Task: t.name(), Run: t.run,
-		Spec: t.step.job.rec.Job.Spec, Checkpoint: t.checkpoint, Ticket: t.ticket, task: t}
+		Spec: t.step.job.rec.Job.Spec, Checkpoint: t.checkpoint, Ticket: t.ticket, task: t, term: t.host.term}
 }
 
 func (e *endpoint) hasLasting() bool {
--- a/internal/executor/restart_test.go
+++ b/internal/executor/restart_test.go
@@ -71,18 +71,31 @@
 // Guards against a renewal that reaches the next incarnation before anything is known of it
 // and acknowledges, by the numbers of the one before, ends that nobody has read.
 func TestARenewalForAnEarlierIncarnationForgetsNothing(t *testing.T) {
-	g := NewWithT(t)
-	w, o, h := withEnds(g, 1)
-	w.lengthOf = func(jobs.TaskName) time.Duration { return step }
-	for n := range 40 {
-		w.restart(h)
-		w.submit(o, jobOf(10+n, small(1)))
-		w.run(time.Duration(20+10*n%70) * time.Millisecond)
-	}
-	w.run(10 * time.Second)
-	g.Expect(w.broken).To(BeEmpty())
-	for n := range 40 {
-		g.Expect(w.state(o, jobOf(10+n))).To(Equal("completed"))
+	for seed := range uint64(20) {
+		g := NewWithT(t)
+		w, o, h := withEnds(g, 1)
+		w.seed = seed
+		w.lengthOf = func(jobs.TaskName) time.Duration { return step }
+		former := h.describe()
+		h.entry, h.entryUntil = &former, w.now+time.Hour
+		const handedIn = 60
+		for n := range handedIn {
+			switch n % 20 {
+			case 0:
+				former = h.describe()
+			case 10:
+				w.restart(h)
+				h.bootClock = 0 // leases by the former clock are still to come by this one
+			}
+			w.submit(o, jobOf(10+n, small(1)))
+			w.run(2 * step)
+		}
+		former = h.describe()
+		w.run(10 * time.Second)
+		g.Expect(w.broken).To(BeEmpty())
+		for n := range handedIn {
+			g.Expect(w.state(o, jobOf(10+n))).To(Equal("completed"))
+		}
 	}
 }
 
@@ -99,6 +112,7 @@
 	g.Expect(w.late).NotTo(BeEmpty())
 	h = w.hosts[w.late[0].order.Endpoint]
 	w.restart(h)
+	h.bootClock = 0 // the order's lease, by the former clock, is still to come by this one
 	w.lengthOf = func(jobs.TaskName) time.Duration { return time.Second }
 	w.run(500 * time.Millisecond)
 	for i := range w.late {
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -103,10 +103,11 @@
 
 // lateAnswer is a listing on its way to an owner.
 type lateAnswer struct {
-	at       time.Duration
-	to       *owner
-	endpoint string
-	listed   executor.Listed
+	at     time.Duration
+	to     *owner
+	look   executor.Look
+	listed executor.Listed
+	result executor.LookResult
 }
 
 // traced is something that happened to a task.
@@ -235,7 +236,7 @@
 const step = 10 * time.Millisecond
 
 func testLimits() executor.Limits {
-	return executor.Limits{Lease: 3 * time.Second, ProofAge: 4 * time.Second, KeepEnded: time.Minute, StopTimeout: 200 * time.Millisecond}
+	return executor.Limits{Lease: 3 * time.Second, ProofAge: 4 * time.Second, KeepEnded: time.Minute, StopTimeout: 200 * time.Millisecond, LongestLease: longestLease}
 }
 
 func newWorld(seed uint64, hosts int) *world {
@@ -269,12 +270,17 @@
 }
 
 // restart ends an incarnation, and another begins under its id. It holds and knows
-// nothing of before.
+// nothing of before, and answers that were on their way are lost.
 func (w *world) restart(h *host) {
 	w.note("endpoint restarted", "", h.id, 0, 0, 0)
 	for name := range h.running {
 		w.history(name).running--
 	}
+	for i, a := range w.answers {
+		if a.look.Endpoint == h.id {
+			w.answers[i].result = executor.LookUnanswered
+		}
+	}
 	clear(h.running)
 	clear(h.highest)
 	clear(h.endedAt)
@@ -568,20 +574,20 @@
 	h := w.hosts[l.Endpoint]
 	switch {
 	case h == nil || !h.hears(o.epoch):
-		o.core.LookDone(w.now, l.Endpoint, executor.LookUnanswered, executor.Listed{})
+		o.core.LookDone(w.now, l, executor.LookUnanswered, executor.Listed{})
 		return
 	case h.dead:
-		o.core.LookDone(w.now, l.Endpoint, executor.LookGone, executor.Listed{})
+		o.core.LookDone(w.now, l, executor.LookGone, executor.Listed{})
 		return
 	case o.epoch < h.fence:
-		o.core.LookDone(w.now, l.Endpoint, executor.LookFenced, executor.Listed{})
+		o.core.LookDone(w.now, l, executor.LookFenced, executor.Listed{})
 		return
 	}
 	h.fence = o.epoch
 	h.hold(w.now, l.LeaseUntil)
 	w.acknowledge(h, l.Acknowledged)
 	if w.chance("look", l.Endpoint, o.epoch) < w.loseAnswers {
-		o.core.LookDone(w.now, l.Endpoint, executor.LookUnanswered, executor.Listed{})
+		o.core.LookDone(w.now, l, executor.LookUnanswered, executor.Listed{})
 		return
 	}
 	listed := executor.Listed{Clock: h.clock(w.now), StartedMs: h.startedMs, Ended: slices.Clone(h.ended)}
@@ -596,7 +602,7 @@
 		listed.Running = append(listed.Running, executor.ListedRun{Task: r.task, Run: r.number, Percent: percent})
 	}
 	delay := time.Duration(12*w.chance("answer", l.Endpoint, o.epoch)) * step
-	w.answers = append(w.answers, lateAnswer{w.now + delay, o, l.Endpoint, listed})
+	w.answers = append(w.answers, lateAnswer{w.now + delay, o, l, listed, executor.LookAnswered})
 }
 
 // acknowledge lets an endpoint forget ends, and notes what they stand for from then on.
@@ -624,7 +630,7 @@
 		if a.at > w.now {
 			w.answers = append(w.answers, a)
 		} else if !a.to.stopped {
-			a.to.core.LookDone(w.now, a.endpoint, executor.LookAnswered, a.listed)
+			a.to.core.LookDone(w.now, a.look, a.result, a.listed)
 		}
 	}
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -258,7 +258,8 @@
 	n.manager = shards.NewManager(shards.Options{
 		Node: n.set.Node, Addr: addr, Member: member,
 		Membership: n.client, Store: store, Endpoints: n.client, Logger: n.log,
-		Limits: executor.Limits{Lease: lease, ProofAge: proofAge, KeepEnded: n.set.Bounds.KeepEnded, StopTimeout: n.set.Bounds.StopTimeout},
+		Limits: executor.Limits{Lease: lease, ProofAge: proofAge, KeepEnded: n.set.Bounds.KeepEnded, StopTimeout: n.set.Bounds.StopTimeout,
+			LongestLease: n.set.Bounds.LongestLease},
 		Fleet: func(ctx context.Context, duty shards.Duty) {
 			fleetops.Run(ctx, fleetops.Options{Holder: n.set.Node, Member: member, Claims: duty, Claimed: duty.Claimed,
 				Store: store, Cloud: n.client, Pools: calls, Facts: n.facts, Logger: n.log,
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -35,10 +35,12 @@
 type NodeBounds struct {
 	Grace       time.Duration
 	StopTimeout time.Duration
-	KeepEnded   time.Duration
-	LeaseTTL    time.Duration
-	Move        time.Duration
-	Maintain    time.Duration
+	// LongestLease is what endpoints shorten longer leases to.
+	LongestLease time.Duration
+	KeepEnded    time.Duration
+	LeaseTTL     time.Duration
+	Move         time.Duration
+	Maintain     time.Duration
 }
 
 // NodeTable lists the settings of cyclamen-node.
@@ -59,6 +61,7 @@
 		{Section: sectionStore, Name: "orders", Kind: KindName, Default: "rpc", Doc: "How endpoints get their orders; only rpc is supported."},
 		{Section: sectionBounds, Name: "grace", Kind: KindDuration, Default: "6s", Unit: "s", Min: second, Max: 600 * second, Doc: "Time between the signal to stop and the kill."},
 		{Section: sectionBounds, Name: "stop_timeout", Kind: KindDuration, Default: "900ms", Unit: "ms", Min: 1, Max: 600 * second, Doc: "Longest time that an endpoint takes to stop a task."},
+		{Section: sectionBounds, Name: "longest_lease", Kind: KindDuration, Default: "10s", Unit: "ms, s", Min: 1, Max: 600 * second, Doc: "Time to which endpoints shorten longer leases."},
 		{Section: sectionBounds, Name: "keep_ended", Kind: KindDuration, Default: "120s", Unit: "s", Min: second, Max: 86400 * second, Doc: "How long the state of an ended job can be asked for."},
 		{Section: sectionBounds, Name: "lease_ttl", Kind: KindDuration, Default: "3s", Unit: "ms", Min: 0, Max: 600 * second, Doc: "How long the platform remembers who ordered an instance last."},
 		{Section: sectionBounds, Name: "move", Kind: KindDuration, Default: "1500ms", Unit: "ms, s", Min: 0, Max: 600 * second, Doc: "How long an instance takes to move to another pool."},
@@ -85,10 +88,11 @@
 		Memory:  v.Bytes(sectionLimits, "memory"), Processor: v.Ratio(sectionLimits, "processor"),
 		Bounds: NodeBounds{
 			Grace: v.Duration(sectionBounds, "grace"), StopTimeout: v.Duration(sectionBounds, "stop_timeout"),
-			KeepEnded: v.Duration(sectionBounds, "keep_ended"),
-			LeaseTTL:  v.Duration(sectionBounds, "lease_ttl"),
-			Move:      v.Duration(sectionBounds, "move"),
-			Maintain:  v.Duration(sectionBounds, "maintenance"),
+			LongestLease: v.Duration(sectionBounds, "longest_lease"),
+			KeepEnded:    v.Duration(sectionBounds, "keep_ended"),
+			LeaseTTL:     v.Duration(sectionBounds, "lease_ttl"),
+			Move:         v.Duration(sectionBounds, "move"),
+			Maintain:     v.Duration(sectionBounds, "maintenance"),
 		},
 	}
 	if a := v.Addr(sectionStore, "instances"); a.IsValid() {
--- a/internal/shards/orders.go
+++ b/internal/shards/orders.go
@@ -77,7 +77,7 @@
 		if err != nil && r.ctx.Err() == nil {
 			r.log.Info("renewal not done", "epoch", r.epoch, "instance", l.Endpoint, "error", err.Error())
 		}
-		r.post(func(now time.Duration) { r.core.LookDone(now, l.Endpoint, result, listedOf(look)) })
+		r.post(func(now time.Duration) { r.core.LookDone(now, l, result, listedOf(look)) })
 	}()
 }
 
