Orders for an earlier incarnation are turned away by the next

A task ran twice at once where a start had gone unanswered, its endpoint had restarted under its id and the start reached the new incarnation after the task had begun elsewhere: an incarnation has seen no fence number, and the number of the owner's orders was the same for each. The number of a stop does not help either, as the new incarnation knows of no stop.

Fence numbers now count the incarnations that an owner has met under an id, below the epoch. The first renewal under the new number raises the fence, so that what was ordered before does nothing from then on; what got through until then is in that renewal's list. A refusal by fence only means a newer epoch where the order bears the newest number; results of older orders are left aside.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -73,6 +73,8 @@
 
 	jobs      map[string]*job
 	endpoints map[string]*endpoint
+	// terms are the next ones of endpoints that were forgotten.
+	terms map[string]int
 	// gone are incarnations that are known to have ended.
 	gone map[string]bool
 	// open are jobs with tasks that may still be started, by objective unless
@@ -133,14 +135,14 @@
 func New(pool string, epoch int64, limits Limits, now time.Duration) *Core {
 	return &Core{
 		pool: pool, epoch: epoch, limits: limits, claimedAt: now,
-		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, gone: map[string]bool{},
+		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, terms: map[string]int{}, gone: map[string]bool{},
 		learned:   map[string]*lengths{},
 		refusedAt: map[string]time.Duration{}, dirty: map[*job]bool{}, acks: map[Incarnation]int64{},
 		pace: newPace(),
 	}
 }
 
-// Epoch is the fence number of this state's orders.
+// Epoch is the number of the claim that the state was built under.
 func (c *Core) Epoch() int64 { return c.epoch }
 
 // Fenced reports whether an endpoint has seen a newer epoch.
@@ -359,19 +361,19 @@
 	OrderStop
 )
 
-// Order is an order to an endpoint. The caller adds fence and lease.
+// Order is an order to an endpoint. The caller adds the lease.
 type Order struct {
-	Kind       OrderKind
-	Endpoint   string
-	Addr       string
+	Kind     OrderKind
+	Endpoint string
+	Addr     string
+	// Fence is the number that the endpoint compares with the highest it has seen.
+	Fence      int64
 	Task       string
 	Run        int
 	Spec       string
 	Checkpoint string
 	Ticket     string
 	task       *task
-	// term is that of the endpoint as the order was made.
-	term int
 	// slot is that of a start that has left.
 	slot *slot
 }
--- a/internal/executor/incarnation.go
+++ b/internal/executor/incarnation.go
@@ -15,6 +15,20 @@
 
 func (e *endpoint) incarnation() Incarnation { return Incarnation{ID: e.id, StartedMs: e.startedMs} }
 
+// termBits of a fence number count the incarnations that an owner has met under one id;
+// the bits above are its epoch.
+const termBits = 20
+
+// fence is the number of orders to an endpoint. It rises with each incarnation: one that
+// has been heard under its own number turns away what was ordered of those before.
+func (c *Core) fence(e *endpoint) int64 { return c.epoch<<termBits | int64(e.term) }
+
+// forget drops an endpoint. Should its id come back, orders of before must not reach it.
+func (c *Core) forget(e *endpoint) {
+	delete(c.endpoints, e.id)
+	c.terms[e.id] = e.term + 1
+}
+
 // meet takes in the start of the incarnation that something was said of. It reports false
 // for one before the present incarnation.
 func (c *Core) meet(now time.Duration, e *endpoint, startedMs int64) bool {
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -41,7 +41,7 @@
 func (c *Core) endpoint(id string) *endpoint {
 	e := c.endpoints[id]
 	if e == nil {
-		e = &endpoint{id: id, tasks: map[*task]bool{}}
+		e = &endpoint{id: id, term: c.terms[id], tasks: map[*task]bool{}}
 		c.endpoints[id] = e
 	}
 	return e
@@ -71,7 +71,7 @@
 	}
 	for id, e := range c.endpoints {
 		if !shown[id] && len(e.tasks) == 0 && !(e.vacating && now < e.vacateUntil) && !e.remembered(now) {
-			delete(c.endpoints, id)
+			c.forget(e)
 		}
 	}
 }
@@ -88,17 +88,17 @@
 	}
 	c.event(Event{Kind: EventGone, Endpoint: id, Run: len(e.tasks)})
 	c.loseAll(e, "incarnation ended")
-	delete(c.endpoints, id)
+	c.forget(e)
 }
 
 // Look is a renewal to send.
 type Look struct {
 	Endpoint     string
 	Addr         string
+	Fence        int64
 	Acknowledged int64
 	LeaseUntil   time.Duration
 	Wait         time.Duration
-	term         int
 	sent         time.Duration
 }
 
@@ -110,8 +110,8 @@
 			continue
 		}
 		e.lookOut = true
-		due = append(due, Look{Endpoint: e.id, Addr: e.addr, Acknowledged: e.acknowledged,
-			LeaseUntil: c.grant(e, now), Wait: c.lookWait(now, e), term: e.term, sent: now})
+		due = append(due, Look{Endpoint: e.id, Addr: e.addr, Fence: c.fence(e), Acknowledged: e.acknowledged,
+			LeaseUntil: c.grant(e, now), Wait: c.lookWait(now, e), sent: now})
 	}
 	return due
 }
@@ -205,7 +205,7 @@
 // LookDone takes in the result of a renewal.
 func (c *Core) LookDone(now time.Duration, l Look, result LookResult, in Listed) {
 	e := c.endpoints[l.Endpoint]
-	if e == nil || e.term != l.term {
+	if e == nil || l.Fence != c.fence(e) {
 		return // about an earlier incarnation
 	}
 	e.lookOut = false
@@ -233,7 +233,7 @@
 	switch met := c.meet(now, e, in.StartedMs); {
 	case !met:
 		e.lookFailed(now)
-	case e.term == l.term:
+	case l.Fence == c.fence(e):
 		c.takeIn(now, l.sent, e, in)
 	}
 }
@@ -307,7 +307,7 @@
 // while its endpoint lived on; it must not go on beside its successor.
 func (c *Core) stopStranger(e *endpoint, r ListedRun) {
 	c.event(Event{Kind: EventStranger, Task: r.Task, Run: r.Run, Endpoint: e.id})
-	c.stops = append(c.stops, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Task: r.Task, Run: r.Run, term: e.term})
+	c.stops = append(c.stops, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Fence: c.fence(e), Task: r.Task, Run: r.Run})
 }
 
 func (c *Core) seeRunning(now, clock time.Duration, t *task, r ListedRun) {
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -57,7 +57,7 @@
 	c.pace.pass(now)
 	for len(c.leaving) > 0 && c.pace.free() > 0 {
 		o, c.leaving = c.leaving[0], c.leaving[1:]
-		if !o.current() || o.term != o.task.host.term || o.task.stopping {
+		if !o.current() || o.Fence != c.fence(o.task.host) || o.task.stopping {
 			continue
 		}
 		o.task.ordered, o.task.answered, o.task.resending = now, false, false
@@ -83,7 +83,7 @@
 	}
 	c.explainPace(now)
 	e := c.endpoints[o.Endpoint]
-	if e == nil || e.term != o.term {
+	if e == nil || o.Fence != c.fence(e) {
 		return // about an earlier incarnation
 	}
 	e.noteClock(now, clock)
@@ -203,7 +203,7 @@
 		return
 	}
 	t.stopSent = now
-	c.stops = append(c.stops, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Task: t.name(), Run: t.run, task: t, term: e.term})
+	c.stops = append(c.stops, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Fence: c.fence(e), Task: t.name(), Run: t.run, task: t})
 }
 
 // Standstill. Load: tasks on some endpoints stand still while their leases are
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -252,8 +252,8 @@
 }
 
 func (c *Core) startOrder(t *task) Order {
-	return Order{Kind: OrderStart, Endpoint: t.host.id, Addr: t.host.addr, Task: t.name(), Run: t.run,
-		Spec: t.step.job.rec.Job.Spec, Checkpoint: t.checkpoint, Ticket: t.ticket, task: t, term: t.host.term}
+	return Order{Kind: OrderStart, Endpoint: t.host.id, Addr: t.host.addr, Fence: c.fence(t.host), Task: t.name(), Run: t.run,
+		Spec: t.step.job.rec.Job.Spec, Checkpoint: t.checkpoint, Ticket: t.ticket, task: t}
 }
 
 func (e *endpoint) hasLasting() bool {
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -488,10 +488,10 @@
 	if h.dead {
 		return executor.OrderGone
 	}
-	if epoch < h.fence {
+	if order.Fence < h.fence {
 		return executor.OrderFenced
 	}
-	h.fence = epoch
+	h.fence = order.Fence
 	if order.Kind == executor.OrderStop {
 		w.stop(h, order)
 		return executor.OrderDone
@@ -579,11 +579,11 @@
 	case h.dead:
 		o.core.LookDone(w.now, l, executor.LookGone, executor.Listed{})
 		return
-	case o.epoch < h.fence:
+	case l.Fence < h.fence:
 		o.core.LookDone(w.now, l, executor.LookFenced, executor.Listed{})
 		return
 	}
-	h.fence = o.epoch
+	h.fence = l.Fence
 	h.hold(w.now, l.LeaseUntil)
 	w.acknowledge(h, l.Acknowledged)
 	if w.chance("look", l.Endpoint, o.epoch) < w.loseAnswers {
--- a/internal/shards/orders.go
+++ b/internal/shards/orders.go
@@ -25,9 +25,9 @@
 
 func (r *Runner) carryOut(to platform.EndpointRef, o executor.Order, lease time.Duration) (time.Duration, error) {
 	if o.Kind == executor.OrderStop {
-		return r.endpoints.Stop(r.ctx, to, o.Task, o.Run, r.epoch)
+		return r.endpoints.Stop(r.ctx, to, o.Task, o.Run, o.Fence)
 	}
-	return r.endpoints.Start(r.ctx, to, platform.StartOrder{Task: o.Task, Run: o.Run, Spec: o.Spec, Fence: r.epoch,
+	return r.endpoints.Start(r.ctx, to, platform.StartOrder{Task: o.Task, Run: o.Run, Spec: o.Spec, Fence: o.Fence,
 		LeaseUntil: lease, Checkpoint: o.Checkpoint, Ticket: o.Ticket})
 }
 
@@ -71,7 +71,7 @@
 func (r *Runner) look(l executor.Look) {
 	to := platform.EndpointRef{ID: l.Endpoint, Addr: l.Addr}
 	go func() {
-		look, err := r.endpoints.Renew(r.ctx, to, platform.Renewal{Fence: r.epoch, Acknowledged: l.Acknowledged,
+		look, err := r.endpoints.Renew(r.ctx, to, platform.Renewal{Fence: l.Fence, Acknowledged: l.Acknowledged,
 			LeaseUntil: l.LeaseUntil, Wait: l.Wait})
 		result := lookResultOf(err)
 		if err != nil && r.ctx.Err() == nil {
