A renewal acknowledges nothing while a start may have reached another incarnation

Tasks ran again after their acknowledged end on endpoints that had restarted a moment before: a start reached the new incarnation and ended there before its owner knew of the restart, and the next renewal, with the number of the incarnation before, let it forget an end that nobody had read.

A renewal now carries an acknowledgement only where each start that has left is known to have reached the present incarnation: it is listed, or its answer is from it. An answer by another clock has the endpoint asked at once. After a renewal without an answer the next one acknowledges nothing either. Endpoints that don't tell their starts are dealt with as before.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -235,6 +235,8 @@
 	answered bool
 	// resending: the order waits to leave once more.
 	resending bool
+	// proven: the run is known to have been in the endpoint's present incarnation.
+	proven bool
 	// restored: the start was intended by an earlier owner. Its order carries
 	// an older fence, so that it can't begin once this owner has been heard.
 	restored bool
@@ -374,6 +376,8 @@
 	Checkpoint string
 	Ticket     string
 	task       *task
+	// sent is when a start left.
+	sent time.Duration
 	// slot is that of a start that has left.
 	slot *slot
 }
--- a/internal/executor/incarnation.go
+++ b/internal/executor/incarnation.go
@@ -72,5 +72,61 @@
 	}
 	t.restored = true
 	t.confirmed, t.stopSent, t.listedAt, t.percent, t.movedAt = 0, 0, 0, 0, now
-	t.answered, t.resending = false, false
+	t.answered, t.resending, t.proven = false, false, false
+}
+
+// mayForget is the number of the last end that a renewal may let the endpoint forget. The
+// renewal may find a new incarnation, whose ends nobody has read: it has none unless a start
+// reached it, which then is not known to have reached the present one.
+func (e *endpoint) mayForget() int64 {
+	if e.startedMs == 0 {
+		return e.acknowledged // endpoints that don't tell their starts have one life an id
+	}
+	if e.failedLook > 0 {
+		return 0
+	}
+	for t := range e.tasks {
+		if t.ordered > 0 && !t.proven {
+			return 0
+		}
+	}
+	return e.acknowledged
+}
+
+// Answer is what an endpoint tells of itself with an answer to an order.
+type Answer struct {
+	// Clock is its own steady clock, 0 where not told.
+	Clock time.Duration
+	// StartedMs is when the incarnation that answered started, in ms since 1970; 0 where
+	// not told.
+	StartedMs int64
+}
+
+// clockSlack is how late the reading of a clock may come: the answer with it was under way,
+// or waited here.
+const clockSlack = 2 * time.Second
+
+// isFrom reports whether an answer to an order that left at sent is from the endpoint's
+// present incarnation. One that does not say is told by its clock, which goes on from its
+// last reading and may be slow.
+func (a Answer) isFrom(now, sent time.Duration, e *endpoint) bool {
+	if a.StartedMs != 0 && e.startedMs != 0 {
+		return a.StartedMs == e.startedMs
+	}
+	if a.Clock == 0 || e.clockAt == 0 {
+		return false
+	}
+	least := e.clock + time.Duration(float64(sent-e.clockAt)*(1-clockDrift)) - time.Millisecond
+	most := e.clock + now - e.clockAt + clockSlack
+	return a.Clock >= least && a.Clock <= most
+}
+
+// unsure takes in that an endpoint may have restarted: an answer does not seem to be from the
+// incarnation that is known. It is asked at once; runs may last as if it had restarted.
+func (c *Core) unsure(now time.Duration, e *endpoint) {
+	if e.startedMs == 0 {
+		return
+	}
+	e.nextLook = now
+	e.heldUntil = now + stretched(c.limits.LongestLease)
 }
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -110,7 +110,7 @@
 			continue
 		}
 		e.lookOut = true
-		due = append(due, Look{Endpoint: e.id, Addr: e.addr, Fence: c.fence(e), Acknowledged: e.acknowledged,
+		due = append(due, Look{Endpoint: e.id, Addr: e.addr, Fence: c.fence(e), Acknowledged: e.mayForget(),
 			LeaseUntil: c.grant(e, now), Wait: c.lookWait(now, e), sent: now})
 	}
 	return due
@@ -312,6 +312,7 @@
 
 func (c *Core) seeRunning(now, clock time.Duration, t *task, r ListedRun) {
 	c.confirm(now, t)
+	t.proven = true
 	c.noteProgress(clock, t, r.Percent)
 	if r.Percent != t.percent {
 		t.percent, t.movedAt = r.Percent, now
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		o.task.ordered, o.task.answered, o.task.resending = now, false, false
-		o.slot = c.pace.sent(now)
+		o.sent, o.slot = now, c.pace.sent(now)
 		return o, c.grant(o.task.host, now), true
 	}
 	return Order{}, 0, false
@@ -73,7 +73,7 @@
 }
 
 // OrderDone takes in the result of an order.
-func (c *Core) OrderDone(now time.Duration, o Order, result OrderResult, clock time.Duration) {
+func (c *Core) OrderDone(now time.Duration, o Order, result OrderResult, a Answer) {
 	switch {
 	case o.slot == nil:
 	case result == OrderUnanswered:
@@ -86,7 +86,13 @@
 	if e == nil || o.Fence != c.fence(e) {
 		return // about an earlier incarnation
 	}
-	e.noteClock(now, clock)
+	if !c.meet(now, e, a.StartedMs) || o.Fence != c.fence(e) {
+		return // another incarnation has answered
+	}
+	same := a.isFrom(now, o.sent, e)
+	if same {
+		e.noteClock(now, a.Clock)
+	}
 	switch result {
 	case OrderFenced:
 		c.fenced = true
@@ -102,7 +108,11 @@
 	}
 	switch o.Kind {
 	case OrderStart:
+		t.proven = t.proven || same && result == OrderDone
 		c.startDone(now, t, e, result)
+		if !same && a.Clock > 0 {
+			c.unsure(now, e)
+		}
 	case OrderStop:
 		c.stopDone(now, t, e, result)
 	}
--- a/internal/executor/pace_test.go
+++ b/internal/executor/pace_test.go
@@ -189,13 +189,13 @@
 	for range 3 * paceAnswers {
 		s := c.pace.sent(now)
 		now += 10 * time.Millisecond
-		c.OrderDone(now, Order{Kind: OrderStart, slot: s}, OrderDone, 0)
+		c.OrderDone(now, Order{Kind: OrderStart, slot: s}, OrderDone, Answer{})
 	}
 	g.Expect(c.TakeEvents()).To(BeEmpty(), "answers are fast")
 	for range 3 * paceAnswers {
 		s := c.pace.sent(now)
 		now += 100 * time.Millisecond
-		c.OrderDone(now, Order{Kind: OrderStart, slot: s}, OrderDone, 0)
+		c.OrderDone(now, Order{Kind: OrderStart, slot: s}, OrderDone, Answer{})
 	}
 	events := c.TakeEvents()
 	g.Expect(events).NotTo(BeEmpty())
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -45,7 +45,7 @@
 	t.step.job.placed--
 	t.host = nil
 	t.ordered, t.confirmed, t.stopSent = 0, 0, 0
-	t.answered, t.resending, t.stopping, t.restored, t.resumed = false, false, false, false, false
+	t.answered, t.resending, t.stopping, t.proven, t.restored, t.resumed = false, false, false, false, false, false
 	t.percent, t.listedAt, t.ticket = 0, 0, ""
 }
 
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -472,16 +472,16 @@
 			}
 			w.late = append(w.late, l)
 		}
-		o.core.OrderDone(w.now, order, executor.OrderUnanswered, 0)
+		o.core.OrderDone(w.now, order, executor.OrderUnanswered, executor.Answer{})
 		return
 	}
 	result := w.carryOut(h, order, o.epoch, lease)
 	w.note(fmt.Sprintf("order %d", order.Kind), order.Task, h.id, order.Run, o.epoch, result)
 	if w.chance("unanswered", order.Kind, order.Task, order.Run, o.epoch) < w.loseAnswers {
-		o.core.OrderDone(w.now, order, executor.OrderUnanswered, 0)
+		o.core.OrderDone(w.now, order, executor.OrderUnanswered, executor.Answer{})
 		return
 	}
-	o.core.OrderDone(w.now, order, result, h.clock(w.now))
+	o.core.OrderDone(w.now, order, result, executor.Answer{Clock: h.clock(w.now)})
 }
 
 func (w *world) carryOut(h *host, order executor.Order, epoch int64, lease time.Duration) executor.OrderResult {
--- a/internal/shards/orders.go
+++ b/internal/shards/orders.go
@@ -13,17 +13,17 @@
 func (r *Runner) send(o executor.Order, lease time.Duration) {
 	to := platform.EndpointRef{ID: o.Endpoint, Addr: o.Addr}
 	go func() {
-		clock, err := r.carryOut(to, o, lease)
+		answer, err := r.carryOut(to, o, lease)
 		result := resultOf(err)
 		if err != nil {
 			r.log.Info("order not done", "epoch", r.epoch, "task", o.Task, "run", o.Run, "instance", o.Endpoint,
 				"order", int(o.Kind), "result", result.String(), "error", err.Error())
 		}
-		r.post(func(now time.Duration) { r.core.OrderDone(now, o, result, clockOf(err, clock)) })
+		r.post(func(now time.Duration) { r.core.OrderDone(now, o, result, answerOf(err, answer)) })
 	}()
 }
 
-func (r *Runner) carryOut(to platform.EndpointRef, o executor.Order, lease time.Duration) (time.Duration, error) {
+func (r *Runner) carryOut(to platform.EndpointRef, o executor.Order, lease time.Duration) (platform.EndpointAnswer, error) {
 	if o.Kind == executor.OrderStop {
 		return r.endpoints.Stop(r.ctx, to, o.Task, o.Run, o.Fence)
 	}
@@ -31,12 +31,13 @@
 		LeaseUntil: lease, Checkpoint: o.Checkpoint, Ticket: o.Ticket})
 }
 
-func clockOf(err error, clock time.Duration) time.Duration {
+// answerOf returns what an endpoint told of itself as it did an order or turned it away.
+func answerOf(err error, in platform.EndpointAnswer) executor.Answer {
 	var refused *platform.RefusedError
 	if errors.As(err, &refused) {
-		return refused.Clock
+		in = refused.Answer
 	}
-	return clock
+	return executor.Answer{Clock: in.Clock, StartedMs: in.StartedMs}
 }
 
 // resultOf says what an error of the endpoints' client means for an order.
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -48,8 +48,8 @@
 // Endpoints is the part of the platform's client that orders endpoints
 // and asks which of them may be ordered.
 type Endpoints interface {
-	Start(ctx context.Context, to platform.EndpointRef, o platform.StartOrder) (time.Duration, error)
-	Stop(ctx context.Context, to platform.EndpointRef, task string, run int, fence int64) (time.Duration, error)
+	Start(ctx context.Context, to platform.EndpointRef, o platform.StartOrder) (platform.EndpointAnswer, error)
+	Stop(ctx context.Context, to platform.EndpointRef, task string, run int, fence int64) (platform.EndpointAnswer, error)
 	Renew(ctx context.Context, to platform.EndpointRef, r platform.Renewal) (platform.Look, error)
 	Advise(ctx context.Context, step string, endpoints []string, timeout time.Duration) (platform.Advice, error)
 }
--- a/internal/shards/runner_test.go
+++ b/internal/shards/runner_test.go
@@ -84,17 +84,17 @@
 	started map[string]int
 }
 
-func (e *obedientEndpoint) Start(_ context.Context, _ platform.EndpointRef, o platform.StartOrder) (time.Duration, error) {
+func (e *obedientEndpoint) Start(_ context.Context, _ platform.EndpointRef, o platform.StartOrder) (platform.EndpointAnswer, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.started[o.Task] = o.Run
-	return time.Second, nil
+	return platform.EndpointAnswer{Clock: time.Second}, nil
 }
 
 func (e *obedientEndpoint) Renew(context.Context, platform.EndpointRef, platform.Renewal) (platform.Look, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	look := platform.Look{Clock: time.Second}
+	look := platform.Look{EndpointAnswer: platform.EndpointAnswer{Clock: time.Second}}
 	for task, run := range e.started {
 		look.Running = append(look.Running, platform.TaskRun{Task: task, Run: run})
 	}
