The end of an incarnation is told by its start, not by its endpoint's id

An endpoint that came back under its id was never used again, and a pool of such endpoints shrank with each crash or operation: its owner remembered ids of endpoints that had ended. Told of an end after the next incarnation had begun, it would have dropped the tasks of that one and started them again beside it.

Owners remember the start of the newest incarnation that has ended. The duty over instances learns the start with the owner's word that an endpoint is clear, keeps it with the operation and names it when it tells of the end; without one nothing of a later incarnation is touched. A request to clear an endpoint is about its instance and holds for the next incarnation as well.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -75,8 +75,8 @@
 	endpoints map[string]*endpoint
 	// terms are the next ones of endpoints that were forgotten.
 	terms map[string]int
-	// gone are incarnations that are known to have ended.
-	gone map[string]bool
+	// gone is, by id, the start of the newest incarnation that is known to have ended.
+	gone map[string]int64
 	// open are jobs with tasks that may still be started, by objective unless
 	// unsorted.
 	open     []*job
@@ -135,7 +135,7 @@
 func New(pool string, epoch int64, limits Limits, now time.Duration) *Core {
 	return &Core{
 		pool: pool, epoch: epoch, limits: limits, claimedAt: now,
-		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, terms: map[string]int{}, gone: map[string]bool{},
+		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, terms: map[string]int{}, gone: map[string]int64{},
 		learned:   map[string]*lengths{},
 		refusedAt: map[string]time.Duration{}, dirty: map[*job]bool{}, acks: map[Incarnation]int64{},
 		pace: newPace(),
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -263,7 +263,7 @@
 		clear(w.hosts["i-00"].running)
 		w.addHost("i-01")
 		w.run(100 * time.Millisecond)
-		o.core.Gone("i-00")
+		o.core.Gone(executor.Incarnation{ID: "i-00", StartedMs: w.hosts["i-00"].startedMs})
 		w.run(time.Second)
 		Expect(w.state(o, j)).To(Equal("completed"))
 		Expect(w.broken).To(BeEmpty())
--- a/internal/executor/incarnation.go
+++ b/internal/executor/incarnation.go
@@ -15,6 +15,12 @@
 
 func (e *endpoint) incarnation() Incarnation { return Incarnation{ID: e.id, StartedMs: e.startedMs} }
 
+// hasEnded reports whether an incarnation is known to have ended.
+func (c *Core) hasEnded(in Incarnation) bool {
+	last, known := c.gone[in.ID]
+	return known && in.StartedMs <= last
+}
+
 // termBits of a fence number count the incarnations that an owner has met under one id;
 // the bits above are its epoch.
 const termBits = 20
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -55,7 +55,7 @@
 	shown := make(map[string]bool, len(list))
 	for _, info := range list {
 		shown[info.ID] = true
-		if c.gone[info.ID] {
+		if c.hasEnded(Incarnation{info.ID, info.StartedMs}) {
 			continue
 		}
 		e := c.endpoint(info.ID)
@@ -77,16 +77,16 @@
 }
 
 // Gone takes in that an incarnation has ended, and everything on it with it.
-func (c *Core) Gone(id string) {
-	e := c.endpoints[id]
-	if c.gone[id] {
+func (c *Core) Gone(in Incarnation) {
+	if c.hasEnded(in) {
 		return
 	}
-	c.gone[id] = true
-	if e == nil {
-		return
+	c.gone[in.ID] = in.StartedMs
+	e := c.endpoints[in.ID]
+	if e == nil || e.startedMs > in.StartedMs {
+		return // a later one may live under the id
 	}
-	c.event(Event{Kind: EventGone, Endpoint: id, Run: len(e.tasks)})
+	c.event(Event{Kind: EventGone, Endpoint: e.id, StartedMs: e.startedMs, Run: len(e.tasks)})
 	c.loseAll(e, "incarnation ended")
 	c.forget(e)
 }
@@ -211,7 +211,7 @@
 	e.lookOut = false
 	switch result {
 	case LookGone:
-		c.Gone(e.id)
+		c.Gone(e.incarnation())
 	case LookFenced:
 		c.fenced = true
 		c.event(Event{Kind: EventFenced, Endpoint: e.id})
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -99,7 +99,7 @@
 		c.event(Event{Kind: EventFenced, Endpoint: o.Endpoint})
 		return
 	case OrderGone:
-		c.Gone(o.Endpoint)
+		c.Gone(e.incarnation())
 		return
 	}
 	t := o.task
--- a/internal/executor/vacate.go
+++ b/internal/executor/vacate.go
@@ -18,13 +18,22 @@
 	e.vacateUntil = now + vacateFor
 }
 
+// Vacancy is how far an endpoint is cleared of tasks.
+type Vacancy struct {
+	// Left is how many tasks are left on it.
+	Left int
+	// StartedMs tells the incarnation that this is about, 0 where not told.
+	StartedMs int64
+}
+
 // Vacate asks to clear an endpoint of tasks, so that its instance can move or
 // be maintained. It returns how many are left; with none left nothing is
 // placed there for vacateFor, unless the request is withdrawn. Tasks that end
-// by themselves are left to it unless hurry is set.
-func (c *Core) Vacate(now time.Duration, id string, hurry bool) (left int, known bool) {
-	if c.gone[id] {
-		return 0, false
+// by themselves are left to it unless hurry is set. The request holds for the
+// endpoint's instance, and so for an incarnation that begins meanwhile.
+func (c *Core) Vacate(now time.Duration, id string, hurry bool) (v Vacancy, known bool) {
+	if _, ended := c.gone[id]; ended && c.endpoints[id] == nil {
+		return Vacancy{}, false
 	}
 	// An endpoint that service discovery has not shown yet is kept clear from
 	// the moment it does.
@@ -38,7 +47,7 @@
 			}
 		}
 	}
-	return len(e.tasks) + e.strangers, e.lookedEver
+	return Vacancy{Left: len(e.tasks) + e.strangers, StartedMs: e.startedMs}, e.lookedEver
 }
 
 // LeavesSoon takes in which endpoints will have to be cleared soon. It holds for
--- a/internal/fleetops/decide.go
+++ b/internal/fleetops/decide.go
@@ -27,7 +27,9 @@
 // Clear asks a pool's owner to clear an endpoint, or to go on using it.
 type Clear struct {
 	Instance, Pool, Endpoint string
-	Hurry                    bool
+	// StartedMs tells the endpoint's incarnation, 0 where not known.
+	StartedMs int64
+	Hurry     bool
 	// Ended says that the platform has ended the incarnation. Service discovery
 	// lists it for some seconds more.
 	Ended bool
@@ -77,7 +79,7 @@
 func (s *State) tellEnds(a *Actions) {
 	for name, op := range s.ops {
 		if op.Phase == PhaseOver && op.Ended && !op.told && op.Endpoint != "" && s.pools[op.From] != nil {
-			a.Clears = append(a.Clears, Clear{Instance: name, Pool: op.From, Endpoint: op.Endpoint, Ended: true})
+			a.Clears = append(a.Clears, Clear{Instance: name, Pool: op.From, Endpoint: op.Endpoint, StartedMs: op.StartedMs, Ended: true})
 		}
 	}
 }
@@ -115,7 +117,7 @@
 	case op.accepted > 0 && s.listedAt > op.accepted && (i.Endpoint != op.Endpoint || s.listedAt > op.accepted+shownAfter):
 		s.completed(now, op, i, a)
 	case op.accepted == 0 && i.Endpoint != op.Endpoint:
-		op.Endpoint, op.cleared = i.Endpoint, false
+		op.Endpoint, op.StartedMs, op.cleared = i.Endpoint, 0, false
 		s.dirtyOps[op.Instance] = true
 	}
 }
@@ -138,7 +140,7 @@
 	// An instance that is up without an endpoint may get one at any moment.
 	empty := i.Pool == s.spare
 	if op.Endpoint != "" && !empty {
-		a.Clears = append(a.Clears, Clear{Instance: op.Instance, Pool: op.From, Endpoint: op.Endpoint,
+		a.Clears = append(a.Clears, Clear{Instance: op.Instance, Pool: op.From, Endpoint: op.Endpoint, StartedMs: op.StartedMs,
 			Hurry: s.hurry(now, wallMs, op), Ended: s.ended(op, i)})
 	}
 	clear := empty || op.cleared && now-op.clearAt < clearFresh
--- a/internal/fleetops/fleetops_test.go
+++ b/internal/fleetops/fleetops_test.go
@@ -38,7 +38,11 @@
 	listLag, listed time.Duration
 	leastHosts      map[string]int
 	// ends are incarnations whose ends the owners were told of.
-	ends    map[string]bool
+	ends map[executor.Incarnation]bool
+	// keepIDs: endpoints come back under their ids. started are the starts of those that
+	// have.
+	keepIDs bool
+	started map[string]int64
 	starved map[string]int
 	// lasting endpoints are cleared one at a time, each within clearing; cleared
 	// is when the last one was.
@@ -53,7 +57,7 @@
 
 func newFleet(pools map[string]int) *fleet {
 	f := &fleet{now: time.Second, state: fleetops.NewState(limits("a")), back: map[string]time.Duration{}, tasks: map[string]int{},
-		offered: map[string]float64{}, ready: map[string]float64{}, running: map[string]float64{}, journal: map[string][]byte{}, ends: map[string]bool{}}
+		offered: map[string]float64{}, ready: map[string]float64{}, running: map[string]float64{}, journal: map[string][]byte{}, ends: map[executor.Incarnation]bool{}, started: map[string]int64{}}
 	var names []string
 	for pool := range pools {
 		names = append(names, pool)
@@ -105,7 +109,12 @@
 		i := &f.instances[n]
 		if at, away := f.back[i.Name]; away && f.now >= at {
 			delete(f.back, i.Name)
-			i.Up, i.Endpoint = true, endpointOf(i.Pool, i.Name, f.now)
+			life := f.now
+			if f.keepIDs {
+				life = 0
+			}
+			i.Up, i.Endpoint = true, endpointOf(i.Pool, i.Name, life)
+			f.started[i.Endpoint] = f.now.Milliseconds()
 		}
 	}
 	if f.listLag == 0 || f.listed == 0 {
@@ -123,10 +132,10 @@
 	f.clearLasting(actions.Clears)
 	for _, c := range actions.Clears {
 		if c.Ended {
-			f.ends[c.Endpoint] = true
+			f.ends[executor.Incarnation{ID: c.Endpoint, StartedMs: c.StartedMs}] = true
 			f.state.EndTold(c.Instance, c.Endpoint)
 		}
-		f.state.Cleared(f.now+time.Millisecond, f.now-f.proofAge, c.Instance, c.Endpoint, f.tasks[c.Endpoint])
+		f.state.Cleared(f.now+time.Millisecond, f.now-f.proofAge, c.Instance, c.Endpoint, executor.Vacancy{Left: f.tasks[c.Endpoint], StartedMs: f.started[c.Endpoint]})
 	}
 	for _, o := range actions.Orders {
 		f.order(o.Operation)
@@ -344,14 +353,35 @@
 		Expect(f.ends).To(BeEmpty())
 		f.listLag = 0
 		f.round("a")
-		Expect(f.ends).To(HaveKey(endpoint))
+		Expect(f.ends).To(HaveKey(executor.Incarnation{ID: endpoint}))
 		var records []executor.Record
 		for key, value := range f.journal {
 			records = append(records, executor.Record{Key: key, Value: value})
 		}
 		leaving, ended := fleetops.OperationsOf(records, "a")
 		Expect(leaving).To(BeEmpty())
-		Expect(ended).To(ConsistOf(endpoint))
+		Expect(ended).To(ConsistOf(executor.Incarnation{ID: endpoint}))
+	})
+
+	// Guards against a pool that drops an endpoint which has come back from maintenance
+	// under its id: its owner is told of an end without the incarnation that ended.
+	It("is told by its start, where the next one has its id", func() {
+		f := newFleet(map[string]int{"a": 4})
+		f.keepIDs = true
+		name, endpoint := f.instances[0].Name, f.instances[0].Endpoint
+		former := executor.Incarnation{ID: endpoint, StartedMs: 7}
+		f.started[endpoint] = former.StartedMs
+		f.state.ObserveWave(1, []string{name}, 10*time.Second, 1, wall)
+		for range 60 {
+			f.round("a")
+		}
+		Expect(f.maintained()).To(ConsistOf(name))
+		Expect(f.down()).To(BeZero())
+		Expect(f.started[endpoint]).To(BeNumerically(">", former.StartedMs))
+		Expect(f.ends).To(HaveKey(former))
+		for in := range f.ends {
+			Expect(in).To(Or(Equal(former), HaveField("ID", Not(Equal(endpoint)))))
+		}
 	})
 })
 
@@ -396,7 +426,7 @@
 		f.tasks["reborn"] = 1
 		for range 20 {
 			f.round("a")
-			f.state.Cleared(f.now+time.Millisecond, f.now, f.instances[0].Name, first, 0)
+			f.state.Cleared(f.now+time.Millisecond, f.now, f.instances[0].Name, first, executor.Vacancy{})
 		}
 		Expect(f.maintained()).To(BeEmpty())
 	})
--- a/internal/fleetops/records.go
+++ b/internal/fleetops/records.go
@@ -161,7 +161,7 @@
 
 // OperationsOf reads the endpoints of a pool that operations are about to clear,
 // and those that they have ended of late, from the records of the duty's journal.
-func OperationsOf(records []executor.Record, pool string) (leaving, ended []string) {
+func OperationsOf(records []executor.Record, pool string) (leaving []string, ended []executor.Incarnation) {
 	for _, r := range records {
 		var op Operation
 		if r.Key == "" || r.Key[:1] != keyOperation || cbor.Unmarshal(r.Value, &op) != nil || op.From != pool || op.Endpoint == "" {
@@ -169,7 +169,7 @@
 		}
 		switch {
 		case op.Ended:
-			ended = append(ended, op.Endpoint)
+			ended = append(ended, executor.Incarnation{ID: op.Endpoint, StartedMs: op.StartedMs})
 		case op.Phase != PhaseOver:
 			leaving = append(leaving, op.Endpoint)
 		}
--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -58,7 +58,7 @@
 type ClearAnswer struct {
 	// Owned is false where no owner answered.
 	Owned   bool
-	Left    map[string]int
+	Left    map[string]executor.Vacancy
 	Summary executor.Summary
 	// ProofAge is how long before its answer the owner was proven to be the
 	// newest.
@@ -326,8 +326,8 @@
 						r.state.EndTold(item.Instance, item.Endpoint)
 						continue
 					}
-					if n, known := answer.Left[item.Endpoint]; known {
-						r.state.Cleared(asked, asked-answer.ProofAge, item.Instance, item.Endpoint, n)
+					if word, known := answer.Left[item.Endpoint]; known {
+						r.state.Cleared(asked, asked-answer.ProofAge, item.Instance, item.Endpoint, word)
 					}
 				}
 			})
--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -51,9 +51,12 @@
 	Wave     int    `cbor:"3,keyasint,omitempty"`
 	From     string `cbor:"4,keyasint"`
 	To       string `cbor:"5,keyasint,omitempty"`
-	// Endpoint is the incarnation that the operation ends.
+	// Endpoint is the endpoint whose incarnation the operation ends.
 	Endpoint string `cbor:"6,keyasint,omitempty"`
-	Phase    Phase  `cbor:"7,keyasint,omitempty"`
+	// StartedMs tells that incarnation, by the word of its pool's owner; 0 where not told.
+	// An endpoint may come back under its id.
+	StartedMs int64 `cbor:"12,keyasint,omitempty"`
+	Phase     Phase `cbor:"7,keyasint,omitempty"`
 	// Holder gave the order, if any was given.
 	Holder string `cbor:"8,keyasint,omitempty"`
 	// Ended says that the platform has ended the incarnation.
@@ -221,21 +224,24 @@
 	s.observeDemand(now, pool, sum)
 }
 
-// Cleared takes in how many tasks an owner has left on an operation's endpoint.
+// Cleared takes in what an owner says of the tasks on an operation's endpoint.
 // proven is a time at which the owner was still the newest. An owner that was
 // displaced before the operation was recorded does not know it, and its
 // successor, which has not read the record either, places tasks on the endpoint
 // that it calls clear: only an owner proven later than the record counts. A word
 // on an incarnation that has died meanwhile says nothing about its successor.
-func (s *State) Cleared(now, proven time.Duration, instance, endpoint string, left int) {
+func (s *State) Cleared(now, proven time.Duration, instance, endpoint string, word executor.Vacancy) {
 	op := s.ops[instance]
 	if op == nil || op.Endpoint != endpoint || op.recorded == 0 || proven < op.recorded {
 		return
 	}
-	if left == 0 && !op.cleared {
+	if word.StartedMs != op.StartedMs {
+		op.StartedMs, op.cleared = word.StartedMs, false
+	}
+	if word.Left == 0 && !op.cleared {
 		op.clearFrom = now
 	}
-	op.cleared = left == 0
+	op.cleared = word.Left == 0
 	op.clearAt = now
 }
 
--- a/internal/shards/answers.go
+++ b/internal/shards/answers.go
@@ -165,15 +165,15 @@
 }
 
 func (r *Runner) vacateNow(now time.Duration, in VacateCall) (result VacateResult, clear bool) {
-	result = VacateResult{Owned: true, Left: map[string]int{}}
+	result = VacateResult{Owned: true, Left: map[string]int{}, Started: map[string]int64{}}
 	for _, item := range in.Items {
 		if item.Ended {
-			r.core.Gone(item.Endpoint)
+			r.core.Gone(executor.Incarnation{ID: item.Endpoint, StartedMs: item.StartedMs})
 			continue
 		}
-		if left, known := r.core.Vacate(now, item.Endpoint, item.Hurry); known {
-			result.Left[item.Endpoint] = left
-			clear = clear || left == 0
+		if v, known := r.core.Vacate(now, item.Endpoint, item.Hurry); known {
+			result.Left[item.Endpoint], result.Started[item.Endpoint] = v.Left, v.StartedMs
+			clear = clear || v.Left == 0
 		}
 	}
 	r.core.LeavesSoon(now, in.Due)
--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -65,6 +65,8 @@
 	Hurry    bool   `cbor:"2,keyasint,omitempty"`
 	// Ended says that the incarnation is known to have ended.
 	Ended bool `cbor:"3,keyasint,omitempty"`
+	// StartedMs tells that incarnation, 0 where not known.
+	StartedMs int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // VacateCall asks a pool's owner to clear endpoints, and how the pool is.
@@ -86,6 +88,8 @@
 	// ProofAgeMs is how long before the answer the owner was proven to be the
 	// newest: less than the call took, where an endpoint is said to be clear.
 	ProofAgeMs int64 `cbor:"4,keyasint"`
+	// Started tells the incarnations that Left is about, in ms since 1970.
+	Started map[string]int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // MembersCall asks a peer for the group's members.
@@ -288,9 +292,13 @@
 func (c *Calls) Clear(ctx context.Context, pool string, ask fleetops.ClearCall) fleetops.ClearAnswer {
 	in := VacateCall{Pool: pool, Loans: ask.Loans, Due: ask.Due}
 	for _, item := range ask.Clears {
-		in.Items = append(in.Items, VacateItem{Endpoint: item.Endpoint, Hurry: item.Hurry, Ended: item.Ended})
+		in.Items = append(in.Items, VacateItem{Endpoint: item.Endpoint, Hurry: item.Hurry, Ended: item.Ended, StartedMs: item.StartedMs})
 	}
 	out := c.Vacate(ctx, in)
-	return fleetops.ClearAnswer{Owned: out.Owned, Left: out.Left, Summary: out.Summary,
+	left := make(map[string]executor.Vacancy, len(out.Left))
+	for id, n := range out.Left {
+		left[id] = executor.Vacancy{Left: n, StartedMs: out.Started[id]}
+	}
+	return fleetops.ClearAnswer{Owned: out.Owned, Left: left, Summary: out.Summary,
 		ProofAge: time.Duration(out.ProofAgeMs) * time.Millisecond}
 }
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -245,8 +245,8 @@
 	leaving, ended := m.operations(ctx, r.pool)
 	m.mu.Lock()
 	h.ready = true
-	for _, id := range ended {
-		r.core.Gone(id)
+	for _, incarnation := range ended {
+		r.core.Gone(incarnation)
 	}
 	r.core.ObserveEndpoints(r.now(), m.endpoints[r.pool])
 	r.honour(leaving)
@@ -270,7 +270,7 @@
 // about to clear, and those that it has ended of late. A new owner that did not
 // know of them would place tasks on an instance that its predecessor has declared
 // clear, or that is no more, so it waits for the answer.
-func (m *Manager) operations(ctx context.Context, pool string) (leaving, ended []string) {
+func (m *Manager) operations(ctx context.Context, pool string) (leaving []string, ended []executor.Incarnation) {
 	for ctx.Err() == nil {
 		page, err := m.opts.Store.Journal.Newest(ctx, fleetops.Topic)
 		if err != nil {
