Advice and bad luck on an endpoint end with its incarnation

A step never started on an endpoint that advice had called unfit before it restarted under its id, perhaps as one of another kind; a ticket for an earlier incarnation was tried once on the next and refused; and a task kept away from an endpoint on whose former life it had failed. All three are kept by incarnation now, also for a call for advice that is out while the endpoint restarts. TestAdviceOnAnEarlierIncarnationIsForgotten failed before (its job stayed queued).

--- a/internal/executor/advice.go
+++ b/internal/executor/advice.go
@@ -27,10 +27,10 @@
 
 // advice is what a step knows of the endpoints that may run it.
 type advice struct {
-	tickets map[string]string
+	tickets map[Incarnation]string
 	until   time.Duration
-	// asked are the endpoints whose fitness is known; fitness does not change.
-	asked   map[string]bool
+	// asked are the incarnations whose fitness is known; fitness does not change.
+	asked   map[Incarnation]bool
 	out     bool
 	retryAt time.Duration
 }
@@ -42,17 +42,19 @@
 	// Timeout is how long the service may take.
 	Timeout time.Duration
 	run     *stepRun
+	// about are the incarnations of Endpoints, in the same order.
+	about []Incarnation
 }
 
 // needsAdvice reports whether the step's tasks may only start with a ticket.
 func (s *stepRun) needsAdvice() bool { return s.job.rec.Terms.Advice != nil }
 
 // ticketFor returns the step's valid ticket for an endpoint, if it has one.
-func (s *stepRun) ticketFor(now time.Duration, endpoint string) (string, bool) {
+func (s *stepRun) ticketFor(now time.Duration, e *endpoint) (string, bool) {
 	if now+ticketMargin > s.advice.until {
 		return "", false
 	}
-	ticket, ok := s.advice.tickets[endpoint]
+	ticket, ok := s.advice.tickets[e.incarnation()]
 	return ticket, ok
 }
 
@@ -62,7 +64,7 @@
 	if !s.needsAdvice() {
 		return true
 	}
-	_, ok := s.ticketFor(now, e.id)
+	_, ok := s.ticketFor(now, e)
 	return ok
 }
 
@@ -97,27 +99,31 @@
 	terms := s.job.rec.Terms.Advice
 	timeout := time.Duration(terms.DecideMs+terms.PeriodMs*len(ask))*time.Millisecond + time.Second
 	name := s.job.rec.Job.ID + "." + strconv.Itoa(s.occ.number) + "." + strconv.Itoa(s.index)
-	return AdviceCall{Step: name, Endpoints: ask, Timeout: timeout, run: s}, true
+	call := AdviceCall{Step: name, Timeout: timeout, run: s}
+	for _, e := range ask {
+		call.Endpoints, call.about = append(call.Endpoints, e.id), append(call.about, e.incarnation())
+	}
+	return call, true
 }
 
 // adviceCandidates returns the endpoints to ask about: those known to be fit
 // where their tickets have run out, and otherwise new ones while the fit ones
 // have too little room.
-func (c *Core) adviceCandidates(now time.Duration, s *stepRun, expired bool) []string {
+func (c *Core) adviceCandidates(now time.Duration, s *stepRun, expired bool) []*endpoint {
 	var fit, fresh []*endpoint
 	room := 0
 	for _, e := range c.endpoints {
 		if !e.open(now) {
 			continue
 		}
-		_, good := s.advice.tickets[e.id]
+		_, good := s.advice.tickets[e.incarnation()]
 		switch {
 		case good:
 			fit = append(fit, e)
 			if e.free().holds(needs(s.spec)) {
 				room++
 			}
-		case !s.advice.asked[e.id]:
+		case !s.advice.asked[e.incarnation()]:
 			fresh = append(fresh, e)
 		}
 	}
@@ -131,18 +137,14 @@
 	return mostFree(fresh, wanted)
 }
 
-func mostFree(hosts []*endpoint, count int) []string {
+func mostFree(hosts []*endpoint, count int) []*endpoint {
 	slices.SortFunc(hosts, func(a, b *endpoint) int {
 		if order := cmp.Compare(b.free().CPUMilli, a.free().CPUMilli); order != 0 {
 			return order
 		}
 		return cmp.Compare(a.id, b.id)
 	})
-	ids := make([]string, 0, count)
-	for _, e := range hosts[:min(count, len(hosts))] {
-		ids = append(ids, e.id)
-	}
-	return ids
+	return hosts[:min(count, len(hosts))]
 }
 
 // AdviceDone takes in the answer to a call; ok is false where there was none.
@@ -155,17 +157,17 @@
 		return
 	}
 	if a.asked == nil {
-		a.asked, a.tickets = map[string]bool{}, map[string]string{}
+		a.asked, a.tickets = map[Incarnation]bool{}, map[Incarnation]string{}
 	}
 	if now+ticketMargin > a.until {
 		clear(a.tickets) // what is left has run out
 	}
-	for _, id := range call.Endpoints {
-		_, good := tickets[id]
-		a.asked[id] = !good
-	}
-	for id, ticket := range tickets {
-		a.tickets[id] = ticket
+	for _, in := range call.about {
+		ticket, good := tickets[in.ID]
+		a.asked[in] = !good
+		if good {
+			a.tickets[in] = ticket
+		}
 	}
 	if a.until < now {
 		a.until = now + valid
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -252,8 +252,8 @@
 	// stopping is set once the run shall end; stopSent is its newest order.
 	stopping bool
 	stopSent time.Duration
-	// avoid is the endpoint of the last run that failed there.
-	avoid     string
+	// avoid is the incarnation that the last run failed on.
+	avoid     Incarnation
 	notBefore time.Duration
 }
 
--- a/internal/executor/ends.go
+++ b/internal/executor/ends.go
@@ -145,7 +145,7 @@
 // its queue allows. Tasks that last have no such limit.
 func (c *Core) failed(now time.Duration, t *task, e *endpoint) {
 	s, j := t.step, t.step.job
-	t.avoid = e.id
+	t.avoid = e.incarnation()
 	count := &t.failures
 	if s.spec.Gang {
 		count = &s.failures
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -134,7 +134,7 @@
 	case OrderLate:
 		t.answered = true
 	case OrderNoTicket:
-		delete(t.step.advice.tickets, e.id)
+		delete(t.step.advice.tickets, e.incarnation())
 		c.notStarted(now, t, e, result)
 	case OrderNoRoom, OrderUnhealthy, OrderInvalid:
 		c.notStarted(now, t, e, result)
@@ -171,7 +171,7 @@
 	case EndedDone:
 		e.badRuns = 0
 	case EndedFailed:
-		if t.failures > 0 && t.avoid != e.id {
+		if t.failures > 0 && t.avoid != e.incarnation() {
 			return // it fails everywhere: the task's own fault
 		}
 		e.badRuns++
@@ -205,7 +205,7 @@
 		t.stopping = true
 		e.badRuns++
 		e.quarantine = now + quarantineBase
-		t.avoid = e.id
+		t.avoid = e.incarnation()
 		c.event(Event{Kind: EventStop, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: "stands still"})
 	}
 	c.rescue(e, t)
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -239,7 +239,7 @@
 func (c *Core) place(now time.Duration, t *task, e *endpoint, run int) {
 	c.occupy(t, e)
 	t.run = run
-	t.ticket, _ = t.step.ticketFor(now, e.id)
+	t.ticket, _ = t.step.ticketFor(now, e)
 	t.resumed = t.checkpoint != ""
 	t.step.waiting--
 	t.step.placedAt = now
@@ -339,7 +339,7 @@
 	if s.DataRack != "" && s.DataRack != e.rack {
 		score -= awayFromData
 	}
-	if t.avoid == e.id {
+	if t.avoid == e.incarnation() {
 		score -= avoidFailed
 	}
 	return score - perBadRun*float64(e.badRuns)
--- a/internal/executor/speed.go
+++ b/internal/executor/speed.go
@@ -154,7 +154,7 @@
 		return
 	}
 	t.rescues++
-	t.avoid = e.id
+	t.avoid = e.incarnation()
 	c.stopFor(t, "endpoint slow")
 }
 
