A failure that is heard late counts, or is not acknowledged

More runs of a task failed than its queue allows: an endpoint fell silent, its run was given up as the lease ran out and began elsewhere; heard again, the endpoint listed that the first run had failed, and its owner acknowledged that end without counting it. Good ends that come late were dealt with already.

Such a failure counts towards the attempts now, or the end is withheld where a run has begun since that it would have forbidden, or where the job is over and nothing tells. Only runs that this owner has given up are counted: a successor may see the end of one that its predecessor has counted.

--- a/internal/executor/ends.go
+++ b/internal/executor/ends.go
@@ -58,7 +58,7 @@
 	e.seen = end.Number
 	t := c.find(e, end.Task, end.Run)
 	if t == nil {
-		c.takeLateEnd(e, end)
+		c.takeLateEnd(now, e, end)
 		return
 	}
 	j := t.step.job
@@ -144,17 +144,30 @@
 // failed takes in that a run has failed, and fails the job after as many as
 // its queue allows. Tasks that last have no such limit.
 func (c *Core) failed(now time.Duration, t *task, e *endpoint) {
-	s, j := t.step, t.step.job
-	t.avoid = e.incarnation()
-	count := &t.failures
-	if s.spec.Gang {
-		count = &s.failures
+	c.countFailure(now, t, e)
+	c.again(t)
+	c.endIfFailed(t)
+}
+
+// failureCount is where a task's failed runs are counted.
+func (t *task) failureCount() *int {
+	if t.step.spec.Gang {
+		return &t.step.failures
 	}
+	return &t.failures
+}
+
+func (c *Core) countFailure(now time.Duration, t *task, e *endpoint) {
+	count := t.failureCount()
 	*count++
-	failures := *count
-	t.notBefore = now + min(failBackoff<<min(failures-1, 8), failBackoffMax)
-	c.again(t)
-	if !s.spec.LongRunning && failures >= j.rec.Terms.Attempts && !j.rec.State.Ended() {
+	t.avoid = e.incarnation()
+	t.notBefore = now + min(failBackoff<<min(*count-1, 8), failBackoffMax)
+	c.touch(t.step.job)
+}
+
+func (c *Core) endIfFailed(t *task) {
+	j := t.step.job
+	if !t.step.spec.LongRunning && *t.failureCount() >= j.rec.Terms.Attempts && !j.rec.State.Ended() {
 		c.end(j, JobFailed, "a task has failed as often as allowed")
 	}
 }
