Runs that were given up are kept for the next owner

A task ran again after an end that was taken note of, where no endpoint had restarted: an endpoint was silent for longer than its lease, its tasks ended elsewhere and their jobs were over, the pool changed its owner, and the next one acknowledged the late end that its predecessor had withheld, or would have.

A successor restores them.

The dump names the start of an endpoint's incarnation.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -99,6 +99,10 @@
 	loans      []loan
 	loansUntil time.Duration
 
+	// unsavedGivenUp are endpoints whose runs that were given up have changed; savedGivenUp
+	// are those with a record of them.
+	unsavedGivenUp, savedGivenUp map[string]bool
+
 	dirty   map[*job]bool
 	order   []*job
 	removed []string
@@ -135,7 +139,7 @@
 func New(pool string, epoch int64, limits Limits, now time.Duration) *Core {
 	return &Core{
 		pool: pool, epoch: epoch, limits: limits, claimedAt: now,
-		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, terms: map[string]int{}, gone: map[string]int64{},
+		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, terms: map[string]int{}, unsavedGivenUp: map[string]bool{}, savedGivenUp: map[string]bool{}, gone: map[string]int64{},
 		learned:   map[string]*lengths{},
 		refusedAt: map[string]time.Duration{}, dirty: map[*job]bool{}, acks: map[Incarnation]int64{},
 		pace: newPace(),
@@ -302,6 +306,8 @@
 	acknowledged int64
 	// givenUp are runs that were given up as their lease ran out, by task.
 	givenUp map[string]int
+	// gaveUpAt is when that last happened, or was restored.
+	gaveUpAt time.Duration
 	// withheld is the number of the first end that must not be acknowledged, 0 for
 	// none.
 	withheld int64
--- a/internal/executor/dump.go
+++ b/internal/executor/dump.go
@@ -30,6 +30,7 @@
 type EndpointDump struct {
 	ID           string `json:"id"`
 	Addr         string `json:"addr"`
+	StartedMs    int64  `json:"started_ms,omitempty"`
 	Free         Room   `json:"free"`
 	Tasks        int    `json:"tasks"`
 	Draining     bool   `json:"draining,omitempty"`
@@ -60,7 +61,7 @@
 	d := PoolDump{Summary: c.Summary(now), Epoch: c.epoch, Starts: StartsDump{UnderWay: c.pace.underWay,
 		Limit: int(c.pace.limit), Waiting: len(c.leaving), MedianMs: c.pace.median.Milliseconds()}}
 	for _, e := range c.endpoints {
-		d.Endpoints = append(d.Endpoints, EndpointDump{ID: e.id, Addr: e.addr, Free: e.free(), Tasks: len(e.tasks),
+		d.Endpoints = append(d.Endpoints, EndpointDump{ID: e.id, Addr: e.addr, StartedMs: e.startedMs, Free: e.free(), Tasks: len(e.tasks),
 			Draining: e.draining, Vacating: e.vacating, Silent: e.failedLook,
 			QuarantineMs: max(0, e.quarantine-now).Milliseconds(), LookedAgoMs: (now - e.looked).Milliseconds(),
 			LeaseEndsMs: (c.expiryOf(e) - now).Milliseconds()})
--- a/internal/executor/ends.go
+++ b/internal/executor/ends.go
@@ -11,7 +11,6 @@
 		lost = append(lost, t)
 	}
 	for _, t := range lost {
-		e.giveUp(t)
 		c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: reason})
 		c.again(t)
 	}
--- a/internal/executor/incarnation.go
+++ b/internal/executor/incarnation.go
@@ -33,6 +33,7 @@
 func (c *Core) forget(e *endpoint) {
 	delete(c.endpoints, e.id)
 	c.terms[e.id] = e.term + 1
+	c.unsavedGivenUp[e.id] = true
 }
 
 // meet takes in the start of the incarnation that something was said of. It reports false
@@ -57,6 +58,7 @@
 func (c *Core) beginAnew(now time.Duration, e *endpoint, startedMs int64) {
 	c.event(Event{Kind: EventRestarted, Endpoint: e.id, StartedMs: startedMs, Run: len(e.tasks),
 		Reason: fmt.Sprintf("ends up to %d acknowledged before", e.acknowledged)})
+	c.unsavedGivenUp[e.id] = true
 	*e = endpoint{
 		id: e.id, addr: e.addr, zone: e.zone, kind: e.kind, rack: e.rack, startedMs: startedMs, term: e.term + 1,
 		capacity: e.capacity, used: e.used, tasks: e.tasks,
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -159,6 +159,7 @@
 		r.Records = append(r.Records, Record{Key: key})
 	}
 	c.removed = nil
+	r.Records = append(r.Records, c.givenUpRecords()...)
 	if len(r.Records) > 0 {
 		r.Records = append(r.Records, c.learntRecords()...)
 	}
@@ -227,6 +228,10 @@
 			progress[r.Key[1:]] = p
 		case keyLearnt:
 			c.restoreLearnt(r)
+		case keyGivenUp:
+			if err := c.restoreGivenUp(r, now); err != nil {
+				return err
+			}
 		case keyHandover:
 			if err := c.restoreHandover(r); err != nil {
 				return err
--- a/internal/executor/late.go
+++ b/internal/executor/late.go
@@ -17,31 +17,11 @@
 // answers each of them at once.
 const withheldLookGap = 400 * time.Millisecond
 
-// giveUp notes that a run is given up while its endpoint may yet be heard.
-func (e *endpoint) giveUp(t *task) {
-	if t.ordered == 0 && !t.restored {
-		return // its order has never left
-	}
-	if e.givenUp == nil {
-		e.givenUp = map[string]int{}
-	}
-	e.givenUp[t.name()] = t.run
-}
-
-// rememberGivenUp is how long an endpoint that is not in service discovery is kept for
-// its runs that were given up: its entry may have lapsed while it lives.
-const rememberGivenUp = time.Minute
-
-func (e *endpoint) remembered(now time.Duration) bool {
-	return len(e.givenUp) > 0 && now-e.looked < rememberGivenUp
-}
-
 // takeLateEnd takes in the end of a run that is not a current one. An end that comes
 // before its task was placed again is as good as one in time.
 func (c *Core) takeLateEnd(now time.Duration, e *endpoint, end ListedEnd) {
 	t := c.taskNamed(end.Task)
 	gaveUp := e.givenUp[end.Task] == end.Run
-	delete(e.givenUp, end.Task)
 	if t != nil && t.step.spec.LongRunning {
 		return
 	}
@@ -53,6 +33,9 @@
 			c.failedLate(now, e, end, t)
 		}
 	}
+	if e.withheld != end.Number {
+		c.dropGivenUp(e, end.Task)
+	}
 }
 
 // doneLate takes in a good end; t is nil where its job is no longer open.
--- a/internal/executor/leases.go
+++ b/internal/executor/leases.go
@@ -41,6 +41,9 @@
 func (c *Core) expire(now time.Duration) {
 	for _, e := range c.endpoints {
 		if len(e.tasks) > 0 && now >= c.expiryOf(e) {
+			for t := range e.tasks {
+				c.giveUp(now, e, t)
+			}
 			c.loseAll(e, "lease ran out")
 		}
 	}
--- a/internal/executor/restart_test.go
+++ b/internal/executor/restart_test.go
@@ -193,7 +193,6 @@
 	for _, again := range []bool{false, true} {
 		g := NewWithT(t)
 		w := newWorld(1, 2)
-		w.endsCountLater = true
 		for _, h := range w.hosts {
 			h.failsAll = true
 		}
@@ -227,7 +226,6 @@
 	for _, heard := range []bool{false, true} {
 		g := NewWithT(t)
 		w := newWorld(1, 2)
-		w.endsCountLater = true
 		o := w.takeOver()
 		w.run(100 * time.Millisecond)
 		j := jobOf(1, small(1))
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -35,9 +35,6 @@
 	limits executor.Limits
 	// lengthOf, if set, is how long a task takes on any host.
 	lengthOf func(jobs.TaskName) time.Duration
-	// endsCountLater: an end counts also if it is acknowledged after a later run of its task
-	// has begun.
-	endsCountLater bool
 	// slowJournal takes batches side by side and answers them late.
 	slowJournal bool
 	// inOrder lets owners of random days hand over as they end.
@@ -613,9 +610,7 @@
 		}
 		if h.lapsed < h.endedAt[e.Number] {
 			h.past[e.Number].acknowledged = true
-			if w.endsCountLater {
-				w.judge(e.Task)
-			}
+			w.judge(e.Task)
 		}
 		return true
 	})
