Failing tests: a new owner and an incarnation's end, and a start that goes back

Read again, the code that tells incarnations apart has two holes. A new owner does not know yet on which incarnation its predecessor's tasks run; told of the end of an earlier one, as the record of an operation tells it at once, it takes them for lost and starts them beside the next:

3.13s order 0 i-00 run 1 epoch 1 done 3.41s endpoint gone i-00 run 2 epoch 2 3.46s: runs twice

And an endpoint whose time of day went back before it restarted is taken for an earlier incarnation for good.

--- a/internal/executor/restart_test.go
+++ b/internal/executor/restart_test.go
@@ -160,6 +160,47 @@
 	g.Expect(w.state(o, j)).To(Equal("completed"))
 }
 
+// Guards against tasks that run twice at once: a new owner is told of the end of an earlier
+// incarnation, and they run on the next one under the same id.
+func TestTheEndOfAnEarlierIncarnationTakesNothingFromTheNext(t *testing.T) {
+	g := NewWithT(t)
+	w, o, h := withEnds(g, 2)
+	former := executor.Incarnation{ID: h.id, StartedMs: h.startedMs}
+	w.restart(h)
+	w.hosts["i-01"].draining = true
+	h.took = 3 * time.Second
+	j := jobOf(2, small(2))
+	w.submit(o, j)
+	w.run(300 * time.Millisecond)
+	g.Expect(h.running).To(HaveLen(2))
+	w.hosts["i-01"].draining = false
+	o.stopped = true
+	o = w.takeOver()
+	o.core.Gone(former)
+	w.run(5 * time.Second)
+	g.Expect(w.broken).To(BeEmpty())
+	g.Expect(w.state(o, j)).To(Equal("completed"))
+}
+
+// Guards against an endpoint that is taken for an earlier incarnation for good, as the time of
+// day went back before it restarted.
+func TestAnIncarnationMayHaveAnEarlierStart(t *testing.T) {
+	g := NewWithT(t)
+	w, o, h := withEnds(g, 1)
+	h.took = 2 * time.Second
+	w.submit(o, jobOf(3, small(1)))
+	w.run(100 * time.Millisecond)
+	former := h.startedMs
+	w.restart(h)
+	h.startedMs = former - 5000
+	w.run(time.Second)
+	j := jobOf(2, small(2))
+	w.submit(o, j)
+	w.run(5 * time.Second)
+	g.Expect(w.broken).To(BeEmpty())
+	g.Expect(w.state(o, j)).To(Equal("completed"))
+}
+
 // Guards against a step that never starts on an endpoint since advice called an earlier
 // incarnation under its id unfit.
 func TestAdviceOnAnEarlierIncarnationIsForgotten(t *testing.T) {
