An end takes nothing from a later incarnation, and a start may go back

What callers saw, the cause and the evidence stand with the failing tests. The end of an incarnation now takes tasks only where exactly that incarnation is known to be the endpoint's present one; where it is not known yet, the first list of runs under the new owner's fence tells, a few ms later. Ended incarnations are remembered as they are, not as the newest start.

An answer to what was asked under the present fence comes from an incarnation that started no earlier than the known one, so that any other start is a later one. Only entries of service discovery, which may be stale, go by the order of starts; one that goes back is met at the next answer.

In the second test the runs after the restart are as short as usual; at two seconds, seven times what its queue takes, the endpoint counted as slow and the last run had not ended as the test looked.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -75,8 +75,8 @@
 	endpoints map[string]*endpoint
 	// terms are the next ones of endpoints that were forgotten.
 	terms map[string]int
-	// gone is, by id, the start of the newest incarnation that is known to have ended.
-	gone map[string]int64
+	// gone are incarnations that are known to have ended.
+	gone map[Incarnation]bool
 	// open are jobs with tasks that may still be started, by objective unless
 	// unsorted.
 	open     []*job
@@ -139,7 +139,8 @@
 func New(pool string, epoch int64, limits Limits, now time.Duration) *Core {
 	return &Core{
 		pool: pool, epoch: epoch, limits: limits, claimedAt: now,
-		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, terms: map[string]int{}, unsavedGivenUp: map[string]bool{}, savedGivenUp: map[string]bool{}, gone: map[string]int64{},
+		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, terms: map[string]int{}, gone: map[Incarnation]bool{},
+		unsavedGivenUp: map[string]bool{}, savedGivenUp: map[string]bool{},
 		learned:   map[string]*lengths{},
 		refusedAt: map[string]time.Duration{}, dirty: map[*job]bool{}, acks: map[Incarnation]int64{},
 		pace: newPace(),
@@ -241,8 +242,9 @@
 	resending bool
 	// proven: the run is known to have been in the endpoint's present incarnation.
 	proven bool
-	// restored: the start was intended by an earlier owner. Its order carries
-	// an older fence, so that it can't begin once this owner has been heard.
+	// restored: the start was intended by an earlier owner, or left for an earlier
+	// incarnation. Its order carries an older fence, so that it can't begin once the
+	// present incarnation has been heard.
 	restored bool
 	// resumed: the run began from a checkpoint.
 	resumed bool
--- a/internal/executor/incarnation.go
+++ b/internal/executor/incarnation.go
@@ -15,12 +15,6 @@
 
 func (e *endpoint) incarnation() Incarnation { return Incarnation{ID: e.id, StartedMs: e.startedMs} }
 
-// hasEnded reports whether an incarnation is known to have ended.
-func (c *Core) hasEnded(in Incarnation) bool {
-	last, known := c.gone[in.ID]
-	return known && in.StartedMs <= last
-}
-
 // termBits of a fence number count the incarnations that an owner has met under one id;
 // the bits above are its epoch.
 const termBits = 20
@@ -36,19 +30,17 @@
 	c.unsavedGivenUp[e.id] = true
 }
 
-// meet takes in the start of the incarnation that something was said of. It reports false
-// for one before the present incarnation.
-func (c *Core) meet(now time.Duration, e *endpoint, startedMs int64) bool {
+// meet takes in the start of the incarnation that an answer is from, or an entry of service
+// discovery. What was asked under the endpoint's present fence left after that incarnation
+// had started, so that another start is a later one whatever the time of day says.
+func (c *Core) meet(now time.Duration, e *endpoint, startedMs int64) {
 	switch {
-	case startedMs == 0:
+	case startedMs == 0 || startedMs == e.startedMs:
 	case e.startedMs == 0:
 		e.startedMs = startedMs
-	case startedMs < e.startedMs:
-		return false
-	case startedMs > e.startedMs:
+	default:
 		c.beginAnew(now, e, startedMs)
 	}
-	return true
 }
 
 // beginAnew forgets what was known of an endpoint's incarnation before, such as the number
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -55,13 +55,14 @@
 	shown := make(map[string]bool, len(list))
 	for _, info := range list {
 		shown[info.ID] = true
-		if c.hasEnded(Incarnation{info.ID, info.StartedMs}) {
+		if c.gone[Incarnation{info.ID, info.StartedMs}] {
 			continue
 		}
 		e := c.endpoint(info.ID)
-		if !c.meet(now, e, info.StartedMs) {
+		if info.StartedMs != 0 && info.StartedMs < e.startedMs {
 			continue // the entry of an earlier incarnation
 		}
+		c.meet(now, e, info.StartedMs)
 		e.listed, e.draining = true, info.Draining
 		e.addr, e.zone, e.kind, e.rack = info.Addr, info.Zone, info.Kind, info.Rack
 		e.capacity = info.Capacity
@@ -76,15 +77,14 @@
 	}
 }
 
-// Gone takes in that an incarnation has ended, and everything on it with it.
+// Gone takes in that an incarnation has ended, and everything on it with it. Where the
+// endpoint's present one is not known yet, its tasks may run on a later one: its first
+// listing tells.
 func (c *Core) Gone(in Incarnation) {
-	if c.hasEnded(in) {
-		return
-	}
-	c.gone[in.ID] = in.StartedMs
+	c.gone[in] = true
 	e := c.endpoints[in.ID]
-	if e == nil || e.startedMs > in.StartedMs {
-		return // a later one may live under the id
+	if e == nil || e.incarnation() != in {
+		return
 	}
 	c.event(Event{Kind: EventGone, Endpoint: e.id, StartedMs: e.startedMs, Run: len(e.tasks)})
 	c.loseAll(e, "incarnation ended")
@@ -230,10 +230,8 @@
 // lookAnswered takes in a listing. One that shows a new incarnation only says that it lives:
 // orders for the one before may yet reach it.
 func (c *Core) lookAnswered(now time.Duration, l Look, e *endpoint, in Listed) {
-	switch met := c.meet(now, e, in.StartedMs); {
-	case !met:
-		e.lookFailed(now)
-	case l.Fence == c.fence(e):
+	c.meet(now, e, in.StartedMs)
+	if l.Fence == c.fence(e) {
 		c.takeIn(now, l.sent, e, in)
 	}
 }
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -86,7 +86,7 @@
 	if e == nil || o.Fence != c.fence(e) {
 		return // about an earlier incarnation
 	}
-	if !c.meet(now, e, a.StartedMs) || o.Fence != c.fence(e) {
+	if c.meet(now, e, a.StartedMs); o.Fence != c.fence(e) {
 		return // another incarnation has answered
 	}
 	same := a.isFrom(now, o.sent, e)
--- a/internal/executor/restart_test.go
+++ b/internal/executor/restart_test.go
@@ -193,6 +193,7 @@
 	former := h.startedMs
 	w.restart(h)
 	h.startedMs = former - 5000
+	h.took = 300 * time.Millisecond
 	w.run(time.Second)
 	j := jobOf(2, small(2))
 	w.submit(o, j)
--- a/internal/executor/vacate.go
+++ b/internal/executor/vacate.go
@@ -32,9 +32,6 @@
 // by themselves are left to it unless hurry is set. The request holds for the
 // endpoint's instance, and so for an incarnation that begins meanwhile.
 func (c *Core) Vacate(now time.Duration, id string, hurry bool) (v Vacancy, known bool) {
-	if _, ended := c.gone[id]; ended && c.endpoints[id] == nil {
-		return Vacancy{}, false
-	}
 	// An endpoint that service discovery has not shown yet is kept clear from
 	// the moment it does.
 	e := c.endpoint(id)
