--- a/internal/standin/trial/soak.go
+++ b/internal/standin/trial/soak.go
@@ -80,18 +80,22 @@
 	c     *Cluster
 	pools []string
 	rng   *rand.Rand
-	wave  int
-	done  []string
-	wg    sync.WaitGroup
+	// restarts draws what befalls endpoints beside the faults of rng, whose order a seed
+	// keeps.
+	restarts *rand.Rand
+	wave     int
+	done     []string
+	wg       sync.WaitGroup
 	// busy are nodes that a fault is under way on.
 	busy sync.Map
 }
 
 func injectUntil(c *Cluster, pools []string, seed uint64, end time.Time) []string {
-	in := &injector{c: c, pools: pools, rng: rand.New(rand.NewPCG(seed, 77))}
+	in := &injector{c: c, pools: pools, rng: rand.New(rand.NewPCG(seed, 77)), restarts: rand.New(rand.NewPCG(seed, 78))}
 	for time.Now().Add(faultEvery).Before(end) {
 		time.Sleep(faultEvery/2 + time.Duration(in.rng.Int64N(int64(faultEvery))))
 		in.one()
+		in.restartEndpoint()
 	}
 	in.wg.Wait()
 	c.Platform.SetFaults(wire.Faults{})
@@ -126,6 +130,16 @@
 	}
 }
 
+// restartEndpoint lets an endpoint restart under its id, half of the time.
+func (in *injector) restartEndpoint() {
+	pool := in.pools[in.restarts.IntN(len(in.pools))]
+	if in.restarts.IntN(2) == 0 {
+		return
+	}
+	in.done = append(in.done, "an endpoint of "+pool+" restarts under its id")
+	in.note(in.c.Platform.RestartEndpoint(pool))
+}
+
 func (in *injector) note(err error) {
 	if err != nil {
 		in.done = append(in.done, "failed: "+err.Error())
