--- a/internal/executor/restart_test.go
+++ b/internal/executor/restart_test.go
@@ -182,6 +182,34 @@
 	g.Expect(w.state(o, j)).To(Equal("completed"))
 }
 
+// Guards against a task that runs twice at once: its start, with a lease by the clock of an
+// earlier incarnation, has reached the next one, and its owner dies before it knows. The
+// next owner believes the lease to be as short as its own.
+func TestANewOwnerKnowsWhichIncarnationAStartWasFor(t *testing.T) {
+	g := NewWithT(t)
+	w, o, h := withEnds(g, 2)
+	w.hosts["i-01"].draining = true
+	w.lengthOf = func(jobs.TaskName) time.Duration { return 9 * time.Second }
+	former := h.describe()
+	h.entry, h.entryUntil = &former, w.now+2*step
+	w.restart(h)
+	h.bootClock = 0 // leases by the former clock are still to come by this one
+	j := jobOf(2, small(1))
+	w.submit(o, j)
+	w.run(step)
+	g.Expect(h.running).To(HaveLen(1))
+	o.stopped = true
+	w.hosts["i-01"].draining = false
+	o = w.takeOver()
+	w.run(300 * time.Millisecond)
+	h.silent = true
+	w.run(12 * time.Second)
+	h.silent = false
+	w.run(12 * time.Second)
+	g.Expect(w.broken).To(BeEmpty())
+	g.Expect(w.state(o, j)).To(Equal("completed"))
+}
+
 // Guards against an endpoint that is taken for an earlier incarnation for good, as the time of
 // day went back before it restarted.
 func TestAnIncarnationMayHaveAnEarlierStart(t *testing.T) {
