--- a/internal/executor/givenup.go
+++ b/internal/executor/givenup.go
@@ -76,7 +76,12 @@
 		return &MalformedRecordError{Key: r.Key, Cause: err}
 	}
 	e := c.endpoint(r.Key[len(keyGivenUp):])
-	e.startedMs, e.givenUp, e.gaveUpAt = in.StartedMs, in.Runs, now
 	c.savedGivenUp[e.id] = true
+	c.restoreStart(e, in.StartedMs)
+	if e.startedMs != in.StartedMs {
+		c.unsavedGivenUp[e.id] = true
+		return nil
+	}
+	e.givenUp, e.gaveUpAt = in.Runs, now
 	return nil
 }
--- a/internal/executor/incarnation.go
+++ b/internal/executor/incarnation.go
@@ -43,6 +43,15 @@
 	}
 }
 
+// restoreStart takes in the start of an incarnation that a record names. Of several the
+// newest is kept, without what was kept for one before.
+func (c *Core) restoreStart(e *endpoint, startedMs int64) {
+	if startedMs > e.startedMs {
+		e.startedMs, e.givenUp = startedMs, nil
+		c.unsavedGivenUp[e.id] = true
+	}
+}
+
 // beginAnew forgets what was known of an endpoint's incarnation before, such as the number
 // of its last end: by that number the new ends would be taken for known and be acknowledged
 // unread, and their tasks run again. It counts as not listed, as the new one may have less
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -45,6 +45,9 @@
 	Begun bool `cbor:"5,keyasint,omitempty"`
 	// Ended are occurrences above FirstOpen that have ended.
 	Ended []int `cbor:"4,keyasint,omitempty"`
+	// Started are the starts of the incarnations that Tasks are placed on, by endpoint, in
+	// ms since 1970; absent where not told.
+	Started map[string]int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // taskRecord is an array on the wire, as there are many.
@@ -104,6 +107,7 @@
 					Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint}
 				if t.host != nil {
 					r.Endpoint = t.host.id
+					p.noteStart(t.host)
 				}
 				p.Tasks = append(p.Tasks, r)
 			}
@@ -112,6 +116,16 @@
 	return p
 }
 
+func (p *progressRecord) noteStart(e *endpoint) {
+	if e.startedMs == 0 {
+		return
+	}
+	if p.Started == nil {
+		p.Started = map[string]int64{}
+	}
+	p.Started[e.id] = e.startedMs
+}
+
 func gangKey(occurrence, step int) string {
 	return jobs.TaskName{Occurrence: occurrence, Step: step}.String()
 }
@@ -274,6 +288,9 @@
 	for _, r := range p.Tasks {
 		c.restoreTask(j, r, now)
 	}
+	for id, startedMs := range p.Started {
+		c.restoreStart(c.endpoint(id), startedMs)
+	}
 	for _, o := range j.current {
 		for _, s := range o.steps {
 			s.failures = p.Gangs[gangKey(o.number, s.index)]
