--- a/internal/executor/restart_test.go
+++ b/internal/executor/restart_test.go
@@ -103,14 +103,14 @@
 // incarnation reaches the next one, after its task has begun elsewhere.
 func TestAnOrderForAnEarlierIncarnationDoesNothing(t *testing.T) {
 	g := NewWithT(t)
-	w, o, h := withEnds(g, 2)
+	w, o, _ := withEnds(g, 2)
 	w.lateOrders, w.loseOrders = 1, 1
 	j := jobOf(2, small(1))
 	w.submit(o, j)
 	w.run(20 * time.Millisecond)
 	w.loseOrders = 0
 	g.Expect(w.late).NotTo(BeEmpty())
-	h = w.hosts[w.late[0].order.Endpoint]
+	h := w.hosts[w.late[0].order.Endpoint]
 	w.restart(h)
 	h.bootClock = 0 // the order's lease, by the former clock, is still to come by this one
 	w.lengthOf = func(jobs.TaskName) time.Duration { return time.Second }
