Failing test: an owner is told of the wrong incarnation's end

An operation ends an endpoint's incarnation, the next one begins under the id, and its pool's owner names it as it answers whether the endpoint is clear. The duty over instances takes that start for the one that its operation has ended, and with a list from the time in between, which shows the instance as away, it tells the owner so: the owner takes what runs there for lost and starts it again beside it.

--- a/internal/fleetops/fleetops_test.go
+++ b/internal/fleetops/fleetops_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -413,6 +414,29 @@
 	})
 })
 
+// Guards against tasks that run twice at once: an owner is told that the incarnation on which
+// they run has ended. The operation ended the one before; the instance list was read while the
+// instance was away, and the owner's word on the next one came before it was read again.
+func TestOnlyTheIncarnationThatAnOperationEndedIsToldOf(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(map[string]int{"a": 4})
+	f.keepIDs = true
+	name, endpoint := f.instances[0].Name, f.instances[0].Endpoint
+	f.started[endpoint] = 7
+	f.state.ObserveWave(1, []string{name}, 10*time.Second, 1, wall)
+	for len(f.maintained()) == 0 {
+		f.round("a")
+	}
+	f.round("a")
+	f.listLag = time.Hour // the list shows the instance as away
+	for range 60 {
+		f.round("a")
+	}
+	g.Expect(f.down()).To(BeZero())
+	g.Expect(f.started[endpoint]).To(BeNumerically(">", 7))
+	g.Expect(f.ends).NotTo(HaveKey(executor.Incarnation{ID: endpoint, StartedMs: f.started[endpoint]}))
+}
+
 var _ = Describe("a late word on an endpoint that has died", func() {
 	// The owner is asked about an endpoint, which dies; the list shows the next
 	// incarnation, which runs tasks; then the answer about the first one comes.
