An operation keeps the incarnation that it was accepted for

What callers would have seen, the cause and the evidence stand with the failing test. The start that an owner names is taken only until the platform has accepted the order; from then on the next incarnation may live under the id. An owner that is told of an incarnation that it no longer knows leaves the present one alone. TestOnlyTheIncarnationThatAnOperationEndedIsToldOf passes.

--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -235,7 +235,9 @@
 	if op == nil || op.Endpoint != endpoint || op.recorded == 0 || proven < op.recorded {
 		return
 	}
-	if word.StartedMs != op.StartedMs {
+	// From its acceptance on the order may have begun the next incarnation under the id,
+	// which it has not ended.
+	if op.accepted == 0 && word.StartedMs != op.StartedMs {
 		op.StartedMs, op.cleared = word.StartedMs, false
 	}
 	if word.Left == 0 && !op.cleared {
