--- /dev/null
+++ b/internal/executor/hosts_test.go
@@ -0,0 +1,306 @@
+package executor_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/jobs"
+)
+
+// Endpoints of a world, and what an observer of them holds against a Core.
+
+// longestLease is what an endpoint shortens longer leases to.
+const longestLease = 10 * time.Second
+
+type history struct {
+	running int
+	failed  int
+	// ends are those of runs, and starts how many there were as each run began.
+	ends   []*pastEnd
+	starts []int
+}
+
+// pastEnd is the end of a run. It counts once an owner has acknowledged it, also if that
+// comes after a later run has begun.
+type pastEnd struct {
+	how          executor.HowEnded
+	acknowledged bool
+}
+
+// done reports whether a good end counts.
+func (p *history) done() bool {
+	return slices.ContainsFunc(p.ends, func(e *pastEnd) bool { return e.acknowledged && e.how == executor.EndedDone })
+}
+
+// wrong returns what one of a task's runs has broken by beginning, if any has.
+func (p *history) wrong(mostFailures int) string {
+	for _, before := range p.starts {
+		failures := 0
+		for _, end := range p.ends[:before] {
+			switch {
+			case !end.acknowledged:
+			case end.how == executor.EndedDone:
+				return "starts after it was done"
+			case end.how == executor.EndedFailed:
+				failures++
+			}
+		}
+		if failures >= mostFailures {
+			return fmt.Sprintf("starts after %d failed runs", failures)
+		}
+	}
+	return ""
+}
+
+type run struct {
+	task    string
+	number  int
+	began   time.Duration
+	ends    time.Duration
+	outcome executor.HowEnded
+	needs   executor.Room
+	// hung runs make no progress.
+	hung bool
+}
+
+type host struct {
+	id, rack string
+	// startedMs is when the incarnation started, by the time of day. Its clock showed
+	// bootClock then.
+	startedMs           int64
+	bootedAt, bootClock time.Duration
+	// entry is what service discovery still says of it until entryUntil, if anything.
+	entry      *executor.EndpointInfo
+	entryUntil time.Duration
+	capacity   executor.Room
+	fence      int64
+	lease      time.Duration
+	running    map[string]*run
+	highest    map[string]int
+	ended      []executor.ListedEnd
+	number     int64
+	silent     bool
+	// hiddenFrom is the lowest epoch whose owner can't reach it; 0 hides it
+	// from nobody.
+	hiddenFrom int64
+	// unwell endpoints turn starts away.
+	unwell   bool
+	dead     bool
+	skew     float64
+	draining bool
+	failsAll bool
+	hangs    bool
+	took     time.Duration
+	// endedAt is when each end came. An end does not stand if the lease of runs beside
+	// it has lapsed, as of lapsed last, before it is acknowledged. Where nothing ran any
+	// more nothing has lapsed, and the end stands whenever it is acknowledged.
+	endedAt map[int64]time.Duration
+	lapsed  time.Duration
+	// past is what each end stands for in its task's history.
+	past map[int64]*pastEnd
+	// percent is listed of all runs, where it is set.
+	percent int
+}
+
+func (w *world) addHost(id string) *host {
+	h := &host{id: id, rack: "r1", startedMs: w.wall(), capacity: executor.Room{CPUMilli: 4000, MemoryMB: 4000}, running: map[string]*run{},
+		highest: map[string]int{}, endedAt: map[int64]time.Duration{}, past: map[int64]*pastEnd{}, skew: 1, took: 300 * time.Millisecond}
+	w.hosts[id] = h
+	return h
+}
+
+// hears reports whether an owner's calls arrive.
+func (h *host) hears(epoch int64) bool {
+	return !h.silent && (h.hiddenFrom == 0 || epoch < h.hiddenFrom)
+}
+
+func (h *host) clock(now time.Duration) time.Duration {
+	return h.bootClock + time.Duration(float64(now-h.bootedAt)*h.skew)
+}
+
+// hold extends the lease of all that runs on an endpoint.
+func (h *host) hold(now, until time.Duration) {
+	h.lease = max(h.lease, min(until, h.clock(now)+longestLease))
+}
+
+// restart ends an incarnation, and another begins under its id. It holds and knows
+// nothing of before, and answers that were on their way are lost.
+func (w *world) restart(h *host) {
+	w.note("endpoint restarted", "", h.id, 0, 0, 0)
+	for name := range h.running {
+		w.history(name).running--
+	}
+	for i, a := range w.answers {
+		if a.look.Endpoint == h.id {
+			w.answers[i].result = executor.LookUnanswered
+		}
+	}
+	clear(h.running)
+	clear(h.highest)
+	clear(h.endedAt)
+	clear(h.past)
+	h.ended, h.number, h.lapsed = nil, 0, 0
+	h.fence, h.lease = 0, 0
+	h.dead, h.draining = false, false
+	h.startedMs = max(h.startedMs+1, w.wall())
+	h.bootedAt, h.bootClock = w.now, time.Duration(w.chance("clock", h.id)*float64(time.Hour))
+}
+
+// describe is what an endpoint says of itself in service discovery.
+func (h *host) describe() executor.EndpointInfo {
+	return executor.EndpointInfo{ID: h.id, StartedMs: h.startedMs, Addr: h.id, Rack: h.rack, Capacity: h.capacity, Draining: h.draining}
+}
+
+func (w *world) carryOut(h *host, order executor.Order, epoch int64, lease time.Duration) executor.OrderResult {
+	if h.dead {
+		return executor.OrderGone
+	}
+	if order.Fence < h.fence {
+		return executor.OrderFenced
+	}
+	h.fence = order.Fence
+	if order.Kind == executor.OrderStop {
+		w.stop(h, order)
+		return executor.OrderDone
+	}
+	if r := h.running[order.Task]; r != nil && r.number == order.Run {
+		h.hold(w.now, lease)
+		return executor.OrderDone
+	}
+	if order.Run <= h.highest[order.Task] {
+		return executor.OrderOld
+	}
+	if lease <= h.clock(w.now) {
+		return executor.OrderLate
+	}
+	if h.unwell && w.chance("unwell", order.Task, order.Run, epoch) < 0.5 {
+		return executor.OrderUnhealthy
+	}
+	h.hold(w.now, lease)
+	w.start(h, order)
+	return executor.OrderDone
+}
+
+// start begins a run and checks what an observer would.
+func (w *world) start(h *host, order executor.Order) {
+	past := w.history(order.Task)
+	if past.running > 0 {
+		w.broken = append(w.broken, fmt.Sprintf("%v: %s runs twice\n%s", w.now, order.Task, w.story(order.Task)))
+	}
+	past.starts = append(past.starts, len(past.ends))
+	w.judge(order.Task)
+	past.running++
+	n, _ := jobs.ParseTaskName(order.Task)
+	took := h.took
+	if w.lengthOf != nil {
+		took = w.lengthOf(n)
+	}
+	r := &run{task: order.Task, number: order.Run, began: w.now, ends: w.now + took, needs: executor.Room{CPUMilli: 1000, MemoryMB: 10}}
+	if h.failsAll || n.Step == poisonStep {
+		r.outcome = executor.EndedFailed
+	}
+	if h.hangs {
+		r.ends, r.hung = w.now+time.Hour, true
+	}
+	h.running[order.Task] = r
+	var used executor.Room
+	for _, other := range h.running {
+		used.CPUMilli += other.needs.CPUMilli
+	}
+	if used.CPUMilli > h.capacity.CPUMilli {
+		w.broken = append(w.broken, fmt.Sprintf("%v: %s is over its room", w.now, h.id))
+	}
+}
+
+// judge notes what a task's runs have broken by beginning.
+func (w *world) judge(task string) {
+	if wrong := w.history(task).wrong(terms().Attempts); wrong != "" {
+		w.broken = append(w.broken, fmt.Sprintf("%v: %s %s\n%s", w.now, task, wrong, w.story(task)))
+	}
+}
+
+// poisonStep is a step number whose tasks always fail.
+const poisonStep = 9
+
+func (w *world) history(task string) *history {
+	if w.runs[task] == nil {
+		w.runs[task] = &history{}
+	}
+	return w.runs[task]
+}
+
+func (w *world) stop(h *host, order executor.Order) {
+	if r := h.running[order.Task]; r != nil && r.number == order.Run {
+		r.outcome, r.ends = executor.EndedStopped, w.now+100*time.Millisecond
+		return
+	}
+	h.highest[order.Task] = max(h.highest[order.Task], order.Run)
+}
+
+// acknowledge lets an endpoint forget ends, and notes what they stand for from then on.
+func (w *world) acknowledge(h *host, upTo int64) {
+	h.ended = slices.DeleteFunc(h.ended, func(e executor.ListedEnd) bool {
+		if e.Number > upTo {
+			return false
+		}
+		if h.lapsed < h.endedAt[e.Number] {
+			h.past[e.Number].acknowledged = true
+			w.judge(e.Task)
+		}
+		return true
+	})
+}
+
+func (w *world) endpoints() {
+	due := w.late
+	w.late = nil
+	for _, l := range due {
+		if h := w.hosts[l.order.Endpoint]; l.at <= w.now && h != nil && !h.silent && h.startedMs == l.startedMs {
+			result := w.carryOut(h, l.order, l.epoch, l.lease)
+			w.note(fmt.Sprintf("late order %d", l.order.Kind), l.order.Task, h.id, l.order.Run, l.epoch, result)
+		} else if l.at > w.now {
+			w.late = append(w.late, l)
+		}
+	}
+	for _, h := range w.hosts {
+		lapsed := h.clock(w.now) > h.lease
+		if lapsed && len(h.running) > 0 {
+			h.lapsed = w.now
+		}
+		for name, r := range h.running {
+			if lapsed {
+				w.end(h, name, r, executor.EndedLapsed)
+			} else if w.now >= r.ends {
+				w.end(h, name, r, r.outcome)
+			}
+		}
+	}
+}
+
+func (w *world) end(h *host, name string, r *run, how executor.HowEnded) {
+	delete(h.running, name)
+	w.note("end "+how.String(), name, h.id, r.number, h.fence, 0)
+	h.highest[name] = max(h.highest[name], r.number)
+	h.number++
+	h.endedAt[h.number] = w.now
+	h.ended = append(h.ended, executor.ListedEnd{Number: h.number, Task: name, Run: r.number, How: how})
+	past := w.history(name)
+	past.running--
+	h.past[h.number] = &pastEnd{how: how}
+	past.ends = append(past.ends, h.past[h.number])
+	if how == executor.EndedFailed {
+		past.failed++
+	}
+}
+
+// kill ends an incarnation and everything on it.
+func (w *world) kill(h *host) {
+	h.dead = true
+	w.note("endpoint killed", "", h.id, 0, 0, 0)
+	for name := range h.running {
+		w.history(name).running--
+	}
+	clear(h.running)
+}
