--- /dev/null
+++ b/internal/fleetops/fleet_test.go
@@ -0,0 +1,212 @@
+package fleetops_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/fleetops"
+)
+
+const (
+	spare  = "spare"
+	unit   = 1000
+	tick   = 150 * time.Millisecond
+	wall   = int64(1_000_000)
+	moving = 1500 * time.Millisecond
+)
+
+func limits(holder string) fleetops.Limits {
+	return fleetops.Limits{Holder: holder, MoveTime: moving, MaintainTime: moving, HolderTTL: 3 * time.Second}
+}
+
+// fleet is the platform's side: instances that move, and owners that clear them.
+type fleet struct {
+	now       time.Duration
+	state     *fleetops.State
+	instances []fleetops.Instance
+	back      map[string]time.Duration
+	// tasks are what runs on an endpoint; owners stop nothing.
+	tasks map[string]int
+	// demand is the work offered to a pool, in core-ms, and its ready backlog.
+	offered, ready, running map[string]float64
+	// listLag keeps the instance list as it was read first.
+	listLag, listed time.Duration
+	leastHosts      map[string]int
+	// ends are incarnations whose ends the owners were told of.
+	ends map[executor.Incarnation]bool
+	// keepIDs: endpoints come back under their ids. started are the starts of those that
+	// have.
+	keepIDs bool
+	started map[string]int64
+	starved map[string]int
+	// lasting endpoints are cleared one at a time, each within clearing; cleared
+	// is when the last one was.
+	lasting map[string]bool
+	cleared time.Duration
+	ordered []fleetops.Operation
+	journal map[string][]byte
+	slow    bool
+	// proofAge is how old the owners' proofs are.
+	proofAge time.Duration
+}
+
+func newFleet(pools map[string]int) *fleet {
+	f := &fleet{now: time.Second, state: fleetops.NewState(limits("a")), back: map[string]time.Duration{}, tasks: map[string]int{},
+		offered: map[string]float64{}, ready: map[string]float64{}, running: map[string]float64{}, journal: map[string][]byte{}, ends: map[executor.Incarnation]bool{}, started: map[string]int64{}}
+	var names []string
+	for pool := range pools {
+		names = append(names, pool)
+	}
+	slices.Sort(names)
+	for _, pool := range names {
+		for n := range pools[pool] {
+			name := fmt.Sprintf("%s-%02d", pool, n)
+			f.instances = append(f.instances, fleetops.Instance{Name: name, Pool: pool, Up: true, CPUMilli: unit, Endpoint: endpointOf(pool, name, 0)})
+		}
+	}
+	return f
+}
+
+// succeed lets another holder take the duty over from the journal alone.
+func (f *fleet) succeed() {
+	GinkgoHelper()
+	f.state = fleetops.NewState(limits("b"))
+	var records []executor.Record
+	for key, value := range f.journal {
+		if len(value) > 0 {
+			records = append(records, executor.Record{Key: key, Value: value})
+		}
+	}
+	Expect(f.state.Restore(records, f.now, wall+f.now.Milliseconds())).To(Succeed())
+}
+
+func endpointOf(pool, name string, life time.Duration) string {
+	if pool == spare {
+		return ""
+	}
+	return fmt.Sprintf("%s/%d", name, life)
+}
+
+func (f *fleet) count(pool string) int {
+	n := 0
+	for _, i := range f.instances {
+		if i.Pool == pool && i.Up {
+			n++
+		}
+	}
+	return n
+}
+
+// round is one round of the duty, as Runner makes it.
+func (f *fleet) round(pools ...string) {
+	f.now += tick
+	for n := range f.instances {
+		i := &f.instances[n]
+		if at, away := f.back[i.Name]; away && f.now >= at {
+			delete(f.back, i.Name)
+			life := f.now
+			if f.keepIDs {
+				life = 0
+			}
+			i.Up, i.Endpoint = true, endpointOf(i.Pool, i.Name, life)
+			f.started[i.Endpoint] = f.now.Milliseconds()
+		}
+	}
+	if f.listLag == 0 || f.listed == 0 {
+		f.state.ObserveInstances(f.now, slices.Clone(f.instances), spare)
+		f.listed = f.now
+	}
+	for _, pool := range pools {
+		f.state.ObservePool(f.now, pool, f.summary(pool))
+	}
+	actions := f.state.Decide(f.now, wall+f.now.Milliseconds())
+	for _, r := range append(f.state.TakeRecords(f.now, wall+f.now.Milliseconds()), f.state.TickRecord(f.now, wall+f.now.Milliseconds())) {
+		f.journal[r.Key] = r.Value
+	}
+	f.state.Saved(f.now)
+	f.clearLasting(actions.Clears)
+	for _, c := range actions.Clears {
+		if c.Ended {
+			f.ends[executor.Incarnation{ID: c.Endpoint, StartedMs: c.StartedMs}] = true
+			f.state.EndTold(c.Instance, c.Endpoint)
+		}
+		f.state.Cleared(f.now+time.Millisecond, f.now-f.proofAge, c.Instance, c.Endpoint, executor.Vacancy{Left: f.tasks[c.Endpoint], StartedMs: f.started[c.Endpoint]})
+	}
+	for _, o := range actions.Orders {
+		f.order(o.Operation)
+	}
+}
+
+func (f *fleet) summary(pool string) executor.Summary {
+	s := executor.Summary{Pool: pool, OfferedCoreMs: f.offered[pool], ReadyCoreMs: f.ready[pool], RunningCPUMilli: int(f.running[pool]),
+		LeastHosts: f.leastHosts[pool], Starved: f.starved[pool]}
+	for _, i := range f.instances {
+		if i.Pool == pool && i.Up {
+			s.Endpoints++
+			s.CapacityMilli += unit
+			s.Hosts = append(s.Hosts, executor.HostLoad{Endpoint: i.Endpoint, Tasks: f.tasks[i.Endpoint], Lasting: f.lasting[i.Endpoint]})
+		}
+	}
+	return s
+}
+
+// clearing is how long it takes to move one endpoint's lasting tasks.
+const clearing = 2500 * time.Millisecond
+
+// clearLasting lets the owner move one endpoint's lasting tasks at a time.
+func (f *fleet) clearLasting(asked []fleetops.Clear) {
+	for _, c := range asked {
+		if !f.lasting[c.Endpoint] || f.now-f.cleared < clearing {
+			continue
+		}
+		f.cleared = f.now
+		f.tasks[c.Endpoint] = 0
+		delete(f.lasting, c.Endpoint)
+	}
+}
+
+func (f *fleet) order(op fleetops.Operation) {
+	f.ordered = append(f.ordered, op)
+	if f.slow {
+		return
+	}
+	for n := range f.instances {
+		i := &f.instances[n]
+		if i.Name != op.Instance {
+			continue
+		}
+		i.Up, i.Endpoint = false, ""
+		if op.Kind == fleetops.KindMove {
+			i.Pool = op.To
+		}
+		f.back[i.Name] = f.now + moving
+	}
+	f.state.Ordered(f.now, op.Instance, fleetops.OrderAccepted)
+}
+
+func (f *fleet) maintained() []string {
+	var out []string
+	for _, op := range f.ordered {
+		if op.Kind == fleetops.KindMaintain {
+			out = append(out, op.Instance)
+		}
+	}
+	return out
+}
+
+func (f *fleet) down() int { return len(f.back) }
+
+func (f *fleet) names(pool string) []string {
+	var out []string
+	for _, i := range f.instances {
+		if i.Pool == pool {
+			out = append(out, i.Name)
+		}
+	}
+	return out
+}
