--- a/internal/executor/property_test.go
+++ b/internal/executor/property_test.go
@@ -46,8 +46,13 @@
 	slowJournal bool
 	// restarts: endpoints restart under their ids beside all other trouble.
 	restarts bool
+	// unseen: service discovery shows the former incarnations for up to unseenMost, and
+	// leases by their clocks are still to come by the new ones.
+	unseen bool
 }
 
+const unseenMost = 1500 * time.Millisecond
+
 // randomDay plays a day.
 func randomDay(g Gomega, seed uint64, v variant) {
 	rng := rand.New(rand.NewPCG(seed, 99))
@@ -68,7 +73,7 @@
 		w.run(time.Duration(50+rng.IntN(400)) * time.Millisecond)
 		o = w.trouble(rng, o, round)
 		if v.restarts && rng.IntN(3) == 0 {
-			w.restart(w.hosts[fmt.Sprintf("i-%02d", rng.IntN(4))])
+			w.restartOne(rng, v)
 		}
 	}
 	w.calm()
@@ -80,6 +85,16 @@
 	}
 }
 
+// restartOne lets an endpoint restart under its id.
+func (w *world) restartOne(rng *rand.Rand, v variant) {
+	h := w.hosts[fmt.Sprintf("i-%02d", rng.IntN(4))]
+	if v.unseen {
+		w.restartUnseen(h, time.Duration(rng.Int64N(int64(unseenMost))))
+		return
+	}
+	w.restart(h)
+}
+
 // trouble lets one thing go wrong, and returns the owner that callers reach.
 func (w *world) trouble(rng *rand.Rand, o *owner, round int) *owner {
 	host := w.hosts[fmt.Sprintf("i-%02d", rng.IntN(4))]
--- a/internal/executor/restart_test.go
+++ b/internal/executor/restart_test.go
@@ -324,8 +324,16 @@
 		more = 0 // not set
 	}
 	for seed := uint64(1); seed <= uint64(seeds+more); seed++ {
+		v := variant{inOrder: seed%2 == 0, slowJournal: seed%3 == 0, restarts: true}
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			randomDay(NewWithT(t), seed, variant{inOrder: seed%2 == 0, slowJournal: seed%3 == 0, restarts: true})
+			t.Parallel()
+			randomDay(NewWithT(t), seed, v)
+		})
+		late := v
+		late.unseen = true
+		t.Run(fmt.Sprint("unseen, seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			randomDay(NewWithT(t), seed, late)
 		})
 	}
 }
