The log tells how endpoints end under tasks

One line a run, 'endpoint ended under task', bounded like all lines; its counter is among the pool's events. Nothing is decided by it.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -255,6 +255,8 @@
 	listedAt time.Duration
 	// rescues counts the runs that were stopped as their endpoint was slow.
 	rescues int
+	// crashes counts the incarnations that ended under the task's runs.
+	crashes int
 	// stopping is set once the run shall end; stopSent is its newest order.
 	stopping bool
 	stopSent time.Duration
@@ -432,6 +434,8 @@
 	EventFine     EventKind = "endpoint no longer slow"
 	EventWithheld EventKind = "end not acknowledged"
 	EventPaced    EventKind = "starts paced"
+	// EventCrashed: an incarnation has ended under a task's run, which had gone on for AgeMs.
+	EventCrashed EventKind = "endpoint ended under task"
 	// EventRestarted: another incarnation answers under an endpoint's id.
 	EventRestarted EventKind = "endpoint restarted"
 )
--- a/internal/executor/incarnation.go
+++ b/internal/executor/incarnation.go
@@ -59,6 +59,7 @@
 func (c *Core) beginAnew(now time.Duration, e *endpoint, startedMs int64) {
 	c.event(Event{Kind: EventRestarted, Endpoint: e.id, StartedMs: startedMs, Run: len(e.tasks),
 		Reason: fmt.Sprintf("ends up to %d acknowledged before", e.acknowledged)})
+	c.noteCrash(e.incarnation(), e.endedRuns())
 	c.unsavedGivenUp[e.id] = true
 	*e = endpoint{
 		id: e.id, addr: e.addr, zone: e.zone, kind: e.kind, rack: e.rack, startedMs: startedMs, term: e.term + 1,
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -87,6 +87,7 @@
 		return
 	}
 	c.event(Event{Kind: EventGone, Endpoint: e.id, StartedMs: e.startedMs, Run: len(e.tasks)})
+	c.noteCrash(in, e.endedRuns())
 	c.loseAll(e, "incarnation ended")
 	c.forget(e)
 }
