--- a/internal/executor/hosts_test.go
+++ b/internal/executor/hosts_test.go
@@ -20,8 +20,18 @@
 	// ends are those of runs, and starts how many there were as each run began.
 	ends   []*pastEnd
 	starts []int
+	// crashes counts the endpoints that crashed under it, if it is a task that crashes them,
+	// and afterThird its starts since the third.
+	crashes, afterThird int
 }
 
+// mostCrashes is the number of crashes after which a task's starts are counted, and
+// mostStartsAfter how many of those are too many.
+const (
+	mostCrashes     = 3
+	mostStartsAfter = 3
+)
+
 // pastEnd is the end of a run. It counts once an owner has acknowledged it, also if that
 // comes after a later run has begun.
 type pastEnd struct {
@@ -66,7 +76,7 @@
 }
 
 type host struct {
-	id, rack string
+	id, rack, zone string
 	// startedMs is when the incarnation started, by the time of day. Its clock showed
 	// bootClock then.
 	startedMs           int64
@@ -82,6 +92,10 @@
 	ended      []executor.ListedEnd
 	number     int64
 	silent     bool
+	// crashAt is when it will crash, 0 for never. A crashed one is down, from downAt until
+	// backAt.
+	crashAt, downAt, backAt time.Duration
+	down                    bool
 	// hiddenFrom is the lowest epoch whose owner can't reach it; 0 hides it
 	// from nobody.
 	hiddenFrom int64
@@ -113,7 +127,7 @@
 
 // hears reports whether an owner's calls arrive.
 func (h *host) hears(epoch int64) bool {
-	return !h.silent && (h.hiddenFrom == 0 || epoch < h.hiddenFrom)
+	return !h.silent && !h.down && (h.hiddenFrom == 0 || epoch < h.hiddenFrom)
 }
 
 func (h *host) clock(now time.Duration) time.Duration {
@@ -129,6 +143,21 @@
 // nothing of before, and answers that were on their way are lost.
 func (w *world) restart(h *host) {
 	w.note("endpoint restarted", "", h.id, 0, 0, 0)
+	w.dropRuns(h)
+	clear(h.highest)
+	clear(h.endedAt)
+	clear(h.past)
+	h.ended, h.number, h.lapsed = nil, 0, 0
+	h.fence, h.lease = 0, 0
+	h.dead, h.draining = false, false
+	h.down, h.crashAt = false, 0
+	h.startedMs = max(h.startedMs+1, w.wall())
+	h.bootedAt, h.bootClock = w.now, time.Duration(w.chance("clock", h.id)*float64(time.Hour))
+}
+
+// dropRuns ends what runs on an endpoint with its incarnation, and loses answers that were
+// on their way.
+func (w *world) dropRuns(h *host) {
 	for name := range h.running {
 		w.history(name).running--
 	}
@@ -138,19 +167,55 @@
 		}
 	}
 	clear(h.running)
-	clear(h.highest)
-	clear(h.endedAt)
-	clear(h.past)
-	h.ended, h.number, h.lapsed = nil, 0, 0
-	h.fence, h.lease = 0, 0
-	h.dead, h.draining = false, false
-	h.startedMs = max(h.startedMs+1, w.wall())
-	h.bootedAt, h.bootClock = w.now, time.Duration(w.chance("clock", h.id)*float64(time.Hour))
+}
+
+// crash ends an incarnation without notice. Its endpoint is back after some time.
+func (w *world) crash(h *host) {
+	w.note("endpoint crashed", "", h.id, 0, 0, 0)
+	for name := range h.running {
+		if w.crashes(name) {
+			w.history(name).crashes++
+		}
+	}
+	w.dropRuns(h)
+	h.down, h.crashAt, h.downAt, h.backAt = true, 0, w.now, w.now+w.downFor
+}
+
+// comeBack begins the next incarnation of an endpoint that has crashed, under its id or
+// another.
+func (w *world) comeBack(h *host) {
+	if !w.newIDs {
+		w.restart(h)
+		return
+	}
+	h.down, h.dead = false, true
+	w.born++
+	next := w.addHost(fmt.Sprintf("b-%03d", w.born))
+	next.rack, next.zone, next.took, next.capacity = h.rack, h.zone, h.took, h.capacity
+}
+
+// crashes reports whether a task crashes the endpoints that start it.
+func (w *world) crashes(task string) bool {
+	n, ok := jobs.ParseTaskName(task)
+	return ok && w.crasher != nil && w.crasher(n)
+}
+
+// judgeCrashing counts the starts of a task that crashes its endpoints.
+func (w *world) judgeCrashing(task string) {
+	past := w.history(task)
+	if past.crashes < mostCrashes {
+		return
+	}
+	past.afterThird++
+	if past.afterThird == mostStartsAfter {
+		w.broken = append(w.broken, fmt.Sprintf("%v: %s is started %d times more after %d endpoints have crashed under it\n%s",
+			w.now, task, mostStartsAfter, mostCrashes, w.story(task)))
+	}
 }
 
 // describe is what an endpoint says of itself in service discovery.
 func (h *host) describe() executor.EndpointInfo {
-	return executor.EndpointInfo{ID: h.id, StartedMs: h.startedMs, Addr: h.id, Rack: h.rack, Capacity: h.capacity, Draining: h.draining}
+	return executor.EndpointInfo{ID: h.id, StartedMs: h.startedMs, Addr: h.id, Rack: h.rack, Zone: h.zone, Capacity: h.capacity, Draining: h.draining}
 }
 
 func (w *world) carryOut(h *host, order executor.Order, epoch int64, lease time.Duration) executor.OrderResult {
@@ -192,6 +257,10 @@
 	past.starts = append(past.starts, len(past.ends))
 	w.judge(order.Task)
 	past.running++
+	if w.crashes(order.Task) {
+		w.judgeCrashing(order.Task)
+		h.crashAt = w.now + w.crashAfter
+	}
 	n, _ := jobs.ParseTaskName(order.Task)
 	took := h.took
 	if w.lengthOf != nil {
@@ -265,6 +334,12 @@
 		}
 	}
 	for _, h := range w.hosts {
+		switch {
+		case h.down && w.now >= h.backAt:
+			w.comeBack(h)
+		case h.crashAt > 0 && w.now >= h.crashAt:
+			w.crash(h)
+		}
 		lapsed := h.clock(w.now) > h.lease
 		if lapsed && len(h.running) > 0 {
 			h.lapsed = w.now
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -37,6 +37,12 @@
 	lengthOf func(jobs.TaskName) time.Duration
 	// slowJournal takes batches side by side and answers them late.
 	slowJournal bool
+	// crasher tells the tasks that crash the endpoints that start them, crashAfter their start.
+	// An endpoint that has crashed is back after downFor, under another id with newIDs.
+	crasher             func(jobs.TaskName) bool
+	crashAfter, downFor time.Duration
+	newIDs              bool
+	born                int
 	// inOrder lets owners of random days hand over as they end.
 	inOrder bool
 }
@@ -139,12 +145,15 @@
 
 const step = 10 * time.Millisecond
 
+// entryLapses is how long service discovery shows an endpoint that has fallen silent.
+const entryLapses = 4500 * time.Millisecond
+
 func testLimits() executor.Limits {
 	return executor.Limits{Lease: 3 * time.Second, ProofAge: 4 * time.Second, KeepEnded: time.Minute, StopTimeout: 200 * time.Millisecond, LongestLease: longestLease}
 }
 
 func newWorld(seed uint64, hosts int) *world {
-	w := &world{now: time.Second, seed: seed, limits: testLimits(),
+	w := &world{now: time.Second, seed: seed, limits: testLimits(), crashAfter: step, downFor: 2 * time.Second,
 		journal: &journal{newest: map[string][]byte{}}, hosts: map[string]*host{}, runs: map[string]*history{}}
 	for i := range hosts {
 		w.addHost(fmt.Sprintf("i-%02d", i))
@@ -188,6 +197,7 @@
 		switch {
 		case h.entry != nil && w.now < h.entryUntil:
 			out = append(out, *h.entry)
+		case h.down && w.now-h.downAt > entryLapses:
 		case !h.dead:
 			out = append(out, h.describe())
 		}
