A task that crashes its endpoints is given up, and sound ones beside it are not

Cause: only ends that endpoints list are counted, and a crash lists none. A run lost with its incarnation went back among the waiting tasks without a limit, whichever way the owner learnt of the end. Class: a retry without a budget on a path of failure that leaves no record of its own.

Ruled out: another cause of the crashes (the tasks had just begun each time, age_ms 0, others had not); a count that was lost (there was none). A count kept in an owner's memory or at one place would be lost, as the tests with owners that change and with leases that run out before the endpoint is back showed: number 1 each time, and no line at all.

A suspect runs where nothing else has just begun, so that it alone can be to blame; three crashes, two of them so and at different addresses, or five in any case, give it up: at most two starts after the third crash. A run that goes on for 2 s clears its task. Tasks whose leases ran out go to endpoints heard within the last second, and wait for word of silent ones before a fourth start.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -99,6 +99,11 @@
 	loans      []loan
 	loansUntil time.Duration
 
+	// wary are open tasks that are not placed anywhere (trial.go). watchful: idle endpoints are
+	// asked whether they live, as one of these tasks is to start now or may be soon.
+	wary     []*task
+	watchful bool
+
 	// unsavedGivenUp are endpoints whose runs that were given up have changed; savedGivenUp
 	// are those with a record of them.
 	unsavedGivenUp, savedGivenUp map[string]bool
@@ -255,8 +260,16 @@
 	listedAt time.Duration
 	// rescues counts the runs that were stopped as their endpoint was slow.
 	rescues int
-	// crashes counts the incarnations that ended under the task's runs.
-	crashes int
+	// evidence is what speaks for the task crashing its endpoints. doubted is what the end of
+	// an incarnation says of its run, should that turn out to have ended with it.
+	evidence evidence
+	doubted  *crash
+	// onTrial: it is suspected, and its run has just begun. waitsSince is since when it has
+	// waited for an endpoint to try it on.
+	onTrial    bool
+	waitsSince time.Duration
+	// lapsed: one of its leases has run out. wary: it is among Core.wary.
+	lapsed, wary bool
 	// stopping is set once the run shall end; stopSent is its newest order.
 	stopping bool
 	stopSent time.Duration
@@ -310,12 +323,18 @@
 	acknowledged int64
 	// givenUp are runs that were given up as their lease ran out, by task.
 	givenUp map[string]int
+	// unheard are those of them since which the endpoint has not been heard, and how long it
+	// had been heard before.
+	unheard map[string]unheardRun
 	// gaveUpAt is when that last happened, or was restored.
 	gaveUpAt time.Duration
 	// withheld is the number of the first end that must not be acknowledged, 0 for
 	// none.
 	withheld int64
 
+	// trial is the job whose suspected task has just begun here, nil for none.
+	trial *job
+
 	badRuns    int
 	quarantine time.Duration
 	speed      speed
--- a/internal/executor/crash_test.go
+++ b/internal/executor/crash_test.go
@@ -268,6 +268,32 @@
 	}
 }
 
+// Guards against a sound lasting task that is given up at last, as its endpoints crash for
+// other reasons some seconds after each start.
+func TestALastingTaskOutlivesCrashesOfItsEndpoints(t *testing.T) {
+	for _, newIDs := range []bool{false, true} {
+		g := NewWithT(t)
+		w, o := threeZones(3)
+		w.newIDs = newIDs
+		lasting := small(1)
+		lasting.LongRunning = true
+		j := jobOf(1, lasting)
+		w.submit(o, j)
+		for range 20 {
+			w.run(6 * time.Second)
+			for _, h := range w.hosts {
+				if len(h.running) > 0 {
+					w.crash(h)
+				}
+			}
+		}
+		w.run(6 * time.Second)
+		g.Expect(w.broken).To(BeEmpty())
+		g.Expect(w.runs[j.ID+".0.0.0"].taken).To(BeNumerically(">", 10))
+		g.Expect(w.state(o, j)).To(Equal("running"))
+	}
+}
+
 // Guards against any mix of crashing tasks with lost and late orders, silent and restarting
 // endpoints, and owners that change, are cut off or slow.
 func TestRandomDaysWithCrashingTasks(t *testing.T) {
--- a/internal/executor/explain.go
+++ b/internal/executor/explain.go
@@ -91,10 +91,14 @@
 	obstacleKept      = "kept for a lasting task"
 	obstacleSlow      = "slow"
 	obstacleWithheld  = "with an end that came too late"
+	obstacleTrial     = "where a task that may crash it has just begun"
+	obstacleStale     = "not heard of late"
+	obstacleBegun     = "where others have just begun"
 )
 
 var obstacles = []string{obstacleNone, obstacleRoom, obstacleLabel, obstacleSpread, obstacleSharing, obstacleTicket, obstacleUnlisted,
-	obstacleDraining, obstacleVacating, obstacleUnknown, obstacleSilent, obstacleStrangers, obstacleQuiet, obstacleKept, obstacleSlow, obstacleWithheld}
+	obstacleDraining, obstacleVacating, obstacleUnknown, obstacleSilent, obstacleStrangers, obstacleQuiet, obstacleKept, obstacleSlow, obstacleWithheld,
+	obstacleTrial, obstacleStale, obstacleBegun}
 
 // unblocks is what ends an obstacle, where something does.
 var unblocks = map[string]string{
@@ -110,6 +114,9 @@
 	obstacleQuiet:     "the end of the quarantine",
 	obstacleKept:      "the lasting task that the endpoint is kept for",
 	obstacleWithheld:  "a move or the maintenance of the endpoint's instance",
+	obstacleTrial:     "the endpoint's next answers, or its end",
+	obstacleStale:     "the endpoint's answer",
+	obstacleBegun:     "an endpoint kept for the task alone: others may be blamed for its crashes",
 	obstacleSlow:      "progress of the one task that tries the slow endpoint",
 }
 
@@ -121,6 +128,15 @@
 	if e.keptFor != nil && e.keptFor != t {
 		return obstacleKept
 	}
+	if e.trial != nil && e.trial != t.step.job {
+		return obstacleTrial
+	}
+	if t.cautious() && now-e.clockAt > heardOfLate {
+		return obstacleStale
+	}
+	if t.alone(now) && e.hasJustBegun(t.step.job) {
+		return obstacleBegun
+	}
 	if e.speed.slow && e.probed() && !t.step.spec.LongRunning {
 		return obstacleSlow
 	}
--- a/internal/executor/givenup.go
+++ b/internal/executor/givenup.go
@@ -20,6 +20,9 @@
 type givenUpRecord struct {
 	StartedMs int64          `cbor:"1,keyasint,omitempty"`
 	Runs      map[string]int `cbor:"2,keyasint"`
+	// UnheardMs are those since which the endpoint has not been heard, and how long it had
+	// been heard before; below 0 where it was not known to have them.
+	UnheardMs map[string]int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // rememberGivenUp is how long an endpoint that is not in service discovery is kept for
@@ -35,10 +38,38 @@
 		e.givenUp = map[string]int{}
 	}
 	e.givenUp[t.name()] = t.run
+	if e.unheard == nil {
+		e.unheard = map[string]unheardRun{}
+	}
+	e.unheard[t.name()] = unheardRun{t.confirmed > 0, t.heardFor()}
+	t.lapsed = true
+	c.beWary(t)
 	e.gaveUpAt = now
 	c.unsavedGivenUp[e.id] = true
 }
 
+// unheardRun is a run that was given up, and how far it had come.
+type unheardRun struct {
+	// known: the endpoint was known to have it, and was heard for so long after that.
+	known bool
+	heard time.Duration
+}
+
+func (r unheardRun) milliseconds() int64 {
+	if !r.known {
+		return -1
+	}
+	return r.heard.Milliseconds()
+}
+
+// forgetUnheard drops what was kept in case that an incarnation has crashed under its runs.
+func (c *Core) forgetUnheard(e *endpoint) {
+	if len(e.unheard) > 0 {
+		e.unheard = nil
+		c.unsavedGivenUp[e.id] = true
+	}
+}
+
 // dropGivenUp forgets a run whose end is known.
 func (c *Core) dropGivenUp(e *endpoint, task string) {
 	if _, known := e.givenUp[task]; known {
@@ -61,7 +92,7 @@
 		switch {
 		case e != nil && len(e.givenUp) > 0:
 			c.savedGivenUp[id] = true
-			out = append(out, Record{Key: keyGivenUp + id, Value: Encode(givenUpRecord{StartedMs: e.startedMs, Runs: e.givenUp})})
+			out = append(out, Record{Key: keyGivenUp + id, Value: Encode(e.givenUpRecord())})
 		case c.savedGivenUp[id]:
 			delete(c.savedGivenUp, id)
 			out = append(out, Record{Key: keyGivenUp + id})
@@ -70,6 +101,17 @@
 	return out
 }
 
+func (e *endpoint) givenUpRecord() givenUpRecord {
+	r := givenUpRecord{StartedMs: e.startedMs, Runs: e.givenUp}
+	for task, run := range e.unheard {
+		if r.UnheardMs == nil {
+			r.UnheardMs = map[string]int64{}
+		}
+		r.UnheardMs[task] = run.milliseconds()
+	}
+	return r
+}
+
 func (c *Core) restoreGivenUp(r Record, now time.Duration) error {
 	var in givenUpRecord
 	if err := cbor.Unmarshal(r.Value, &in); err != nil {
@@ -83,5 +125,11 @@
 		return nil
 	}
 	e.givenUp, e.gaveUpAt = in.Runs, now
+	for task, ms := range in.UnheardMs {
+		if e.unheard == nil {
+			e.unheard = map[string]unheardRun{}
+		}
+		e.unheard[task] = unheardRun{ms >= 0, time.Duration(max(0, ms)) * time.Millisecond}
+	}
 	return nil
 }
--- a/internal/executor/incarnation.go
+++ b/internal/executor/incarnation.go
@@ -47,7 +47,7 @@
 // newest is kept, without what was kept for one before.
 func (c *Core) restoreStart(e *endpoint, startedMs int64) {
 	if startedMs > e.startedMs {
-		e.startedMs, e.givenUp = startedMs, nil
+		e.startedMs, e.givenUp, e.unheard = startedMs, nil, nil
 		c.unsavedGivenUp[e.id] = true
 	}
 }
@@ -59,13 +59,17 @@
 func (c *Core) beginAnew(now time.Duration, e *endpoint, startedMs int64) {
 	c.event(Event{Kind: EventRestarted, Endpoint: e.id, StartedMs: startedMs, Run: len(e.tasks),
 		Reason: fmt.Sprintf("ends up to %d acknowledged before", e.acknowledged)})
-	c.noteCrash(e.incarnation(), e.endedRuns())
+	c.accuseAll(weigh(e, c.unheardRuns(e)))
+	taken := weigh(e, e.runsOf())
 	c.unsavedGivenUp[e.id] = true
 	*e = endpoint{
 		id: e.id, addr: e.addr, zone: e.zone, kind: e.kind, rack: e.rack, startedMs: startedMs, term: e.term + 1,
 		capacity: e.capacity, used: e.used, tasks: e.tasks,
 		vacating: e.vacating, vacateUntil: e.vacateUntil, dueUntil: e.dueUntil,
-		nextLook: now, heldUntil: now + stretched(c.limits.LongestLease),
+		nextLook: now, heldUntil: now + stretched(c.limits.LongestLease), trial: e.trial,
+	}
+	for _, x := range taken {
+		x.task.doubted = &x
 	}
 	for t := range e.tasks {
 		c.doubt(now, e, t)
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -48,6 +48,8 @@
 	// Started are the starts of the incarnations that Tasks are placed on, by endpoint, in
 	// ms since 1970; absent where not told.
 	Started map[string]int64 `cbor:"6,keyasint,omitempty"`
+	// Crashes is what speaks for tasks crashing their endpoints, by taskKey.
+	Crashes map[string]evidence `cbor:"7,keyasint,omitempty"`
 }
 
 // taskRecord is an array on the wire, as there are many.
@@ -110,6 +112,7 @@
 					p.noteStart(t.host)
 				}
 				p.Tasks = append(p.Tasks, r)
+				p.noteEvidence(t)
 			}
 		}
 	}
@@ -126,10 +129,28 @@
 	p.Started[e.id] = e.startedMs
 }
 
-func gangKey(occurrence, step int) string {
-	return jobs.TaskName{Occurrence: occurrence, Step: step}.String()
+// noteEvidence counts what is in doubt as well: the next owner could not tell.
+func (p *progressRecord) noteEvidence(t *task) {
+	known := t.evidence
+	if t.doubted != nil {
+		known = known.plus(t.doubted.evidence)
+	}
+	if known.Crashes == 0 {
+		return
+	}
+	if p.Crashes == nil {
+		p.Crashes = map[string]evidence{}
+	}
+	p.Crashes[taskKey(t.step.occ.number, t.step.index, t.index)] = known
 }
 
+// taskKey names a task within its job's record.
+func taskKey(occurrence, step, index int) string {
+	return jobs.TaskName{Occurrence: occurrence, Step: step, Index: index}.String()
+}
+
+func gangKey(occurrence, step int) string { return taskKey(occurrence, step, 0) }
+
 func (c *Core) touch(j *job) {
 	if !c.dirty[j] {
 		c.dirty[j] = true
@@ -286,7 +307,7 @@
 		c.closeOccurrence(j, n)
 	}
 	for _, r := range p.Tasks {
-		c.restoreTask(j, r, now)
+		c.restoreTask(j, r, p.Crashes[taskKey(r.Occurrence, r.Step, r.Index)])
 	}
 	for id, startedMs := range p.Started {
 		c.restoreStart(c.endpoint(id), startedMs)
@@ -317,13 +338,14 @@
 	return min(max(0, ago), longestWait)
 }
 
-func (c *Core) restoreTask(j *job, r taskRecord, now time.Duration) {
+func (c *Core) restoreTask(j *job, r taskRecord, blamed evidence) {
 	t := j.task(r.Occurrence, r.Step, r.Index)
 	if t == nil {
 		return
 	}
 	j.started = true
-	t.run, t.failures, t.checkpoint = r.Run, r.Failures, r.Checkpoint
+	t.run, t.failures, t.checkpoint, t.evidence = r.Run, r.Failures, r.Checkpoint, blamed
+	c.beWary(t)
 	switch r.Phase {
 	case taskDone:
 		t.phase = taskDone
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -87,11 +87,17 @@
 		return
 	}
 	c.event(Event{Kind: EventGone, Endpoint: e.id, StartedMs: e.startedMs, Run: len(e.tasks)})
-	c.noteCrash(in, e.endedRuns())
 	c.loseAll(e, "incarnation ended")
 	c.forget(e)
 }
 
+// crashed takes in that an incarnation has ended for no reason that is known.
+func (c *Core) crashed(e *endpoint) {
+	taken := weigh(e, append(e.runsOf(), c.unheardRuns(e)...))
+	c.Gone(e.incarnation())
+	c.accuseAll(taken)
+}
+
 // Look is a renewal to send.
 type Look struct {
 	Endpoint     string
@@ -121,6 +127,9 @@
 	if !e.lookedEver || now-e.looked > clockFresh {
 		return true
 	}
+	if c.watchful && now-e.clockAt > watchEvery {
+		return true
+	}
 	return len(e.tasks) > 0 || e.strangers > 0 || e.acknowledgeable() > e.acknowledged || e.failedLook > 0
 }
 
@@ -138,6 +147,8 @@
 // lookWait is how long a renewal of the task's endpoint may wait for an end.
 func (t *task) lookWait(now time.Duration) time.Duration {
 	switch {
+	case t.onTrial:
+		return trialLook
 	case t.stopping, t.ordered > 0 && t.confirmed == 0 && now-t.ordered > unsureAfter:
 		return unsureWait
 	case t.step.spec.LongRunning && t.percent < atWork:
@@ -212,7 +223,7 @@
 	e.lookOut = false
 	switch result {
 	case LookGone:
-		c.Gone(e.incarnation())
+		c.crashed(e)
 	case LookFenced:
 		c.fenced = true
 		c.event(Event{Kind: EventFenced, Endpoint: e.id})
@@ -251,6 +262,7 @@
 		e.nextLook = now // nothing was renewed
 	}
 	e.lookedEver, e.looked, e.failedLook = true, now, 0
+	c.forgetUnheard(e)
 	running := make(map[*task]bool, len(in.Running))
 	strangers := 0
 	for _, r := range in.Running {
@@ -312,6 +324,13 @@
 func (c *Core) seeRunning(now, clock time.Duration, t *task, r ListedRun) {
 	c.confirm(now, t)
 	t.proven = true
+	t.doubted = nil
+	if t.heardFor() >= justBegun {
+		t.endTrial()
+	}
+	if t.heardFor() >= settledAfter {
+		c.absolve(t)
+	}
 	c.noteProgress(clock, t, r.Percent)
 	if r.Percent != t.percent {
 		t.percent, t.movedAt = r.Percent, now
@@ -340,22 +359,31 @@
 		if t.confirmed > 0 {
 			// An end is listed until it is acknowledged, and it is
 			// acknowledged only once recorded: the endpoint has forgotten it.
-			c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: "no longer listed"})
-			c.again(t)
+			c.loseUnlisted(t, "no longer listed")
 			continue
 		}
 		c.settleUnsure(now, sent, t)
 	}
 }
 
+// loseUnlisted takes back a task whose run its endpoint does not have. If an incarnation has
+// ended meanwhile, the run has ended with it.
+func (c *Core) loseUnlisted(t *task, reason string) {
+	c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: t.host.id, Reason: reason})
+	doubted := t.doubted
+	c.again(t)
+	if doubted != nil {
+		c.accuse(*doubted)
+	}
+}
+
 // settleUnsure repeats a start that the endpoint does not list. It may have
 // been lost, or be carried out later: under the same number either way only one
 // run can come of it. A task to be stopped gets a stop, after which that number
 // can no longer start.
 func (c *Core) settleUnsure(now, sent time.Duration, t *task) {
 	if t.restored {
-		c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: t.host.id, Reason: "never began"})
-		c.again(t)
+		c.loseUnlisted(t, "never began")
 		return
 	}
 	// Before the first order has left there is nothing to repeat, and the
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -99,7 +99,7 @@
 		c.event(Event{Kind: EventFenced, Endpoint: o.Endpoint})
 		return
 	case OrderGone:
-		c.Gone(e.incarnation())
+		c.crashed(e)
 		return
 	}
 	t := o.task
@@ -194,6 +194,7 @@
 		if e.draining {
 			c.leaveDraining(e)
 		}
+		c.presumeGone(now, e)
 		for t := range e.tasks {
 			c.tickTask(now, e, t)
 		}
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -31,11 +31,13 @@
 	e.used = e.used.plus(needs(t.step.spec))
 	t.step.perHost[e]++
 	t.step.job.placed++
+	t.beginTrial()
 }
 
 // release takes a task off its endpoint. The caller sets its next phase.
 func (c *Core) release(t *task) {
 	e := t.host
+	t.endTrial()
 	delete(e.tasks, t)
 	e.used = e.used.minus(needs(t.step.spec))
 	t.step.perHost[e]--
@@ -47,6 +49,7 @@
 	t.ordered, t.confirmed, t.stopSent = 0, 0, 0
 	t.answered, t.resending, t.stopping, t.proven, t.restored, t.resumed = false, false, false, false, false, false
 	t.percent, t.listedAt, t.ticket = 0, 0, ""
+	t.doubted = nil
 }
 
 // Decide places what can be placed. Jobs come in the order of sortOpen; those
@@ -61,6 +64,7 @@
 	c.forgetRefused(now)
 	c.sortOpen()
 	c.explainWaiting(now)
+	c.watch(now)
 	hosts := c.openHosts(now)
 	if len(hosts) == 0 {
 		return
@@ -154,7 +158,7 @@
 		if !c.mayPlace(s) {
 			return
 		}
-		if t.phase != taskWaiting || now < t.notBefore {
+		if !c.mayStart(now, t) {
 			continue
 		}
 		e := c.choose(now, t, hosts)
@@ -177,7 +181,7 @@
 	}
 	run := 0
 	for _, t := range s.tasks {
-		if t.phase != taskWaiting || now < t.notBefore {
+		if !c.mayStart(now, t) {
 			return
 		}
 		run = max(run, t.run)
@@ -245,6 +249,7 @@
 	t.step.placedAt = now
 	t.step.job.started = true
 	t.movedAt = now
+	t.waitsSince = 0
 	c.touch(t.step.job)
 	c.starts = append(c.starts, c.startOrder(t))
 	c.placeable--
@@ -328,7 +333,16 @@
 	s := t.step.spec
 	free := float64(e.free().CPUMilli) / float64(max(1, e.capacity.CPUMilli))
 	score := -free
-	if s.LongRunning {
+	if t.evidence.Suspect {
+		// What it takes down with it is the less the emptier its endpoint is.
+		score = free
+		if e.hasLasting() {
+			score -= besideLasting
+		}
+		if e.addr == t.evidence.Addr {
+			score -= avoidFailed
+		}
+	} else if s.LongRunning {
 		if e.hasLasting() {
 			score += besideLasting
 		}
--- a/internal/executor/reserve.go
+++ b/internal/executor/reserve.go
@@ -20,12 +20,13 @@
 	reservePerRound = 4
 )
 
-// reserve keeps endpoints for lasting tasks that find none with room.
+// reserve keeps endpoints for lasting tasks that find none with room, and for suspects that
+// find none on which nothing has just begun.
 func (c *Core) reserve(now time.Duration, hosts []*endpoint) {
 	kept := c.dropReservations(now)
 	most := max(1, int(reserveShare*float64(len(hosts))))
 	looked := 0
-	for _, t := range c.lastingWaiting(now) {
+	for _, t := range append(c.lastingWaiting(now), c.suspectsWaiting(now)...) {
 		if len(kept) >= most || looked == reservePerRound {
 			return
 		}
@@ -73,7 +74,7 @@
 				continue
 			}
 			for _, t := range s.tasks {
-				if t.phase == taskWaiting && now >= t.notBefore {
+				if c.mayStart(now, t) && !t.evidence.Suspect {
 					out = append(out, t)
 				}
 			}
