Starts go by an endpoint's room only as long as it can be believed

What callers would see: an endpoint with more on it than its room, all of it slow. Rooms shrink and grow while endpoints run, as their entries in service discovery show.

Cause: a start was decided by the entry of that moment and left whenever its record was durable. While the store is away no entry comes and no record is stored; as it is back, what was decided before leaves at once, and a new owner decides by entries from before. Looked for elsewhere: starts that wait for their turn, starts that are sent again, entries kept from an earlier tenure of the pool, admission by a room below what lasting tasks hold.

An entry tells the endpoint's clock, so that its age is known by the clock of the endpoint's answers. Nothing is placed by one older than the stable window and a heartbeat, less a start's way, and no durable start leaves by one, nor where the room has shrunk below what is placed: it is taken back, or stopped where it may have left before. The two bounds come with the settings.

TestAnEndpointWhoseRoomShrinksIsNotOverfilled held before: with the store there each entry was taken in already.

--- a/internal/executor/advice.go
+++ b/internal/executor/advice.go
@@ -113,7 +113,7 @@
 	var fit, fresh []*endpoint
 	room := 0
 	for _, e := range c.endpoints {
-		if !e.open(now) {
+		if !c.isOpen(now, e) {
 			continue
 		}
 		_, good := s.advice.tickets[e.incarnation()]
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -37,6 +37,9 @@
 	StopTimeout time.Duration
 	// LongestLease is what endpoints shorten longer leases to.
 	LongestLease time.Duration
+	// RoomHolds is how long starts may go by a room that has shrunk since: an endpoint tells
+	// its room at intervals. 0 for no bound.
+	RoomHolds time.Duration
 }
 
 const (
@@ -290,7 +293,9 @@
 	// term counts the incarnations that this owner has met.
 	term     int
 	capacity Room
-	used     Room
+	// toldAt is what its clock showed as it told that; 0 where not told.
+	toldAt time.Duration
+	used   Room
 	// listed reports whether service discovery has it.
 	listed   bool
 	draining bool
@@ -381,6 +386,8 @@
 	ID, Addr, Zone, Kind, Rack string
 	Capacity                   Room
 	Draining                   bool
+	// Clock is what the endpoint's own steady clock showed as it said this; 0 where not told.
+	Clock time.Duration
 }
 
 // OrderKind tells orders apart.
--- a/internal/executor/explain.go
+++ b/internal/executor/explain.go
@@ -91,6 +91,7 @@
 	obstacleKept      = "kept for a lasting task"
 	obstacleSlow      = "slow"
 	obstacleWithheld  = "with an end that came too late"
+	obstacleEntry     = "with an entry too old to go by"
 	obstacleTrial     = "where a task that may crash it has just begun"
 	obstacleStale     = "not heard of late"
 	obstacleBegun     = "where others have just begun"
@@ -98,7 +99,7 @@
 
 var obstacles = []string{obstacleNone, obstacleRoom, obstacleLabel, obstacleSpread, obstacleSharing, obstacleTicket, obstacleUnlisted,
 	obstacleDraining, obstacleVacating, obstacleUnknown, obstacleSilent, obstacleStrangers, obstacleQuiet, obstacleKept, obstacleSlow, obstacleWithheld,
-	obstacleTrial, obstacleStale, obstacleBegun}
+	obstacleEntry, obstacleTrial, obstacleStale, obstacleBegun}
 
 // unblocks is what ends an obstacle, where something does.
 var unblocks = map[string]string{
@@ -114,6 +115,7 @@
 	obstacleQuiet:     "the end of the quarantine",
 	obstacleKept:      "the lasting task that the endpoint is kept for",
 	obstacleWithheld:  "a move or the maintenance of the endpoint's instance",
+	obstacleEntry:     "the endpoint's next entry in service discovery",
 	obstacleTrial:     "the endpoint's next answers, or its end",
 	obstacleStale:     "the endpoint's answer",
 	obstacleBegun:     "an endpoint kept for the task alone: others may be blamed for its crashes",
@@ -122,7 +124,7 @@
 
 // obstacle returns what keeps a task from an endpoint.
 func (c *Core) obstacle(now time.Duration, t *task, e *endpoint) string {
-	if closed := e.closedBy(now); closed != obstacleNone {
+	if closed := c.closedBy(now, e); closed != obstacleNone {
 		return closed
 	}
 	if e.keptFor != nil && e.keptFor != t {
@@ -147,7 +149,7 @@
 }
 
 // closedBy returns what keeps every task from an endpoint.
-func (e *endpoint) closedBy(now time.Duration) string {
+func (c *Core) closedBy(now time.Duration, e *endpoint) string {
 	switch {
 	case !e.listed:
 		return obstacleUnlisted
@@ -165,6 +167,8 @@
 		return obstacleQuiet
 	case e.withheld > 0:
 		return obstacleWithheld
+	case !c.roomKnown(now, e):
+		return obstacleEntry
 	}
 	return obstacleNone
 }
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -65,7 +65,7 @@
 		c.meet(now, e, info.StartedMs)
 		e.listed, e.draining = true, info.Draining
 		e.addr, e.zone, e.kind, e.rack = info.Addr, info.Zone, info.Kind, info.Rack
-		e.capacity = info.Capacity
+		e.capacity, e.toldAt = info.Capacity, info.Clock
 		if e.draining {
 			c.vacate(now, e)
 		}
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -60,6 +60,10 @@
 		if !o.current() || o.Fence != c.fence(o.task.host) || o.task.stopping {
 			continue
 		}
+		if !c.mayLeave(now, o.task.host) {
+			c.takeBack(o.task)
+			continue
+		}
 		o.task.ordered, o.task.answered, o.task.resending = now, false, false
 		o.sent, o.slot = now, c.pace.sent(now)
 		return o, c.grant(o.task.host, now), true
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -17,10 +17,12 @@
 	return e.listed && !e.draining && !e.vacating && e.lookedEver
 }
 
-// open reports whether a new task may be placed there now. An endpoint whose
+// isOpen reports whether a new task may be placed there now. An endpoint whose
 // last renewal went unanswered is left alone: a start sent there would hold
 // its task until the lease has run out.
-func (e *endpoint) open(now time.Duration) bool { return e.closedBy(now) == obstacleNone }
+func (c *Core) isOpen(now time.Duration, e *endpoint) bool {
+	return c.closedBy(now, e) == obstacleNone
+}
 
 func (e *endpoint) free() Room { return e.capacity.minus(e.used) }
 
@@ -117,7 +119,7 @@
 func (c *Core) openHosts(now time.Duration) []*endpoint {
 	var hosts []*endpoint
 	for _, e := range c.endpoints {
-		if e.open(now) {
+		if c.isOpen(now, e) {
 			hosts = append(hosts, e)
 		}
 	}
--- a/internal/executor/property_test.go
+++ b/internal/executor/property_test.go
@@ -56,6 +56,8 @@
 	unseen bool
 	// crashing: every seventh job has a task that crashes its endpoints.
 	crashing bool
+	// resizing: the room of endpoints changes, and the store is away at times.
+	resizing bool
 }
 
 const unseenMost = 1500 * time.Millisecond
@@ -75,9 +77,15 @@
 	for _, h := range w.hosts {
 		h.skew = 0.98 + 0.02*rng.Float64()
 	}
+	if v.resizing {
+		w.beat = beat
+	}
 	o := w.takeOver()
 	var handedIn []jobs.Job
 	for round := range 40 {
+		if v.resizing {
+			w.resizeSome(rng)
+		}
 		if rng.IntN(2) == 0 {
 			j := jobOf(round+1, small(1+rng.IntN(5)), small(1+rng.IntN(3), 0))
 			w.submit(o, j)
@@ -101,6 +109,14 @@
 	}
 }
 
+// resizeSome changes the room of an endpoint, and whether the store is away.
+func (w *world) resizeSome(rng *rand.Rand) {
+	w.resize(w.hosts[fmt.Sprintf("i-%02d", rng.IntN(4))], 1000*(1+rng.IntN(4)))
+	if rng.IntN(8) == 0 {
+		w.storeAway = !w.storeAway
+	}
+}
+
 // restartOne lets an endpoint restart under its id.
 func (w *world) restartOne(rng *rand.Rand, v variant) {
 	h := w.hosts[fmt.Sprintf("i-%02d", rng.IntN(4))]
@@ -150,6 +166,7 @@
 }
 
 func (w *world) calm() {
+	w.storeAway = false
 	w.loseOrders, w.loseAnswers = 0, 0
 	for _, h := range w.hosts {
 		h.silent, h.failsAll, h.hangs = false, false, false
--- a/internal/executor/reserve.go
+++ b/internal/executor/reserve.go
@@ -53,7 +53,7 @@
 		if e.keptFor == nil {
 			continue
 		}
-		if t := e.keptFor; now >= e.keptUntil || !e.open(now) || t.phase != taskWaiting || t.step.job.rec.State.Ended() {
+		if t := e.keptFor; now >= e.keptUntil || !c.isOpen(now, e) || t.phase != taskWaiting || t.step.job.rec.State.Ended() {
 			e.keptFor = nil
 			continue
 		}
--- /dev/null
+++ b/internal/executor/room_test.go
@@ -0,0 +1,119 @@
+package executor_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/jobs"
+)
+
+// beat is how often endpoints of these tests write their entries.
+const beat = 1500 * time.Millisecond
+
+// roomDay returns a pool whose endpoints write their entries at intervals, and a backlog of
+// sound jobs.
+func roomDay(seed uint64) (w *world, o *owner) {
+	w = newWorld(seed, 4)
+	w.beat, w.limits.KeepEnded = beat, time.Hour
+	for _, h := range w.hosts {
+		h.took = 700 * time.Millisecond
+	}
+	o = w.takeOver()
+	w.run(300 * time.Millisecond)
+	return w, o
+}
+
+// backlog hands in sound jobs.
+func (w *world) backlog(o *owner, from, count int) (all []jobs.Job) {
+	for n := range count {
+		j := jobOf(from+n, small(4), small(2, 0))
+		w.submit(o, j)
+		all = append(all, j)
+	}
+	return all
+}
+
+// Guards against an endpoint that is filled beyond the room that it has left, and against one
+// that is not filled again as its room grows.
+func TestAnEndpointWhoseRoomShrinksIsNotOverfilled(t *testing.T) {
+	g := NewWithT(t)
+	w, o := roomDay(1)
+	all := w.backlog(o, 1, 30)
+	for round := range 8 {
+		for _, h := range w.hosts {
+			w.resize(h, []int{4000, 1000, 3000, 2000}[round%4])
+		}
+		w.run(3 * time.Second)
+	}
+	for _, h := range w.hosts {
+		w.resize(h, 4000)
+	}
+	w.run(10 * time.Second)
+	filled := w.backlog(o, 1000, 8)
+	w.run(300 * time.Millisecond)
+	running := 0
+	for _, h := range w.hosts {
+		running += len(h.running)
+	}
+	g.Expect(running).To(Equal(16), "all of the room, as it has grown again")
+	w.run(20 * time.Second)
+	g.Expect(w.broken).To(BeEmpty())
+	for _, j := range append(all, filled...) {
+		g.Expect(w.state(o, j)).To(Equal("completed"), j.ID)
+	}
+}
+
+// Guards against starts that were decided before the store was away and leave as it is back:
+// endpoints could not tell meanwhile that their room had shrunk.
+func TestStartsAfterTheStoreWasAwayKeepToTheRoomLeft(t *testing.T) {
+	for _, slow := range []bool{false, true} {
+		for _, away := range []time.Duration{2 * time.Second, 6 * time.Second, 20 * time.Second} {
+			for _, next := range []bool{false, true} {
+				t.Run(fmt.Sprint("slow ", slow, " away ", away, " next owner ", next), func(t *testing.T) {
+					g := NewWithT(t)
+					w, o := roomDay(2)
+					w.slowJournal = slow
+					w.run(5 * time.Second)
+					all := w.backlog(o, 1, 12)
+					w.run(2 * step)
+					w.storeAway = true
+					w.run(500 * time.Millisecond)
+					for _, h := range w.hosts {
+						w.resize(h, 1000)
+					}
+					w.run(away)
+					w.storeAway = false
+					if next {
+						o.stopped = true
+						o = w.takeOver()
+					}
+					for _, h := range w.hosts {
+						// Entries come back one after the other, within two seconds.
+						h.saidAt = w.now - beat + time.Duration(w.chance("back", h.id)*float64(2*time.Second))
+					}
+					w.run(30 * time.Second)
+					g.Expect(w.broken).To(BeEmpty())
+					for _, j := range all {
+						if !next {
+							g.Expect(w.state(o, j)).To(Equal("completed"), j.ID)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against the room of an endpoint being taken for what it was before it shrank, where
+// gangs, lasting tasks and such that fill share it, owners change and endpoints restart.
+func TestRandomDaysWithRoomThatChanges(t *testing.T) {
+	for seed := uint64(1); seed <= uint64(seeds+additionalSeeds()); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			randomDay(NewWithT(t), seed, variant{inOrder: seed%2 == 0, slowJournal: seed%3 == 0, restarts: seed%5 == 0, crashing: seed%4 == 0, resizing: true})
+		})
+	}
+}
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -289,7 +289,7 @@
 	total := 0
 	for _, e := range c.endpoints {
 		if e.usable() {
-			total += e.capacity.CPUMilli - e.lastingCPU()
+			total += max(0, e.capacity.CPUMilli-e.lastingCPU())
 		}
 	}
 	return total
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -41,6 +41,9 @@
 	LeaseTTL     time.Duration
 	Move         time.Duration
 	Maintain     time.Duration
+	// Heartbeat is how often endpoints write their entries in service discovery, and
+	// StableWindow how long beyond that a change of theirs may go unseen.
+	Heartbeat, StableWindow time.Duration
 }
 
 // NodeTable lists the settings of cyclamen-node.
@@ -66,6 +69,8 @@
 		{Section: sectionBounds, Name: "lease_ttl", Kind: KindDuration, Default: "3s", Unit: "ms", Min: 0, Max: 600 * second, Doc: "How long the platform remembers who ordered an instance last."},
 		{Section: sectionBounds, Name: "move", Kind: KindDuration, Default: "1500ms", Unit: "ms, s", Min: 0, Max: 600 * second, Doc: "How long an instance takes to move to another pool."},
 		{Section: sectionBounds, Name: "maintenance", Kind: KindDuration, Default: "2s", Unit: "ms, s", Min: 0, Max: 600 * second, Doc: "How long an instance is away for maintenance."},
+		{Section: sectionBounds, Name: "endpoint_heartbeat", Kind: KindDuration, Default: "1500ms", Unit: "ms, s", Min: 1, Max: 600 * second, Doc: "How often endpoints write their entries in service discovery."},
+		{Section: sectionBounds, Name: "stable_window", Kind: KindDuration, Default: "3s", Unit: "ms, s", Min: 0, Max: 600 * second, Doc: "How long beyond a heartbeat an endpoint's room that has shrunk still counts."},
 		{Section: sectionLimits, Name: "memory", Kind: KindBytes, Default: "256MiB", Unit: "MiB", Min: 16 << 20, Max: maxMemory, Doc: "Memory above which the process is killed."},
 		{Section: sectionLimits, Name: "processor", Kind: KindRatio, Default: "1", Unit: "cores", Doc: "This instance's share of a core."},
 	}}
@@ -93,6 +98,8 @@
 			LeaseTTL:     v.Duration(sectionBounds, "lease_ttl"),
 			Move:         v.Duration(sectionBounds, "move"),
 			Maintain:     v.Duration(sectionBounds, "maintenance"),
+			Heartbeat:    v.Duration(sectionBounds, "endpoint_heartbeat"),
+			StableWindow: v.Duration(sectionBounds, "stable_window"),
 		},
 	}
 	if a := v.Addr(sectionStore, "instances"); a.IsValid() {
