A new owner counts a crash that another job's record tells of

Cause: records name the incarnation that each task was placed on, and a new owner took the newest start that any of them names for the endpoint's. A task whose own record was older looked as if it had been placed on that one, and its loss as a start that never came. The crash was not counted.

A restored task keeps the start that it was meant for; if a record names a later one, it is in doubt like a task whose endpoint restarts under its present owner.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -254,6 +254,9 @@
 	// incarnation. Its order carries an older fence, so that it can't begin once the
 	// present incarnation has been heard.
 	restored bool
+	// meantFor is when the incarnation started that a restored start was for, in ms since 1970;
+	// 0 where not told.
+	meantFor int64
 	// resumed: the run began from a checkpoint.
 	resumed bool
 	percent int
--- a/internal/executor/crash_test.go
+++ b/internal/executor/crash_test.go
@@ -294,6 +294,34 @@
 	}
 }
 
+// Guards against a crash that a new owner does not count, as the record of another job names
+// the next incarnation already and that of the crashing task does not.
+func TestANewOwnerCountsACrashThatAnotherJobsRecordTells(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1, 1)
+	w.crasher = crashesFirst
+	o := w.takeOver()
+	w.run(300 * time.Millisecond)
+	other := small(1)
+	other.LongRunning = true
+	w.lengthOf = forAnHour
+	w.submit(o, jobOf(2, other))
+	w.run(300 * time.Millisecond)
+	w.submit(o, jobOf(guilty, small(1)))
+	w.run(2 * step)
+	g.Expect(w.hosts["i-00"].down).To(BeTrue())
+	key := "p" + jobOf(guilty).ID
+	before := w.journal.newest[key]
+	w.run(2200 * time.Millisecond) // it is back, and the other job runs there again
+	o.stopped = true
+	w.journal.newest[key] = before
+	w.takeOver()
+	w.run(300 * time.Millisecond)
+	task := jobs.TaskName{Job: jobOf(guilty).ID}.String()
+	g.Expect(w.story(task)).To(ContainSubstring("never began"))
+	g.Expect(w.story(task)).To(MatchRegexp(`number 1 under this task.* epoch 2`))
+}
+
 // Guards against any mix of crashing tasks with lost and late orders, silent and restarting
 // endpoints, and owners that change, are cut off or slow.
 func TestRandomDaysWithCrashingTasks(t *testing.T) {
--- a/internal/executor/incarnation.go
+++ b/internal/executor/incarnation.go
@@ -52,6 +52,21 @@
 	}
 }
 
+// doubtRestored deals with tasks that were placed on an earlier incarnation than the newest one
+// that the records name.
+func (c *Core) doubtRestored(now time.Duration, e *endpoint) {
+	var taken []endedRun
+	for t := range e.tasks {
+		if t.meantFor != 0 && t.meantFor != e.startedMs {
+			taken = append(taken, endedRun{task: t, number: t.run})
+		}
+	}
+	for _, x := range weigh(e, taken) {
+		x.in.StartedMs = x.task.meantFor
+		x.task.doubted = &x
+	}
+}
+
 // beginAnew forgets what was known of an endpoint's incarnation before, such as the number
 // of its last end: by that number the new ends would be taken for known and be acknowledged
 // unread, and their tasks run again. It counts as not listed, as the new one may have less
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -276,6 +276,9 @@
 	for id, j := range c.jobs {
 		c.restoreJob(j, progress[id], now)
 	}
+	for _, e := range c.endpoints {
+		c.doubtRestored(now, e)
+	}
 	c.sortOpen()
 	c.event(Event{Kind: EventRestored, Reason: "takeover", Run: len(c.jobs)})
 	return nil
@@ -307,7 +310,7 @@
 		c.closeOccurrence(j, n)
 	}
 	for _, r := range p.Tasks {
-		c.restoreTask(j, r, p.Crashes[taskKey(r.Occurrence, r.Step, r.Index)])
+		c.restoreTask(j, r, p)
 	}
 	for id, startedMs := range p.Started {
 		c.restoreStart(c.endpoint(id), startedMs)
@@ -338,13 +341,14 @@
 	return min(max(0, ago), longestWait)
 }
 
-func (c *Core) restoreTask(j *job, r taskRecord, blamed evidence) {
+func (c *Core) restoreTask(j *job, r taskRecord, p progressRecord) {
 	t := j.task(r.Occurrence, r.Step, r.Index)
 	if t == nil {
 		return
 	}
 	j.started = true
-	t.run, t.failures, t.checkpoint, t.evidence = r.Run, r.Failures, r.Checkpoint, blamed
+	t.run, t.failures, t.checkpoint = r.Run, r.Failures, r.Checkpoint
+	t.evidence, t.meantFor = p.Crashes[taskKey(r.Occurrence, r.Step, r.Index)], p.Started[r.Endpoint]
 	c.beWary(t)
 	switch r.Phase {
 	case taskDone:
