A record of the next incarnation does not shorten how long an earlier start's lease may last

What callers would see: a task that runs twice at once.

Cause: an endpoint restarts under its id, and a start for its earlier incarnation, with a lease by that one's clock, reaches the next one, which holds it for up to 10 s. The next owner knows that from the restart that it sees. The owner after it reads a record that names the new start, sees no restart, and waits for 8.6 s only where it can't hear the endpoint.

Where the records name different starts of an endpoint, its runs count as held for the longest lease after its predecessors must be silent.

Failed before: TestARecordOfTheNextIncarnationHidesNoEarlierStart, two tasks run twice at once.

--- a/internal/executor/incarnation.go
+++ b/internal/executor/incarnation.go
@@ -53,7 +53,8 @@
 }
 
 // doubtRestored deals with tasks that were placed on an earlier incarnation than the newest one
-// that the records name.
+// that the records name. Their orders, with leases by the earlier clock, may have reached it,
+// and a predecessor may send them for as long as it believes in itself.
 func (c *Core) doubtRestored(now time.Duration, e *endpoint) {
 	var taken []endedRun
 	for t := range e.tasks {
@@ -61,6 +62,9 @@
 			taken = append(taken, endedRun{task: t, number: t.run})
 		}
 	}
+	if len(taken) > 0 {
+		e.heldUntil = now + c.limits.ProofAge + stretched(c.limits.LongestLease)
+	}
 	for _, x := range weigh(e, taken) {
 		x.in.StartedMs = x.task.meantFor
 		x.task.doubted = &x
--- a/internal/executor/leases.go
+++ b/internal/executor/leases.go
@@ -27,7 +27,7 @@
 // for as long as it was allowed to believe in itself.
 func (c *Core) expiryOf(e *endpoint) time.Duration {
 	if !e.lookedEver && e.term == 0 {
-		return c.unheardExpiry(e)
+		return max(e.heldUntil, c.unheardExpiry(e))
 	}
 	return max(e.heldUntil, e.clockAt+stretched(e.granted-e.clock))
 }
--- a/internal/executor/restart_test.go
+++ b/internal/executor/restart_test.go
@@ -205,6 +205,38 @@
 	g.Expect(w.state(o, j)).To(Equal("completed"))
 }
 
+// Guards against a task that runs twice at once, as above, where the record of another job
+// tells of the next incarnation: that its own start was for the one before shows no more.
+func TestARecordOfTheNextIncarnationHidesNoEarlierStart(t *testing.T) {
+	g := NewWithT(t)
+	w, o, h := withEnds(g, 2)
+	w.hosts["i-01"].draining = true
+	h.bootClock = time.Hour
+	w.submit(o, jobOf(4, small(1)))
+	w.run(time.Second) // its clock is heard
+	w.lengthOf = func(jobs.TaskName) time.Duration { return 9 * time.Second }
+	w.restartUnseen(h, 2*step)
+	j := jobOf(2, small(1))
+	w.submit(o, j)
+	w.run(step)
+	g.Expect(h.running).To(HaveLen(1))
+	o.stopped = true
+	o = w.takeOver()
+	w.run(300 * time.Millisecond)
+	w.submit(o, jobOf(3, small(1)))
+	w.run(100 * time.Millisecond)
+	g.Expect(h.running).To(HaveLen(2))
+	o.stopped = true
+	w.hosts["i-01"].draining = false
+	h.silent = true
+	o = w.takeOver()
+	w.run(12 * time.Second)
+	h.silent = false
+	w.run(12 * time.Second)
+	g.Expect(w.broken).To(BeEmpty())
+	g.Expect(w.state(o, j)).To(Equal("completed"))
+}
+
 // Guards against an endpoint that is taken for an earlier incarnation for good, as the time of
 // day went back before it restarted.
 func TestAnIncarnationMayHaveAnEarlierStart(t *testing.T) {
