Operators see why a job was given up

The reason that a job has failed for is kept with its record, so that the next owner knows it: in the dump of a pool, and from 'cyclamenctl explain job', which knew open jobs only. Of an open job both tell what speaks against its tasks. 'task given up' is a line and a counter of its own.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -465,6 +465,8 @@
 	EventPaced    EventKind = "starts paced"
 	// EventCrashed: an incarnation has ended under a task's run, which had gone on for AgeMs.
 	EventCrashed EventKind = "endpoint ended under task"
+	// EventGivenUp: a task is given up, as endpoints crash under it.
+	EventGivenUp EventKind = "task given up"
 	// EventRestarted: another incarnation answers under an endpoint's id.
 	EventRestarted EventKind = "endpoint restarted"
 )
--- a/internal/executor/crashes.go
+++ b/internal/executor/crashes.go
@@ -61,6 +61,11 @@
 	return sum
 }
 
+// String tells people what speaks against the task.
+func (e evidence) String() string {
+	return fmt.Sprintf("%d endpoints have crashed under it, %d of them with no other run to blame", e.Crashes, e.Alone)
+}
+
 // shows reports whether the task is to be given up.
 func (e evidence) shows() bool {
 	return e.Crashes >= crashesMost || e.Crashes >= crashesShown && e.Alone >= crashesAlone
@@ -168,12 +173,11 @@
 	c.beWary(t)
 	c.touch(j)
 	c.event(Event{Kind: EventCrashed, Job: j.rec.Job.ID, Task: t.name(), Run: x.number, Endpoint: x.in.ID, StartedMs: x.in.StartedMs,
-		AgeMs: x.heard.Milliseconds(),
-		Reason: fmt.Sprintf("number %d under this task, %d of them with no other run to blame; here %d runs of other jobs had just begun",
-			t.evidence.Crashes, t.evidence.Alone, x.others)})
+		AgeMs:  x.heard.Milliseconds(),
+		Reason: fmt.Sprintf("%s; on the last one %d runs of other jobs had just begun", t.evidence, x.others)})
 	if t.evidence.shows() {
-		c.end(j, JobFailed, fmt.Sprintf("%d endpoints have crashed under task %s, %d of them with no other run to blame",
-			t.evidence.Crashes, t.name(), t.evidence.Alone))
+		c.event(Event{Kind: EventGivenUp, Job: j.rec.Job.ID, Task: t.name(), Run: x.number, Reason: t.evidence.String()})
+		c.end(j, JobFailed, "task "+t.name()+" is given up: "+t.evidence.String())
 	}
 }
 
--- a/internal/executor/dump.go
+++ b/internal/executor/dump.go
@@ -13,6 +13,16 @@
 	Starts    StartsDump     `json:"starts"`
 	Endpoints []EndpointDump `json:"endpoints"`
 	Jobs      []JobDump      `json:"jobs"`
+	// Failed are the jobs that have failed of late, the newest first.
+	Failed []FailedDump `json:"failed,omitempty"`
+}
+
+// FailedDump is a job that was given up.
+type FailedDump struct {
+	ID         string `json:"id"`
+	Queue      string `json:"queue"`
+	Reason     string `json:"reason"`
+	EndedAgoMs int64  `json:"ended_ago_ms"`
 }
 
 // StartsDump is how starts leave.
@@ -51,6 +61,8 @@
 	Waiting     []string `json:"waiting,omitempty"`
 	// Unblock is what would let the waiting tasks go on.
 	Unblock []string `json:"unblock,omitempty"`
+	// Crashes are its tasks under which endpoints have crashed.
+	Crashes []string `json:"crashes,omitempty"`
 }
 
 // dumpJobs bounds a dump.
@@ -70,13 +82,43 @@
 	for _, j := range c.open[:min(dumpJobs, len(c.open))] {
 		d.Jobs = append(d.Jobs, c.dumpJob(now, j))
 	}
+	d.Failed = c.dumpFailed()
 	return d
 }
 
+func (c *Core) dumpFailed() []FailedDump {
+	var out []FailedDump
+	for _, j := range slices.Backward(c.ended) {
+		if len(out) == dumpJobs {
+			break
+		}
+		if j.rec.State == JobFailed {
+			out = append(out, FailedDump{ID: j.rec.Job.ID, Queue: j.rec.Queue, Reason: j.rec.Reason, EndedAgoMs: c.wallMs - j.rec.EndedMs})
+		}
+	}
+	return out
+}
+
+// dumpCrashes returns what speaks for a job's tasks crashing their endpoints.
+func (j *job) dumpCrashes() []string {
+	var out []string
+	for _, o := range j.current {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.evidence.Crashes > 0 {
+					out = append(out, t.name()+": "+t.evidence.String())
+				}
+			}
+		}
+	}
+	return out
+}
+
 func (c *Core) dumpJob(now time.Duration, j *job) JobDump {
 	state, _ := c.State(j.rec.Job.ID) // an unknown one is still being accepted
 	d := JobDump{ID: j.rec.Job.ID, Queue: j.rec.Queue, State: state.String(), Running: j.placed,
 		ObjectiveMs: (j.objective - now).Milliseconds()}
+	d.Crashes = j.dumpCrashes()
 	met := map[string]bool{}
 	for _, t := range j.waitingTasks() {
 		counts := c.obstaclesOf(now, t)
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -33,6 +33,8 @@
 	OfferedMs int64    `cbor:"7,keyasint,omitempty"`
 	State     JobState `cbor:"5,keyasint,omitempty"`
 	EndedMs   int64    `cbor:"6,keyasint,omitempty"`
+	// Reason says why it has failed, for operators.
+	Reason string `cbor:"8,keyasint,omitempty"`
 }
 
 // progressRecord is what is kept of a job's tasks that have begun.
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -111,6 +111,9 @@
 func (c *Core) end(j *job, state JobState, reason string) {
 	j.rec.State = state
 	j.rec.EndedMs = c.wallMs
+	if state == JobFailed {
+		j.rec.Reason = reason
+	}
 	c.touch(j)
 	c.event(Event{Kind: EventEnded, Job: j.rec.Job.ID, Reason: state.String() + ": " + reason})
 	for _, o := range j.current {
--- a/internal/explain/nodes.go
+++ b/internal/explain/nodes.go
@@ -29,7 +29,7 @@
 func (e *NotFoundError) Error() string {
 	text := fmt.Sprintf("no node that answered has %s %q", e.Kind, e.Name)
 	if e.Kind == KindJob {
-		text += " open: it has ended, was never accepted, or its pool has no owner"
+		text += " open or failed: it has ended otherwise, was never accepted, or its pool has no owner"
 	}
 	if len(e.Silent) > 0 {
 		text += "; not answered: " + strings.Join(e.Silent, ", ")
@@ -52,6 +52,9 @@
 				if i := slices.IndexFunc(p.Jobs, func(j executor.JobDump) bool { return j.ID == name }); i >= 0 {
 					return ofOpenJob(d, p, p.Jobs[i]), nil
 				}
+				if i := slices.IndexFunc(p.Failed, func(j executor.FailedDump) bool { return j.ID == name }); i >= 0 {
+					return ofFailedJob(d, p, p.Failed[i]), nil
+				}
 			}
 		}
 	case KindPool:
@@ -70,10 +73,15 @@
 		fmt.Sprintf("%d tasks placed, tasks of %d steps waiting", j.Running, len(j.Waiting)),
 		objective(j.ObjectiveMs),
 	}}
-	e.WaitsFor, e.Unblock = j.Waiting, j.Unblock
+	e.WaitsFor, e.Unblock, e.Why = j.Waiting, j.Unblock, j.Crashes
 	return e
 }
 
+func ofFailedJob(d NodeDump, p executor.PoolDump, j executor.FailedDump) Explanation {
+	return Explanation{Kind: KindJob, Name: j.ID, Why: []string{j.Reason}, Is: []string{
+		fmt.Sprintf("failed in pool %s, queue %s, %d ms ago; owner %s, epoch %d", p.Summary.Pool, j.Queue, j.EndedAgoMs, d.Node, p.Epoch)}}
+}
+
 func objective(ms int64) string {
 	if ms < 0 {
 		return fmt.Sprintf("late by %d ms: it comes after jobs that can still be in time", -ms)
--- a/internal/explain/nodes_test.go
+++ b/internal/explain/nodes_test.go
@@ -25,6 +25,21 @@
 		Expect(e.Unblock).To(Equal(waits.Unblock))
 	})
 
+	It("says why a job was given up, and what speaks against the tasks of an open one", func() {
+		open := waits
+		open.Crashes = []string{"00000000000000a1.0.0.0: 2 endpoints have crashed under it"}
+		pool := executor.PoolDump{Epoch: 3, Summary: executor.Summary{Pool: "tabs"}, Jobs: []executor.JobDump{open},
+			Failed: []executor.FailedDump{{ID: "00000000000000b2", Queue: "q", Reason: "task 00000000000000b2.0.0.0 is given up", EndedAgoMs: 40}}}
+		dump := explain.NodeDump{Node: "127.0.0.1:1", Pools: []executor.PoolDump{pool}}
+		e, err := explain.OfNodes([]explain.NodeDump{dump}, explain.KindJob, "00000000000000b2")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(e.Is).To(ConsistOf(ContainSubstring("failed in pool tabs, queue q, 40 ms ago")))
+		Expect(e.Why).To(ConsistOf(ContainSubstring("is given up")))
+		e, err = explain.OfNodes([]explain.NodeDump{dump}, explain.KindJob, open.ID)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(e.Why).To(Equal(open.Crashes))
+	})
+
 	It("explains a pool by its owner's word, and its endpoints that take nothing", func() {
 		e, err := explain.OfNodes([]explain.NodeDump{owner}, explain.KindPool, "tabs")
 		Expect(err).NotTo(HaveOccurred())
