--- /dev/null
+++ b/test/restarts/crashes_test.go
@@ -0,0 +1,47 @@
+package restarts_test
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/standin/trial"
+)
+
+// Guards against a task that crashes its endpoints being started without end by real nodes, and
+// against sound jobs that are lost or given up beside it, while owners are killed.
+func TestNodesGiveUpTasksThatCrashTheirEndpoints(t *testing.T) {
+	g := NewWithT(t)
+	c, caller := start(t)
+	var jobs []trial.Submitted
+	for n := range 12 {
+		if n%4 == 0 {
+			jobs = append(jobs, caller.SubmitCrashing(pool, 1000+n))
+		}
+		jobs = append(jobs, caller.Submit(pool, 1+n, 3, taskMs))
+		time.Sleep(roundGap)
+		if n == 6 {
+			node := c.Nodes()[0]
+			g.Expect(node.Signal(syscall.SIGKILL)).To(Succeed())
+			node.Wait()
+			g.Expect(c.Run(node)).To(Succeed())
+		}
+	}
+	g.Expect(caller.AwaitAll(jobs, soon)).To(BeEmpty())
+	g.Expect(c.Platform.Broken()).To(BeEmpty())
+}
+
+// Guards against endpoints that real nodes fill beyond the room that is left.
+func TestNodesKeepToRoomThatShrinks(t *testing.T) {
+	g := NewWithT(t)
+	c, caller := start(t)
+	var jobs []trial.Submitted
+	for n := range 40 {
+		c.Platform.ResizeEndpoint(pool, 1000*(1+n%5))
+		jobs = append(jobs, caller.Submit(pool, 1+n, 6, 4*taskMs))
+	}
+	g.Expect(caller.AwaitAll(jobs, soon)).To(BeEmpty())
+	g.Expect(c.Platform.Broken()).To(BeEmpty())
+}
