--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -106,6 +106,8 @@
 	// asked whether they live, as one of these tasks is to start now or may be soon.
 	wary     []*task
 	watchful bool
+	// unheard are, by task, the endpoints that are silent since its lease ran out there.
+	unheard map[string]unheardLosses
 
 	// unsavedGivenUp are endpoints whose runs that were given up have changed; savedGivenUp
 	// are those with a record of them.
@@ -148,7 +150,7 @@
 	return &Core{
 		pool: pool, epoch: epoch, limits: limits, claimedAt: now,
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, terms: map[string]int{}, gone: map[Incarnation]bool{},
-		unsavedGivenUp: map[string]bool{}, savedGivenUp: map[string]bool{},
+		unsavedGivenUp: map[string]bool{}, savedGivenUp: map[string]bool{}, unheard: map[string]unheardLosses{},
 		learned:   map[string]*lengths{},
 		refusedAt: map[string]time.Duration{}, dirty: map[*job]bool{}, acks: map[Incarnation]int64{},
 		pace: newPace(),
--- a/internal/executor/crashes.go
+++ b/internal/executor/crashes.go
@@ -197,21 +197,33 @@
 	}
 }
 
+// unheardLosses is how many endpoints have not been heard since a task's lease ran out there,
+// and when that last happened.
+type unheardLosses struct {
+	endpoints int
+	last      time.Duration
+}
+
+// countUnheard counts them for all tasks.
+func (c *Core) countUnheard() {
+	clear(c.unheard)
+	for _, e := range c.endpoints {
+		for task := range e.unheard {
+			n := c.unheard[task]
+			c.unheard[task] = unheardLosses{n.endpoints + 1, max(n.last, e.gaveUpAt)}
+		}
+	}
+}
+
 // heldBack reports whether too many endpoints that may have crashed under a task are silent
 // for it to be started again: each of them tells, once it is heard, or is back as another
 // incarnation, whether it did. One that is gone for good never tells.
 func (c *Core) heldBack(now time.Duration, t *task) bool {
-	if t.run < crashesShown {
+	if t.run < crashesShown || len(c.unheard) == 0 {
 		return false
 	}
-	name, unheard, last := t.name(), 0, time.Duration(0)
-	for _, e := range c.endpoints {
-		if _, silent := e.unheard[name]; silent {
-			unheard++
-			last = max(last, e.gaveUpAt)
-		}
-	}
-	return unheard > 0 && now-last < awaitWord && t.evidence.Crashes+unheard >= crashesShown
+	lost := c.unheard[t.name()]
+	return lost.endpoints > 0 && now-lost.last < awaitWord && t.evidence.Crashes+lost.endpoints >= crashesShown
 }
 
 // mayStart reports whether a task waits and may be placed now.
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -138,6 +138,9 @@
 		return 0
 	}
 	wait := lookWait
+	if e.tries() {
+		wait = trialLook
+	}
 	for t := range e.tasks {
 		wait = min(wait, t.lookWait(now))
 	}
@@ -147,8 +150,6 @@
 // lookWait is how long a renewal of the task's endpoint may wait for an end.
 func (t *task) lookWait(now time.Duration) time.Duration {
 	switch {
-	case t.onTrial:
-		return trialLook
 	case t.stopping, t.ordered > 0 && t.confirmed == 0 && now-t.ordered > unsureAfter:
 		return unsureWait
 	case t.step.spec.LongRunning && t.percent < atWork:
--- a/internal/executor/trial.go
+++ b/internal/executor/trial.go
@@ -12,10 +12,11 @@
 
 const (
 	// heardOfLate is how long ago an endpoint may have been heard for a wary task.
-	heardOfLate = time.Second
+	heardOfLate = 1500 * time.Millisecond
 	// watchEvery is how often idle endpoints are asked meanwhile.
 	watchEvery = heardOfLate / 2
-	// trialLook is how long a renewal waits while a run is on trial.
+	// trialLook is how long a renewal waits while a run is on trial, or a suspect waits for those
+	// on the endpoint to go on.
 	trialLook = 200 * time.Millisecond
 	// trialPatience is how long a suspect waits for an endpoint of that kind: a gang or a
 	// lasting task in a small pool may never find one.
@@ -43,6 +44,11 @@
 	t.host.trial = nil
 }
 
+// tries reports whether a suspect is tried on an endpoint, or will be next.
+func (e *endpoint) tries() bool {
+	return e.trial != nil || e.keptFor != nil && e.keptFor.evidence.Suspect
+}
+
 // alone reports whether a task may only be placed where nothing else has just begun.
 func (t *task) alone(now time.Duration) bool {
 	return t.evidence.Suspect && (t.waitsSince == 0 || now-t.waitsSince < trialPatience)
@@ -79,6 +85,7 @@
 		t.wary = t.wary && !over
 		return over
 	})
+	c.countUnheard()
 	c.watchful = false
 	for _, t := range c.wary {
 		if t.step.waitsFor > 0 || !c.mayStart(now, t) {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -70,7 +70,7 @@
 		{Section: sectionBounds, Name: "move", Kind: KindDuration, Default: "1500ms", Unit: "ms, s", Min: 0, Max: 600 * second, Doc: "How long an instance takes to move to another pool."},
 		{Section: sectionBounds, Name: "maintenance", Kind: KindDuration, Default: "2s", Unit: "ms, s", Min: 0, Max: 600 * second, Doc: "How long an instance is away for maintenance."},
 		{Section: sectionBounds, Name: "endpoint_heartbeat", Kind: KindDuration, Default: "1500ms", Unit: "ms, s", Min: 1, Max: 600 * second, Doc: "How often endpoints write their entries in service discovery."},
-		{Section: sectionBounds, Name: "stable_window", Kind: KindDuration, Default: "3s", Unit: "ms, s", Min: 0, Max: 600 * second, Doc: "How long beyond a heartbeat an endpoint's room that has shrunk still counts."},
+		{Section: sectionBounds, Name: "stable_window", Kind: KindDuration, Default: "3s", Unit: "ms, s", Min: second, Max: 600 * second, Doc: "How long beyond a heartbeat an endpoint's room that has shrunk still counts."},
 		{Section: sectionLimits, Name: "memory", Kind: KindBytes, Default: "256MiB", Unit: "MiB", Min: 16 << 20, Max: maxMemory, Doc: "Memory above which the process is killed."},
 		{Section: sectionLimits, Name: "processor", Kind: KindRatio, Default: "1", Unit: "cores", Doc: "This instance's share of a core."},
 	}}
