A crash counts where the endpoint's instance is moved before it is heard of

Cause: an endpoint crashes, its runs are given up as their leases run out, and its instance is moved or maintained before it is back. The operation's end dropped what was kept against the tasks of those runs, and the task was started on the next endpoint as if nothing had happened.

Such an end counts like that of an endpoint that service discovery has lost: as a crash, but not one that makes a suspect. Runs that were still on an instance as an operation took it say nothing.

Failed before: TestCrashesCountWhereInstancesAreMovedMeanwhile (three starts after the third crash at 16.8 s).

--- a/internal/executor/crash_test.go
+++ b/internal/executor/crash_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/jobs"
 )
 
@@ -324,6 +325,29 @@
 	g.Expect(w.story(task)).To(MatchRegexp(`1 endpoints have crashed under it.* epoch 2`))
 }
 
+// Guards against crashes that don't count as the instances of the silent endpoints are moved, or
+// maintained, before anything is heard of them.
+func TestCrashesCountWhereInstancesAreMovedMeanwhile(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1, 8)
+	w.crasher, w.limits.KeepEnded, w.downFor, w.newIDs = crashesFirst, time.Hour, 10*time.Second, true
+	o := w.takeOver()
+	w.run(300 * time.Millisecond)
+	j := jobOf(guilty, small(1))
+	w.submit(o, j)
+	for range 600 {
+		w.run(100 * time.Millisecond)
+		for _, h := range w.hosts {
+			if h.down && w.now-h.downAt > 4*time.Second {
+				o.core.Gone(executor.Incarnation{ID: h.id, StartedMs: h.startedMs})
+				w.comeBack(h)
+			}
+		}
+	}
+	g.Expect(w.broken).To(BeEmpty())
+	g.Expect(w.state(o, j)).To(Equal("failed"))
+}
+
 // Guards against any mix of crashing tasks with lost and late orders, silent and restarting
 // endpoints, and owners that change, are cut off or slow.
 func TestRandomDaysWithCrashingTasks(t *testing.T) {
--- a/internal/executor/crashes.go
+++ b/internal/executor/crashes.go
@@ -155,12 +155,19 @@
 	if e.listed || len(e.unheard) == 0 || now-e.gaveUpAt < awaitWord {
 		return
 	}
-	presumed := weigh(e, c.unheardRuns(e))
+	presumed := c.presumedCrashes(e)
 	c.forgetUnheard(e)
-	for _, x := range presumed {
-		x.evidence.Alone, x.evidence.Suspect = 0, false
-		c.accuse(x)
+	c.accuseAll(presumed)
+}
+
+// presumedCrashes returns what it says of runs that were given up on a silent endpoint that
+// nothing more will be heard of it: none of them is a suspect for that.
+func (c *Core) presumedCrashes(e *endpoint) []crash {
+	out := weigh(e, c.unheardRuns(e))
+	for i := range out {
+		out[i].evidence.Alone, out[i].evidence.Suspect = 0, false
 	}
+	return out
 }
 
 // accuse takes in what a crash says of a task.
--- a/internal/executor/looks.go
+++ b/internal/executor/looks.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// Gone takes in that an incarnation has ended, and everything on it with it. Where the
+// Gone takes in that an operation has ended an incarnation, and everything on it with it. Where the
 // endpoint's present one is not known yet, its tasks may run on a later one: its first
 // listing tells.
 func (c *Core) Gone(in Incarnation) {
@@ -86,6 +86,13 @@
 	if e == nil || e.incarnation() != in {
 		return
 	}
+	presumed := c.presumedCrashes(e)
+	c.endIncarnation(e)
+	c.accuseAll(presumed)
+}
+
+func (c *Core) endIncarnation(e *endpoint) {
+	c.gone[e.incarnation()] = true
 	c.event(Event{Kind: EventGone, Endpoint: e.id, StartedMs: e.startedMs, Run: len(e.tasks)})
 	c.loseAll(e, "incarnation ended")
 	c.forget(e)
@@ -94,7 +101,7 @@
 // crashed takes in that an incarnation has ended for no reason that is known.
 func (c *Core) crashed(e *endpoint) {
 	taken := weigh(e, append(e.runsOf(), c.unheardRuns(e)...))
-	c.Gone(e.incarnation())
+	c.endIncarnation(e)
 	c.accuseAll(taken)
 }
 
