Suspects that last keep away from endpoints that a wave takes, and get room kept

A lasting task that was a suspect lost both: it could be placed where the next wave takes it away again, and after waiting for an endpoint alone it was no longer among those that room is kept for.

--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -335,22 +335,14 @@
 	s := t.step.spec
 	free := float64(e.free().CPUMilli) / float64(max(1, e.capacity.CPUMilli))
 	score := -free
-	if t.evidence.Suspect {
-		// What it takes down with it is the less the emptier its endpoint is.
-		score = free
-		if e.hasLasting() {
-			score -= besideLasting
-		}
-		if e.addr == t.evidence.Addr {
-			score -= avoidFailed
-		}
-	} else if s.LongRunning {
-		if e.hasLasting() {
-			score += besideLasting
-		}
-		if now < e.dueUntil {
-			score -= leavesSoon
-		}
+	switch {
+	case t.evidence.Suspect:
+		score = t.trialScore(e, free)
+	case s.LongRunning && e.hasLasting():
+		score += besideLasting
+	}
+	if s.LongRunning && now < e.dueUntil {
+		score -= leavesSoon
 	}
 	if s.DataRack != "" && s.DataRack != e.rack {
 		score -= awayFromData
--- a/internal/executor/reserve.go
+++ b/internal/executor/reserve.go
@@ -74,7 +74,7 @@
 				continue
 			}
 			for _, t := range s.tasks {
-				if c.mayStart(now, t) && !t.evidence.Suspect {
+				if c.mayStart(now, t) && !t.alone(now) {
 					out = append(out, t)
 				}
 			}
--- a/internal/executor/trial.go
+++ b/internal/executor/trial.go
@@ -54,6 +54,19 @@
 	return t.evidence.Suspect && (t.waitsSince == 0 || now-t.waitsSince < trialPatience)
 }
 
+// trialScore prefers, for a suspect, an endpoint with little to take down, and another one than
+// that of its last crash.
+func (t *task) trialScore(e *endpoint, free float64) float64 {
+	score := free
+	if e.hasLasting() {
+		score -= besideLasting
+	}
+	if e.addr == t.evidence.Addr {
+		score -= avoidFailed
+	}
+	return score
+}
+
 // hasJustBegun reports whether runs of other jobs have just begun on an endpoint, or are
 // still to begin.
 func (e *endpoint) hasJustBegun(besides *job) bool {
