A gang is stopped before its members end alone

What callers would see: a gang whose members hold their endpoints for seconds and end 'alone', as one of them was sent to an endpoint that had just crashed, say under another job's task.

Cause: the other members were stopped only once the missing one's endpoint was known to be gone or its lease had run out, 1.3 to 3.5 s later; endpoints end members that wait for 3 s. Runs that stand still were stopped after 2.5 s only where they are short.

Now they are stopped as soon as one member is not known to have begun a second after its start.

Failed before: TestAGangIsStoppedBeforeItsMembersEndAlone (members still wait 2.8 s after the start).

--- a/internal/executor/crash_test.go
+++ b/internal/executor/crash_test.go
@@ -358,3 +358,32 @@
 		})
 	}
 }
+
+// gangWaits is how long members of a gang wait for one that is missing before they end alone.
+const gangWaits = 3 * time.Second
+
+// Guards against a sound gang whose members end alone, having waited for one whose endpoint had
+// crashed as its start came.
+func TestAGangIsStoppedBeforeItsMembersEndAlone(t *testing.T) {
+	for _, newIDs := range []bool{false, true} {
+		g := NewWithT(t)
+		w := newWorld(1, 4)
+		w.newIDs, w.downFor = newIDs, 6*time.Second
+		o := w.takeOver()
+		w.run(300 * time.Millisecond)
+		gang := small(4)
+		gang.Gang, gang.MaxPerEndpoint, gang.EstimateMs = true, 1, 20_000
+		w.lengthOf = func(jobs.TaskName) time.Duration { return time.Hour }
+		w.crash(w.hosts["i-02"])
+		j := jobOf(2, gang)
+		w.submit(o, j)
+		w.run(gangWaits - 200*time.Millisecond)
+		for _, h := range w.hosts {
+			g.Expect(h.running).To(BeEmpty(), h.id)
+		}
+		w.lengthOf = func(jobs.TaskName) time.Duration { return 500 * time.Millisecond }
+		w.run(15 * time.Second)
+		g.Expect(w.broken).To(BeEmpty())
+		g.Expect(w.state(o, j)).To(Equal("completed"))
+	}
+}
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -213,6 +213,9 @@
 		t.avoid = e.incarnation()
 		c.event(Event{Kind: EventStop, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: "stands still"})
 	}
+	if t.missesGang(now) {
+		c.breakGang(t.step)
+	}
 	c.rescue(e, t)
 	if !t.stopping || e.addr == "" || t.stopSent > 0 && now-t.stopSent < stopRepeat {
 		return
@@ -221,6 +224,15 @@
 	c.stops = append(c.stops, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Fence: c.fence(e), Task: t.name(), Run: t.run, task: t})
 }
 
+// gangPatience is how long the other members of a gang wait for one that is not known to have
+// begun. Its endpoint may have crashed as the start came, and not be missed for seconds; they
+// hold their room meanwhile, and endpoints end those that have waited for long.
+const gangPatience = time.Second
+
+func (t *task) missesGang(now time.Duration) bool {
+	return t.step.spec.Gang && t.ordered > 0 && t.confirmed == 0 && now-t.ordered > gangPatience
+}
+
 // Standstill. Load: tasks on some endpoints stand still while their leases are
 // renewed. A run whose progress has not moved for several times what its kind
 // takes is stopped and begins again elsewhere; its checkpoint is kept.
