--- a/internal/executor/property_test.go
+++ b/internal/executor/property_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -101,7 +102,7 @@
 	o = w.takeOver()
 	w.run(25 * time.Second)
 	if v.crashing {
-		w.run(time.Minute)
+		w.runUntilEnded(o, handedIn, time.Minute)
 	}
 	g.Expect(w.broken).To(BeEmpty())
 	for _, j := range handedIn {
@@ -117,6 +118,16 @@
 	}
 }
 
+// runUntilEnded lets time pass until all jobs have ended, or the limit is over: a task that
+// crashes its endpoints may wait for word of several of them.
+func (w *world) runUntilEnded(o *owner, handedIn []jobs.Job, limit time.Duration) {
+	for end := w.now + limit; w.now < end; w.run(time.Second) {
+		if !slices.ContainsFunc(handedIn, func(j jobs.Job) bool { return w.state(o, j) == "running" || w.state(o, j) == "queued" }) {
+			return
+		}
+	}
+}
+
 // restartOne lets an endpoint restart under its id.
 func (w *world) restartOne(rng *rand.Rand, v variant) {
 	h := w.hosts[fmt.Sprintf("i-%02d", rng.IntN(4))]
