--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -482,42 +482,6 @@
 	return out
 }
 
-// Summary is a pool's state in figures, for the fleet's decisions and dumps.
-type Summary struct {
-	Pool string `json:"pool" cbor:"1,keyasint"`
-	// BacklogCoreMs is work accepted and not yet running.
-	BacklogCoreMs float64 `json:"backlog_core_ms" cbor:"2,keyasint"`
-	// ReadyCoreMs is the part of it that could run at once, given room.
-	ReadyCoreMs float64 `json:"ready_core_ms" cbor:"11,keyasint"`
-	// RunningCPUMilli is what runs now.
-	RunningCPUMilli int `json:"running_cpu_milli" cbor:"3,keyasint"`
-	CapacityMilli   int `json:"capacity_milli" cbor:"4,keyasint"`
-	Endpoints       int `json:"endpoints" cbor:"5,keyasint"`
-	WaitingTasks    int `json:"waiting_tasks" cbor:"6,keyasint"`
-	Jobs            int `json:"jobs" cbor:"7,keyasint"`
-	// LastingCPUMilli is the part of RunningCPUMilli that does not end by
-	// itself.
-	LastingCPUMilli int `json:"lasting_cpu_milli" cbor:"8,keyasint"`
-	// OfferedCoreMs counts all work offered since the epoch began, accepted or
-	// not, each job once.
-	OfferedCoreMs float64    `json:"offered_core_ms" cbor:"9,keyasint"`
-	Hosts         []HostLoad `json:"hosts" cbor:"10,keyasint"`
-	// LeastHosts is how many endpoints the lasting tasks need to be apart from
-	// each other as their steps ask, however small they are.
-	LeastHosts int `json:"least_hosts" cbor:"12,keyasint"`
-	// Starved counts steps of lasting tasks that find no endpoint.
-	Starved int `json:"starved" cbor:"13,keyasint"`
-}
-
-// HostLoad is how an endpoint in use is loaded.
-type HostLoad struct {
-	Endpoint  string `json:"endpoint" cbor:"1,keyasint"`
-	UsedMilli int    `json:"used_milli" cbor:"2,keyasint"`
-	Tasks     int    `json:"tasks" cbor:"3,keyasint"`
-	// Lasting reports tasks that don't end by themselves.
-	Lasting bool `json:"lasting" cbor:"4,keyasint"`
-}
-
 // Accepting is what a caller's job is accepted under.
 type Accepting struct {
 	Queue string
--- /dev/null
+++ b/internal/executor/summary.go
@@ -0,0 +1,134 @@
+package executor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Summary is a pool's state in figures, for the fleet's decisions and dumps.
+type Summary struct {
+	Pool string `json:"pool" cbor:"1,keyasint"`
+	// BacklogCoreMs is work accepted and not yet running.
+	BacklogCoreMs float64 `json:"backlog_core_ms" cbor:"2,keyasint"`
+	// ReadyCoreMs is the part of it that could run at once, given room.
+	ReadyCoreMs float64 `json:"ready_core_ms" cbor:"11,keyasint"`
+	// RunningCPUMilli is what runs now.
+	RunningCPUMilli int `json:"running_cpu_milli" cbor:"3,keyasint"`
+	CapacityMilli   int `json:"capacity_milli" cbor:"4,keyasint"`
+	Endpoints       int `json:"endpoints" cbor:"5,keyasint"`
+	WaitingTasks    int `json:"waiting_tasks" cbor:"6,keyasint"`
+	Jobs            int `json:"jobs" cbor:"7,keyasint"`
+	// LastingCPUMilli is the part of RunningCPUMilli that does not end by
+	// itself.
+	LastingCPUMilli int `json:"lasting_cpu_milli" cbor:"8,keyasint"`
+	// OfferedCoreMs counts all work offered since the epoch began, accepted or
+	// not, each job once.
+	OfferedCoreMs float64    `json:"offered_core_ms" cbor:"9,keyasint"`
+	Hosts         []HostLoad `json:"hosts" cbor:"10,keyasint"`
+	// LeastHosts is how many endpoints the lasting tasks need to be apart from
+	// each other as their steps ask, however small they are.
+	LeastHosts int `json:"least_hosts" cbor:"12,keyasint"`
+	// Starved counts steps of lasting tasks that find no endpoint.
+	Starved int `json:"starved" cbor:"13,keyasint"`
+}
+
+// HostLoad is how an endpoint in use is loaded.
+type HostLoad struct {
+	Endpoint  string `json:"endpoint" cbor:"1,keyasint"`
+	UsedMilli int    `json:"used_milli" cbor:"2,keyasint"`
+	Tasks     int    `json:"tasks" cbor:"3,keyasint"`
+	// Lasting reports tasks that don't end by themselves.
+	Lasting bool `json:"lasting" cbor:"4,keyasint"`
+}
+
+func (e *endpoint) load() HostLoad {
+	return HostLoad{Endpoint: e.id, UsedMilli: e.used.CPUMilli, Tasks: len(e.tasks), Lasting: e.hasLasting()}
+}
+
+// hopelessShare is how much of the ready work of jobs that are late anyway
+// counts as need for instances: it has to be done, but not soon.
+const hopelessShare = 0.3
+
+// Summary returns the pool's state in figures.
+func (c *Core) Summary(now time.Duration) Summary {
+	s := Summary{Pool: c.pool, Jobs: len(c.open)}
+	for _, e := range c.endpoints {
+		if !e.usable() {
+			continue
+		}
+		s.Endpoints++
+		s.CapacityMilli += e.capacity.CPUMilli
+		s.RunningCPUMilli += e.used.CPUMilli
+		s.Hosts = append(s.Hosts, e.load())
+		s.LastingCPUMilli += e.lastingCPU()
+	}
+	slices.SortFunc(s.Hosts, func(a, b HostLoad) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	s.OfferedCoreMs = c.offered
+	s.LeastHosts, s.Starved = c.leastHosts(), c.starved(now)
+	for _, j := range c.open {
+		if j.rec.State.Ended() || lasting(&j.rec.Job) {
+			continue
+		}
+		w := c.remaining(j)
+		if c.hopeless(now, j) {
+			w.ready *= hopelessShare
+		}
+		s.ReadyCoreMs += w.ready / 1000
+		s.BacklogCoreMs += (w.ready + w.running + w.later) / 1000
+		for _, o := range j.current {
+			for _, st := range o.steps {
+				s.WaitingTasks += st.waiting
+			}
+		}
+	}
+	return s
+}
+
+// leastHosts is how many endpoints the steps of lasting tasks need at least:
+// those that serve and those that fill never share one.
+func (c *Core) leastHosts() int {
+	serving, filling := 0, 0
+	for _, j := range c.open {
+		if j.rec.State.Ended() {
+			continue
+		}
+		for i := range j.rec.Job.Steps {
+			st := &j.rec.Job.Steps[i]
+			if !st.LongRunning {
+				continue
+			}
+			need := 1
+			if st.MaxPerEndpoint > 0 {
+				need = (st.Count + st.MaxPerEndpoint - 1) / st.MaxPerEndpoint
+			}
+			if st.Fills {
+				filling = max(filling, need)
+			} else {
+				serving = max(serving, need)
+			}
+		}
+	}
+	return serving + filling
+}
+
+// starved counts steps of lasting tasks of which one waits and finds no
+// endpoint, though room in the pool's sum may be left.
+func (c *Core) starved(now time.Duration) int {
+	n := 0
+	for _, j := range c.open {
+		if j.rec.State.Ended() || !lasting(&j.rec.Job) {
+			continue
+		}
+		for _, t := range j.waitingTasks() {
+			found := false
+			for _, e := range c.endpoints {
+				found = found || c.obstacle(now, t, e) == obstacleNone
+			}
+			if !found {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/executor/vacate.go
+++ b/internal/executor/vacate.go
@@ -1,10 +1,6 @@
 package executor
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // vacateFor is how long a request to vacate holds unless it is repeated.
 const vacateFor = 4 * time.Second
@@ -111,94 +107,3 @@
 	}
 	return n
 }
-
-func (e *endpoint) load() HostLoad {
-	return HostLoad{Endpoint: e.id, UsedMilli: e.used.CPUMilli, Tasks: len(e.tasks), Lasting: e.hasLasting()}
-}
-
-// hopelessShare is how much of the ready work of jobs that are late anyway
-// counts as need for instances: it has to be done, but not soon.
-const hopelessShare = 0.3
-
-// Summary returns the pool's state in figures.
-func (c *Core) Summary(now time.Duration) Summary {
-	s := Summary{Pool: c.pool, Jobs: len(c.open)}
-	for _, e := range c.endpoints {
-		if !e.usable() {
-			continue
-		}
-		s.Endpoints++
-		s.CapacityMilli += e.capacity.CPUMilli
-		s.RunningCPUMilli += e.used.CPUMilli
-		s.Hosts = append(s.Hosts, e.load())
-		s.LastingCPUMilli += e.lastingCPU()
-	}
-	slices.SortFunc(s.Hosts, func(a, b HostLoad) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
-	s.OfferedCoreMs = c.offered
-	s.LeastHosts, s.Starved = c.leastHosts(), c.starved(now)
-	for _, j := range c.open {
-		if j.rec.State.Ended() || lasting(&j.rec.Job) {
-			continue
-		}
-		w := c.remaining(j)
-		if c.hopeless(now, j) {
-			w.ready *= hopelessShare
-		}
-		s.ReadyCoreMs += w.ready / 1000
-		s.BacklogCoreMs += (w.ready + w.running + w.later) / 1000
-		for _, o := range j.current {
-			for _, st := range o.steps {
-				s.WaitingTasks += st.waiting
-			}
-		}
-	}
-	return s
-}
-
-// leastHosts is how many endpoints the steps of lasting tasks need at least:
-// those that serve and those that fill never share one.
-func (c *Core) leastHosts() int {
-	serving, filling := 0, 0
-	for _, j := range c.open {
-		if j.rec.State.Ended() {
-			continue
-		}
-		for i := range j.rec.Job.Steps {
-			st := &j.rec.Job.Steps[i]
-			if !st.LongRunning {
-				continue
-			}
-			need := 1
-			if st.MaxPerEndpoint > 0 {
-				need = (st.Count + st.MaxPerEndpoint - 1) / st.MaxPerEndpoint
-			}
-			if st.Fills {
-				filling = max(filling, need)
-			} else {
-				serving = max(serving, need)
-			}
-		}
-	}
-	return serving + filling
-}
-
-// starved counts steps of lasting tasks of which one waits and finds no
-// endpoint, though room in the pool's sum may be left.
-func (c *Core) starved(now time.Duration) int {
-	n := 0
-	for _, j := range c.open {
-		if j.rec.State.Ended() || !lasting(&j.rec.Job) {
-			continue
-		}
-		for _, t := range j.waitingTasks() {
-			found := false
-			for _, e := range c.endpoints {
-				found = found || c.obstacle(now, t, e) == obstacleNone
-			}
-			if !found {
-				n++
-			}
-		}
-	}
-	return n
-}
