--- a/internal/executor/restart_test.go
+++ b/internal/executor/restart_test.go
@@ -180,12 +180,9 @@
 	g.Expect(w.state(o, j)).To(Equal("completed"))
 }
 
-// Guards against a task that runs twice at once: its start, with a lease by the clock of an
-// earlier incarnation, has reached the next one, and its owner dies before it knows. The
-// next owner believes the lease to be as short as its own.
-func TestANewOwnerKnowsWhichIncarnationAStartWasFor(t *testing.T) {
-	g := NewWithT(t)
-	w, o, h := withEnds(g, 2)
+// startReachesNext lets an endpoint restart unseen and the start of a long task, given to its
+// earlier incarnation, reach the next one; the owner dies before it knows.
+func (w *world) startReachesNext(g Gomega, o *owner, h *host) jobs.Job {
 	w.hosts["i-01"].draining = true
 	w.lengthOf = func(jobs.TaskName) time.Duration { return 9 * time.Second }
 	w.restartUnseen(h, 2*step)
@@ -194,6 +191,16 @@
 	w.run(step)
 	g.Expect(h.running).To(HaveLen(1))
 	o.stopped = true
+	return j
+}
+
+// Guards against a task that runs twice at once: its start, with a lease by the clock of an
+// earlier incarnation, has reached the next one, and its owner dies before it knows. The
+// next owner believes the lease to be as short as its own.
+func TestANewOwnerKnowsWhichIncarnationAStartWasFor(t *testing.T) {
+	g := NewWithT(t)
+	w, o, h := withEnds(g, 2)
+	j := w.startReachesNext(g, o, h)
 	w.hosts["i-01"].draining = false
 	o = w.takeOver()
 	w.run(300 * time.Millisecond)
@@ -214,13 +221,7 @@
 	h.bootClock = time.Hour
 	w.submit(o, jobOf(4, small(1)))
 	w.run(time.Second) // its clock is heard
-	w.lengthOf = func(jobs.TaskName) time.Duration { return 9 * time.Second }
-	w.restartUnseen(h, 2*step)
-	j := jobOf(2, small(1))
-	w.submit(o, j)
-	w.run(step)
-	g.Expect(h.running).To(HaveLen(1))
-	o.stopped = true
+	j := w.startReachesNext(g, o, h)
 	o = w.takeOver()
 	w.run(300 * time.Millisecond)
 	w.submit(o, jobOf(3, small(1)))
