--- a/internal/standin/wire/crash.go
+++ b/internal/standin/wire/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"time"
 )
 
@@ -63,18 +62,19 @@
 	if e.gone || e.p.closed || e.p.endpoints[e.id] != e {
 		return
 	}
-	listener, err := net.Listen("tcp", e.listener.Addr().String())
+	id := e.id
+	if newID {
+		id = e.p.newIDLocked()
+	}
+	next, err := e.nextLocked(id)
 	if err != nil {
 		e.p.broken = append(e.p.broken, e.id+" is not back: "+err.Error())
 		return
 	}
-	id := e.id
 	if newID {
 		delete(e.p.endpoints, e.id)
 		e.p.putKeyed("keyed.servers", e.id, nil)
-		id = e.p.newIDLocked()
 	}
-	next := e.p.incarnationLocked(id, e.instance, e.pool, listener)
 	e.p.instances[e.instance].endpoint = id
 	next.registerLocked()
 }
--- a/internal/standin/wire/endpoint.go
+++ b/internal/standin/wire/endpoint.go
@@ -100,11 +100,10 @@
 	if err := e.server.Close(); err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", e.listener.Addr().String())
+	next, err := e.nextLocked(e.id)
 	if err != nil {
 		return err
 	}
-	next := e.p.incarnationLocked(e.id, e.instance, e.pool, listener)
 	time.AfterFunc(entryLag, func() {
 		e.p.mu.Lock()
 		defer e.p.mu.Unlock()
@@ -115,6 +114,15 @@
 	return nil
 }
 
+// nextLocked serves the incarnation after one that has ended, at its address.
+func (e *Endpoint) nextLocked(id string) (*Endpoint, error) {
+	listener, err := net.Listen("tcp", e.listener.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	return e.p.incarnationLocked(id, e.instance, e.pool, listener), nil
+}
+
 // incarnationLocked serves a new incarnation.
 func (p *Platform) incarnationLocked(id, instance, pool string, listener net.Listener) *Endpoint {
 	e := &Endpoint{p: p, id: id, pool: pool, instance: instance, listener: listener, born: time.Now(),
