Callers show a key where their queue asks for one

Cause: the configuration's accounts were not read, nobody looked at the header, and a job knew no account.

A queue that isn't public answers 401 to a request without exactly one valid bearer key.

A node that the store turns away asks its peers for a newer configuration, by version; peers that have one send it with the digests. A key that is not known is looked up in the newest configuration that can be had, at a bounded rate. With strict_keys, a node without word of the configuration for keys_unconfirmed goes by no keys.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -486,6 +486,8 @@
 type Accepting struct {
 	Queue string
 	Terms routing.Terms
+	// Account is the client account that hands the job in, "" for none.
+	Account string
 }
 
 // Dirty reports whether records wait for Ready.
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -35,6 +35,8 @@
 	EndedMs   int64    `cbor:"6,keyasint,omitempty"`
 	// Reason says why it has failed, for operators.
 	Reason string `cbor:"8,keyasint,omitempty"`
+	// Account is the client account that the job belongs to, "" for none.
+	Account string `cbor:"9,keyasint,omitempty"`
 }
 
 // progressRecord is what is kept of a job's tasks that have begun.
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -23,14 +23,41 @@
 	RetryAfter time.Duration
 }
 
-// RefusedBacklog says that the job could not end in time behind the others.
-const RefusedBacklog = "backlog"
+// Reasons of refusals.
+const (
+	// RefusedBacklog says that the job could not end in time behind the others.
+	RefusedBacklog = "backlog"
+	// RefusedTaken says that the id is that of a job which is not the caller's.
+	RefusedTaken = "id-taken"
+)
+
+// Caller is who asks for a job.
+type Caller struct {
+	// Queue is the one asked, Account the client account, "" where the queue asks for no
+	// key.
+	Queue   string `cbor:"1,keyasint,omitempty"`
+	Account string `cbor:"2,keyasint,omitempty"`
+}
+
+// Shows reports whether a job is the caller's to know of. One that was handed in without
+// an account is anybody's; so are, for those who ask without one, the jobs of a queue
+// that asks for no key any more.
+func (c *Core) Shows(id string, by Caller) bool {
+	j := c.jobs[id]
+	if j == nil {
+		return true // and unknown
+	}
+	return j.rec.Account == "" || j.rec.Account == by.Account || by.Account == "" && j.rec.Queue == by.Queue
+}
 
 // Submit takes a job. For VerdictAccepted the reply with the token follows
 // once the job is durable; the other verdicts hold at once. A job that is
 // accepted but not yet durable answers its repetition with the same reply.
 func (c *Core) Submit(now time.Duration, in jobs.Job, under Accepting, token uint64) (Verdict, Refusal) {
 	if j := c.jobs[in.ID]; j != nil {
+		if !c.Shows(in.ID, Caller{Queue: under.Queue, Account: under.Account}) {
+			return VerdictRefused, Refusal{Reason: RefusedTaken}
+		}
 		if j.accepted {
 			return VerdictKnown, Refusal{}
 		}
@@ -38,7 +65,7 @@
 		c.replies = append(c.replies, Reply{token})
 		return VerdictAccepted, Refusal{}
 	}
-	j := &job{since: now, rec: jobRecord{Job: in, Queue: under.Queue, Terms: under.Terms, AcceptedMs: c.wallMs}}
+	j := &job{since: now, rec: jobRecord{Job: in, Queue: under.Queue, Terms: under.Terms, Account: under.Account, AcceptedMs: c.wallMs}}
 	refusal, refused := c.refuse(now, j)
 	first := c.countOffer(now, j, refused)
 	if refused {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -28,25 +28,38 @@
 // and false where they follow what came before. It is called by one goroutine.
 type Handler func(reset bool, records []platform.Record)
 
+// Topic is what to follow.
+type Topic struct {
+	Name string
+	// Gap is left between two reads: a topic that changes all the time would otherwise
+	// cost a call for each record.
+	Gap    time.Duration
+	Handle Handler
+	// Heard, if set, is called after each answer of the store, once what it brought was
+	// handled.
+	Heard func()
+}
+
 // Store is the part of the platform's client that a feed uses.
 type Store interface {
 	Newest(ctx context.Context, topic string) (platform.Page, error)
 	Read(ctx context.Context, topic string, from int64, wait time.Duration) (platform.Page, error)
 }
 
-// Follow reads a topic until ctx ends, leaving at least gap between two reads:
-// a topic that changes all the time would otherwise cost a call for each
-// record. History that is gone is made up for by
+// Follow reads a topic until ctx ends. History that is gone is made up for by
 // reading the newest records again, so that a feed is never behind for good.
-func Follow(ctx context.Context, store Store, topic string, gap time.Duration, log *slog.Logger, handle Handler) {
-	f := follower{store: store, topic: topic, log: log, handle: handle, next: -1}
+func Follow(ctx context.Context, store Store, topic Topic, log *slog.Logger) {
+	f := follower{store: store, topic: topic.Name, log: log, handle: topic.Handle, next: -1}
 	retry := retryMin
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		if err == nil {
 			f.regained()
 			retry = retryMin
-			pause.For(ctx, gap)
+			if topic.Heard != nil && f.next >= 0 {
+				topic.Heard()
+			}
+			pause.For(ctx, topic.Gap)
 			continue
 		}
 		if ctx.Err() != nil {
--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -14,6 +14,7 @@
 	"cyclamenwheel/internal/fleetops"
 	"cyclamenwheel/internal/operator"
 	"cyclamenwheel/internal/pause"
+	"cyclamenwheel/internal/planlease"
 	"cyclamenwheel/internal/routing"
 	"cyclamenwheel/platform"
 )
@@ -37,7 +38,7 @@
 		}
 		following, stop := context.WithCancel(ctx)
 		go n.stopWhenIdle(following, stop)
-		feed.Follow(following, n.client, platform.TopicEndpoints, endpointsGap, n.log, n.takeEndpoints)
+		feed.Follow(following, n.client, feed.Topic{Name: platform.TopicEndpoints, Gap: endpointsGap, Handle: n.takeEndpoints}, n.log)
 		stop()
 	}
 }
@@ -130,17 +131,36 @@
 // takeConfig puts a configuration in force. One that can't be read leaves the last
 // good one in force: callers are served by it until the operator publishes anew.
 func (n *Node) takeConfig(r platform.Record) error {
-	c, err := platform.DecodeConfig(r)
+	c, err := platform.DecodeConfig(r, platform.AccountsInForce(n.set.Contracts))
 	if err != nil {
 		return err
 	}
-	if !n.ingress.SetConfig(c) {
-		return nil
-	}
-	n.log.Info("configuration in force", "config_version", c.Version, "queues", len(c.Queues))
+	n.configs.Put(c)
+	return nil
+}
+
+// configChanged lets the duties know of a configuration that has come into force.
+func (n *Node) configChanged(c *routing.Config) {
+	n.log.Info("configuration in force", "config_version", c.Version, "queues", len(c.Queues), "accounts", len(c.Accounts.Names()))
 	n.manager.SetPools(poolsOf(c))
 	n.passEndpoints()
-	return nil
+}
+
+// followOperator follows what operators publish.
+func (n *Node) followOperator(ctx context.Context) {
+	feed.Follow(ctx, n.client, feed.Topic{Name: platform.TopicOperator, Handle: func(reset bool, records []platform.Record) {
+		if !n.takeOperator(records) && reset {
+			n.takeHistory(ctx)
+		}
+	}, Heard: func() { n.configs.Confirm(planlease.Boottime()) }}, n.log)
+}
+
+// peerNames are the peers that can be asked.
+func (n *Node) peerNames() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	names := slices.Sorted(maps.Keys(n.peersSeen))
+	return slices.DeleteFunc(names, func(name string) bool { return name == n.set.Node })
 }
 
 func poolsOf(c *routing.Config) []string {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -22,12 +22,12 @@
 	"cyclamenwheel/internal/attempts"
 	"cyclamenwheel/internal/eventlog"
 	"cyclamenwheel/internal/executor"
-	"cyclamenwheel/internal/feed"
 	"cyclamenwheel/internal/fleetops"
 	"cyclamenwheel/internal/ingress"
 	"cyclamenwheel/internal/operator"
 	"cyclamenwheel/internal/peer"
 	"cyclamenwheel/internal/planlease"
+	"cyclamenwheel/internal/published"
 	"cyclamenwheel/internal/settings"
 	"cyclamenwheel/internal/shards"
 	"cyclamenwheel/internal/shutdown"
@@ -79,6 +79,7 @@
 	client   *platform.Client
 	peers    *peer.Node
 	manager  *shards.Manager
+	configs  *published.Keeper
 	ingress  *ingress.Ingress
 	stopping atomic.Bool
 	inFlight inFlight
@@ -118,7 +119,12 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	boot := uuid.NewString()
 	calls := &shards.Calls{}
-	n.ingress = ingress.New(calls, n.log)
+	n.configs = published.New(published.Options{Peers: n.peerNames, Changed: n.configChanged, Logger: n.log,
+		Strict: n.set.Bounds.StrictKeys, Revoke: n.set.Bounds.KeysUnconfirmed,
+		Ask: func(ctx context.Context, name string, have int64) (published.Answer, error) {
+			return published.AskPeer(ctx, n.peers, name, have)
+		}})
+	n.ingress = ingress.New(n.configs, calls, n.log)
 	front, err := n.serve(n.set.Front.String(), n.inFlight.bound(&platform.Front{Service: n.ingress}))
 	if err != nil {
 		return err
@@ -138,13 +144,8 @@
 	var wg sync.WaitGroup
 	membership, leave := context.WithCancel(ctx)
 	wg.Go(func() { n.manager.Run(membership) })
-	wg.Go(func() {
-		feed.Follow(ctx, n.client, platform.TopicOperator, 0, n.log, func(reset bool, records []platform.Record) {
-			if !n.takeOperator(records) && reset {
-				n.takeHistory(ctx)
-			}
-		})
-	})
+	wg.Go(func() { n.followOperator(ctx) })
+	wg.Go(func() { n.configs.Follow(ctx) })
 	wg.Go(func() { n.followEndpoints(ctx) })
 	n.log.Info("started", "boot", boot)
 	n.await(signals)
@@ -273,6 +274,7 @@
 	})
 	calls.Manager, calls.Peers = n.manager, n.peers
 	n.manager.Register(n.peers)
+	n.configs.Register(n.peers)
 	return n.peers.Start()
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -7,13 +7,13 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/jobs"
+	"cyclamenwheel/internal/published"
 	"cyclamenwheel/internal/routing"
 	"cyclamenwheel/internal/shards"
 	"cyclamenwheel/platform"
@@ -21,43 +21,26 @@
 
 // Ingress serves callers' requests of one process.
 type Ingress struct {
-	calls  *shards.Calls
-	log    *slog.Logger
-	config atomic.Pointer[routing.Config]
+	*published.Keeper
+	calls *shards.Calls
+	log   *slog.Logger
 }
 
-// New returns an ingress without a configuration.
-func New(calls *shards.Calls, log *slog.Logger) *Ingress {
-	return &Ingress{calls: calls, log: log}
+// New returns an ingress that serves the configuration in force.
+func New(configs *published.Keeper, calls *shards.Calls, log *slog.Logger) *Ingress {
+	return &Ingress{Keeper: configs, calls: calls, log: log}
 }
 
-// SetConfig puts a configuration in force unless a newer one is: the store may
-// answer a late read with an old state.
-func (i *Ingress) SetConfig(c *routing.Config) bool {
-	for {
-		have := i.config.Load()
-		if have != nil && have.Version >= c.Version {
-			return false
-		}
-		if i.config.CompareAndSwap(have, c) {
-			return true
-		}
-	}
-}
-
-// Config is the configuration in force, nil before the first.
-func (i *Ingress) Config() *routing.Config { return i.config.Load() }
-
 // Submit hands a job in.
-func (i *Ingress) Submit(ctx context.Context, q *routing.Queue, job jobs.Job) platform.Answer {
+func (i *Ingress) Submit(ctx context.Context, q *routing.Queue, account string, job jobs.Job) platform.Answer {
 	result := i.calls.Submit(ctx, shards.SubmitCall{Pool: q.Service, Job: job,
-		Under: executor.Accepting{Queue: q.Name, Terms: q.Terms}})
+		Under: executor.Accepting{Queue: q.Name, Terms: q.Terms, Account: account}})
 	return answerOf(result)
 }
 
 // State answers with a job's state.
-func (i *Ingress) State(ctx context.Context, q *routing.Queue, id string) platform.Answer {
-	result := i.calls.State(ctx, shards.JobCall{Pool: q.Service, ID: id})
+func (i *Ingress) State(ctx context.Context, q *routing.Queue, account, id string) platform.Answer {
+	result := i.calls.State(ctx, jobCall(q, account, id))
 	a := answerOf(result)
 	if result.Outcome == shards.OutcomeDone {
 		a.State = result.State.String()
@@ -66,8 +49,12 @@
 }
 
 // Cancel cancels a job.
-func (i *Ingress) Cancel(ctx context.Context, q *routing.Queue, id string) platform.Answer {
-	return answerOf(i.calls.Cancel(ctx, shards.JobCall{Pool: q.Service, ID: id}))
+func (i *Ingress) Cancel(ctx context.Context, q *routing.Queue, account, id string) platform.Answer {
+	return answerOf(i.calls.Cancel(ctx, jobCall(q, account, id)))
+}
+
+func jobCall(q *routing.Queue, account, id string) shards.JobCall {
+	return shards.JobCall{Pool: q.Service, ID: id, By: executor.Caller{Queue: q.Name, Account: account}}
 }
 
 // Pending answers with the number of a queue's jobs that have not begun.
@@ -105,7 +92,7 @@
 	if r.Method == http.MethodGet && r.Answer.Status == http.StatusOK {
 		return // callers poll; the state they were shown has its own line
 	}
-	i.log.Info("request answered", "job", r.Job, "queue", r.Queue, "method", r.Method, "config_version", r.Version,
+	i.log.Info("request answered", "job", r.Job, "queue", r.Queue, "account", r.Account, "method", r.Method, "config_version", r.Version,
 		"status", r.Answer.Status, "reason", r.Answer.Problem, "detail", r.Answer.Detail,
 		"retry_after_ms", r.Answer.RetryAfter.Milliseconds(), "duration_ms", r.Took.Milliseconds())
 }
@@ -122,7 +109,7 @@
 func statusClass(status int) string {
 	switch status {
 	case http.StatusOK, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusGatewayTimeout,
-		http.StatusNotFound, http.StatusGone, http.StatusBadRequest:
+		http.StatusNotFound, http.StatusGone, http.StatusUnauthorized, http.StatusBadRequest:
 		return http.StatusText(status)
 	}
 	return "other"
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -5,6 +5,8 @@
 import (
 	"strings"
 	"time"
+
+	"cyclamenwheel/internal/accounts"
 )
 
 // Config is one published version, complete. It is never changed once built.
@@ -13,6 +15,8 @@
 	Queues   []Queue
 	Services map[string]Service
 	Limits   Limits
+	// Accounts are the client accounts and their keys; nil where there are none.
+	Accounts *accounts.Directory
 }
 
 // Queue is one route of callers' jobs.
@@ -21,7 +25,9 @@
 	Host    string
 	Prefix  string
 	Service string
-	Terms   Terms
+	// Public queues ask for no key.
+	Public bool
+	Terms  Terms
 }
 
 // Terms are what a queue promises its jobs. A job keeps those it was accepted
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -24,7 +24,9 @@
 	Store, Instances, Advice string
 	// Orders is how endpoints get their orders.
 	Orders string
-	Bounds NodeBounds
+	// Contracts are the parts of the platform's terms that are in force.
+	Contracts []string
+	Bounds    NodeBounds
 	// Memory is the soft limit in bytes.
 	Memory int64
 	// Processor is this instance's share of a core.
@@ -44,6 +46,10 @@
 	// Heartbeat is how often endpoints write their entries in service discovery, and
 	// StableWindow how long beyond that a change of theirs may go unseen.
 	Heartbeat, StableWindow time.Duration
+	// StrictKeys: callers' keys are not gone by once nothing was heard of the configuration
+	// for KeysUnconfirmed.
+	StrictKeys      bool
+	KeysUnconfirmed time.Duration
 }
 
 // NodeTable lists the settings of cyclamen-node.
@@ -62,6 +68,9 @@
 		{Section: sectionStore, Name: "instances", Kind: KindHostPort, Optional: true, Doc: "Address of the platform's instance list."},
 		{Section: sectionStore, Name: "advice", Kind: KindHostPort, Optional: true, Doc: "Address of the advice service, where queues have one."},
 		{Section: sectionStore, Name: "orders", Kind: KindName, Default: "rpc", Doc: "How endpoints get their orders; only rpc is supported."},
+		{Section: sectionStore, Name: "contracts", Kind: KindList, Default: "", Doc: "Parts of the platform's terms that are in force."},
+		{Section: sectionBounds, Name: "strict_keys", Kind: KindBool, Default: "false", Doc: "Refuse callers' keys while the configuration can't be confirmed."},
+		{Section: sectionBounds, Name: "keys_unconfirmed", Kind: KindDuration, Default: "5s", Unit: "ms, s", Min: second, Max: 600 * second, Doc: "How long keys are gone by without word of the configuration, with strict_keys."},
 		{Section: sectionBounds, Name: "grace", Kind: KindDuration, Default: "6s", Unit: "s", Min: second, Max: 600 * second, Doc: "Time between the signal to stop and the kill."},
 		{Section: sectionBounds, Name: "stop_timeout", Kind: KindDuration, Default: "900ms", Unit: "ms", Min: 1, Max: 600 * second, Doc: "Longest time that an endpoint takes to stop a task."},
 		{Section: sectionBounds, Name: "longest_lease", Kind: KindDuration, Default: "10s", Unit: "ms, s", Min: 1, Max: 600 * second, Doc: "Time to which endpoints shorten longer leases."},
@@ -100,8 +109,10 @@
 			Maintain:     v.Duration(sectionBounds, "maintenance"),
 			Heartbeat:    v.Duration(sectionBounds, "endpoint_heartbeat"),
 			StableWindow: v.Duration(sectionBounds, "stable_window"),
+			StrictKeys:   v.Bool(sectionBounds, "strict_keys"), KeysUnconfirmed: v.Duration(sectionBounds, "keys_unconfirmed"),
 		},
 	}
+	s.Contracts = v.List(sectionStore, "contracts")
 	if a := v.Addr(sectionStore, "instances"); a.IsValid() {
 		s.Instances = a.String()
 	}
--- a/internal/shards/answers.go
+++ b/internal/shards/answers.go
@@ -107,8 +107,11 @@
 	return unanswered > forgetfulAfter || unanswered > stuckAfter && r.store.Attempts.Silent(now) > stuckAfter
 }
 
-func (r *Runner) cancelJob(ctx context.Context, id string) Result {
+func (r *Runner) cancelJob(ctx context.Context, id string, by executor.Caller) Result {
 	return r.ask(ctx, func(now time.Duration, token uint64) (Result, bool) {
+		if !r.core.Shows(id, by) {
+			return Result{Outcome: OutcomeAbsent}, true
+		}
 		known, durable := r.core.Cancel(now, id, token)
 		if !known {
 			return Result{Outcome: OutcomeAbsent}, true
@@ -117,13 +120,13 @@
 	})
 }
 
-func (r *Runner) state(ctx context.Context, id string) Result {
+func (r *Runner) state(ctx context.Context, id string, by executor.Caller) Result {
 	return r.ask(ctx, func(now time.Duration, _ uint64) (Result, bool) {
 		if !r.proven() {
 			return Result{Outcome: OutcomeUnavailable, Reason: "the store does not answer", RetryAfterMs: retryStoreMs}, true
 		}
 		state, known := r.core.State(id)
-		if !known {
+		if !known || !r.core.Shows(id, by) {
 			return Result{Outcome: OutcomeAbsent}, true
 		}
 		return Result{Outcome: OutcomeDone, State: state}, true
--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -51,6 +51,8 @@
 type JobCall struct {
 	Pool string `cbor:"1,keyasint"`
 	ID   string `cbor:"2,keyasint"`
+	// By is who asks.
+	By executor.Caller `cbor:"3,keyasint,omitempty"`
 }
 
 // QueueCall names a queue of a pool.
@@ -174,11 +176,11 @@
 }
 
 func (m *Manager) localCancel(ctx context.Context, in JobCall) Result {
-	return m.localCall(in.Pool, func(r *Runner) Result { return r.cancelJob(ctx, in.ID) })
+	return m.localCall(in.Pool, func(r *Runner) Result { return r.cancelJob(ctx, in.ID, in.By) })
 }
 
 func (m *Manager) localState(ctx context.Context, in JobCall) Result {
-	return m.localCall(in.Pool, func(r *Runner) Result { return r.state(ctx, in.ID) })
+	return m.localCall(in.Pool, func(r *Runner) Result { return r.state(ctx, in.ID, in.By) })
 }
 
 func (m *Manager) localPending(ctx context.Context, in QueueCall) Result {
