--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -237,6 +237,7 @@
 func (r *Runner) logEvents() {
 	for _, e := range r.core.TakeEvents() {
 		metrics.GetOrCreateCounter(fmt.Sprintf("cyclamen_pool_events_total{event=%q}", e.Kind)).Inc()
+		countAccount(e)
 		attrs := []any{"epoch", r.epoch, "job", e.Job, "task", e.Task, "run", e.Run,
 			"instance", e.Endpoint, "started_ms", e.StartedMs, "reason", e.Reason, "age_ms", e.AgeMs}
 		if e.Account != "" {
