A share is not kept for a pool that has nothing of the account any more

Cause, by the logs: the other pool's share was lowered while its last tasks of the account ran. Its owner acknowledged that with what they used; then they ended, and as the account had nothing there any more, the owner's reports left it out. The holder kept what had been used for that pool, with nothing left to be acknowledged and so nothing to ask about. Ruled out: amounts that were taken and not given back (the pools' balances show nothing running), answers that were lost (the duty's rounds go on).

An owner's answer is complete: accounts that it leaves out have nothing there. The test fails before.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -75,26 +75,37 @@
 func NewLedger() *Ledger { return &Ledger{entries: map[string]*entry{}} }
 
 // Observe takes in a pool's reports. At the time proven their owner was the newest of its
-// pool.
+// pool. Accounts that it leaves out have nothing there: taken for what was said of them last,
+// what they used would be kept for them for ever.
 func (l *Ledger) Observe(now, proven time.Duration, pool string, reports []Report) {
+	told := map[string]bool{}
 	for _, r := range reports {
+		told[r.Account] = true
 		e := l.entries[r.Account]
 		if e == nil {
 			e = l.open(r.Account)
 		}
-		if e == nil {
-			continue
+		if e != nil {
+			e.observe(pool, view{at: now, proven: proven, report: r})
 		}
-		e.views[pool] = view{at: now, proven: proven, report: r}
-		p := e.Parts[pool]
-		if !e.dirty && e.goesBy(pool) {
-			p.Held = p.Share
+	}
+	for account, e := range l.entries {
+		if last, heard := e.views[pool]; heard && !told[account] {
+			e.observe(pool, view{at: now, proven: proven, report: Report{Account: account, Rev: last.report.Rev}})
 		}
-		p.Held = max(p.Held, r.Used.shareOf(e.Limit))
-		e.Parts[pool] = p
 	}
 }
 
+func (e *entry) observe(pool string, v view) {
+	e.views[pool] = v
+	p := e.Parts[pool]
+	if !e.dirty && e.goesBy(pool) {
+		p.Held = p.Share
+	}
+	p.Held = max(p.Held, v.report.Used.shareOf(e.Limit))
+	e.Parts[pool] = p
+}
+
 // open begins an account's entry with the same share for each pool. Nothing of the account
 // can have started before. An account that is not published has no limit.
 func (l *Ledger) open(account string) *entry {
--- /dev/null
+++ b/internal/quota/ledger_test.go
@@ -0,0 +1,55 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/accounts"
+)
+
+// An account's tasks wait in one pool for ever: the other one used its share when it was last
+// asked, has nothing of the account any more, and so no longer reports on it.
+func TestAShareIsTakenBackFromAPoolThatHasNothingAnyMore(t *testing.T) {
+	g := NewWithT(t)
+	d := accounts.NewDirectory()
+	g.Expect(d.Add(accounts.Account{Name: "alpha", Limit: accounts.Limit{CPUMilli: 3000}})).To(Succeed())
+	now, pools := time.Second, []string{"rooms", "tabs"}
+	l, owners := NewLedger(), map[string]*Allowance{}
+	for _, pool := range pools {
+		owners[pool] = NewAllowance()
+		owners[pool].SetDirectory(d)
+	}
+	round := func(wants map[string]map[string]Waiting) {
+		now += 100 * time.Millisecond
+		l.Decide(now, d, pools)
+		l.Saved(now)
+		for _, pool := range pools {
+			ask := l.Ask(pool)
+			owners[pool].Grant(ask.Grants)
+			l.Observe(now+time.Millisecond, now+time.Millisecond, pool, owners[pool].Reports(ask.Grants, wants[pool]))
+		}
+	}
+	task := Amount{CPUMilli: 1000}
+	waiting := func(tasks int) map[string]Waiting {
+		var w Waiting
+		w.Add(task, tasks)
+		return map[string]Waiting{"alpha": w}
+	}
+	for range 10 {
+		round(map[string]map[string]Waiting{"rooms": waiting(4)})
+		if owners["rooms"].Fits("alpha", task, 1) {
+			owners["rooms"].Take("alpha", task)
+		}
+	}
+	g.Expect(owners["rooms"].Fits("alpha", task, 1)).To(BeFalse(), "it has all of the limit")
+	for range 10 {
+		round(map[string]map[string]Waiting{"tabs": waiting(3)}) // what rooms runs goes on meanwhile
+	}
+	owners["rooms"].Give("alpha", task.Times(3))
+	for range 20 {
+		round(map[string]map[string]Waiting{"tabs": waiting(3)})
+	}
+	g.Expect(owners["tabs"].Fits("alpha", task.Times(2), 2)).To(BeTrue())
+}
