An amount of resources has one type

The executor's room of an endpoint and the amounts that accounts' limits count were two types with the same fields, and the same sums and differences; needs built anew what declared already says. Room is another name for quota.Amount now. Behaviour and dumps are the same.

--- a/internal/executor/advice.go
+++ b/internal/executor/advice.go
@@ -120,7 +120,7 @@
 		switch {
 		case good:
 			fit = append(fit, e)
-			if e.free().holds(needs(s.spec)) {
+			if e.free().Holds(needs(s.spec)) {
 				room++
 			}
 		case !s.advice.asked[e.incarnation()]:
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -366,28 +366,12 @@
 }
 
 // Room is an amount of an endpoint's resources.
-type Room struct {
-	CPUMilli int `json:"cpu_milli"`
-	MemoryMB int `json:"memory_mb"`
-	GPUs     int `json:"gpus"`
-}
-
-func (r Room) plus(o Room) Room {
-	return Room{r.CPUMilli + o.CPUMilli, r.MemoryMB + o.MemoryMB, r.GPUs + o.GPUs}
-}
-
-func (r Room) minus(o Room) Room {
-	return Room{r.CPUMilli - o.CPUMilli, r.MemoryMB - o.MemoryMB, r.GPUs - o.GPUs}
-}
-
-func (r Room) holds(o Room) bool {
-	return r.CPUMilli >= o.CPUMilli && r.MemoryMB >= o.MemoryMB && r.GPUs >= o.GPUs
-}
+type Room = quota.Amount
 
 // needs is what a task of the step takes of its endpoint. A filling task takes
 // only the processor time that others leave, but its memory is allocated.
 func needs(s *jobs.Step) Room {
-	r := Room{s.CPUMilli, s.MemoryMB, s.GPUs}
+	r := declared(s)
 	if s.Fills {
 		r.CPUMilli = 0
 	}
--- a/internal/executor/explain.go
+++ b/internal/executor/explain.go
@@ -148,7 +148,7 @@
 	if e.speed.slow && e.probed() && !t.step.spec.LongRunning {
 		return obstacleSlow
 	}
-	if !e.free().holds(needs(t.step.spec)) {
+	if !e.free().Holds(needs(t.step.spec)) {
 		return obstacleRoom
 	}
 	return c.mismatch(now, t, e)
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -24,13 +24,13 @@
 	return c.closedBy(now, e) == obstacleNone
 }
 
-func (e *endpoint) free() Room { return e.capacity.minus(e.used) }
+func (e *endpoint) free() Room { return e.capacity.Minus(e.used) }
 
 func (c *Core) occupy(t *task, e *endpoint) {
 	t.phase = taskPlaced
 	t.host = e
 	e.tasks[t] = true
-	e.used = e.used.plus(needs(t.step.spec))
+	e.used = e.used.Plus(needs(t.step.spec))
 	t.step.perHost[e]++
 	t.step.job.placed++
 	c.allowance.Take(t.step.job.rec.Account, declared(t.step.spec))
@@ -42,7 +42,7 @@
 	e := t.host
 	t.endTrial()
 	delete(e.tasks, t)
-	e.used = e.used.minus(needs(t.step.spec))
+	e.used = e.used.Minus(needs(t.step.spec))
 	t.step.perHost[e]--
 	if t.step.perHost[e] == 0 {
 		delete(t.step.perHost, e)
--- a/internal/executor/reserve.go
+++ b/internal/executor/reserve.go
@@ -88,7 +88,7 @@
 func (c *Core) choiceToKeep(now time.Duration, t *task, hosts []*endpoint) *endpoint {
 	var best *endpoint
 	for _, e := range hosts {
-		if e.keptFor != nil || !e.withoutShort().holds(needs(t.step.spec)) || c.mismatch(now, t, e) != obstacleNone {
+		if e.keptFor != nil || !e.withoutShort().Holds(needs(t.step.spec)) || c.mismatch(now, t, e) != obstacleNone {
 			continue
 		}
 		if best == nil || e.free().CPUMilli > best.free().CPUMilli {
@@ -103,7 +103,7 @@
 	room := e.capacity
 	for t := range e.tasks {
 		if t.step.spec.LongRunning {
-			room = room.minus(needs(t.step.spec))
+			room = room.Minus(needs(t.step.spec))
 		}
 	}
 	return room
--- a/internal/executor/room.go
+++ b/internal/executor/room.go
@@ -26,7 +26,7 @@
 // mayLeave reports whether a durable start may still leave: its endpoint's room may have shrunk
 // since it was decided.
 func (c *Core) mayLeave(now time.Duration, e *endpoint) bool {
-	return c.roomKnown(now, e) && e.capacity.holds(e.used)
+	return c.roomKnown(now, e) && e.capacity.Holds(e.used)
 }
 
 // takeBack gives up a start that may not leave. One that has left before may have been
--- a/internal/quota/allowance.go
+++ b/internal/quota/allowance.go
@@ -65,7 +65,7 @@
 func (a *Allowance) Take(account string, amount Amount) {
 	if account != "" {
 		u := a.use(account)
-		u.amount = u.amount.plus(amount)
+		u.amount = u.amount.Plus(amount)
 	}
 }
 
@@ -73,7 +73,7 @@
 func (a *Allowance) Give(account string, amount Amount) {
 	if account != "" {
 		u := a.use(account)
-		u.amount = u.amount.minus(amount)
+		u.amount = u.amount.Minus(amount)
 	}
 }
 
@@ -98,7 +98,7 @@
 	case u.grant.Share == Whole && tasks == 1 && u.amount == (Amount{}):
 		return true
 	}
-	return u.amount.plus(amount).within(u.grant.Limit, u.grant.Share)
+	return u.amount.Plus(amount).within(u.grant.Limit, u.grant.Share)
 }
 
 // CPU is how much of an account's processor limit the pool has, in milli-cores. It is not
@@ -139,7 +139,7 @@
 	for account := range about {
 		u := a.use(account)
 		out = append(out, Report{Account: account, Rev: u.grant.Rev, Used: u.amount,
-			Want: u.amount.plus(wants[account].Sum), Least: u.amount.plus(wants[account].Least)})
+			Want: u.amount.Plus(wants[account].Sum), Least: u.amount.Plus(wants[account].Least)})
 	}
 	slices.SortFunc(out, func(x, y Report) int { return cmp.Compare(x.Account, y.Account) })
 	return out
--- a/internal/quota/property_test.go
+++ b/internal/quota/property_test.go
@@ -281,7 +281,7 @@
 			r := &p.waiting[i]
 			a, _ := w.configs[len(w.configs)-1].Account(r.account)
 			running := w.running(r.account)
-			if w.hasLarge(r.account, a.Limit) || !running.Times(2).within(a.Limit, Whole) || !running.plus(r.amount.Times(2)).within(a.Limit, Whole) {
+			if w.hasLarge(r.account, a.Limit) || !running.Times(2).within(a.Limit, Whole) || !running.Plus(r.amount.Times(2)).within(a.Limit, Whole) {
 				r.starves = 0
 				continue
 			}
@@ -312,7 +312,7 @@
 	for _, p := range w.pools {
 		for _, r := range p.running {
 			if r.account == account {
-				sum = sum.plus(r.amount)
+				sum = sum.Plus(r.amount)
 			}
 		}
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -31,14 +31,21 @@
 	GPUs     int `cbor:"3,keyasint,omitempty" json:"gpus"`
 }
 
-func (a Amount) plus(o Amount) Amount {
+// Plus returns the sum of two amounts.
+func (a Amount) Plus(o Amount) Amount {
 	return Amount{a.CPUMilli + o.CPUMilli, a.MemoryMB + o.MemoryMB, a.GPUs + o.GPUs}
 }
 
-func (a Amount) minus(o Amount) Amount {
+// Minus returns the difference of two amounts.
+func (a Amount) Minus(o Amount) Amount {
 	return Amount{a.CPUMilli - o.CPUMilli, a.MemoryMB - o.MemoryMB, a.GPUs - o.GPUs}
 }
 
+// Holds reports whether an amount has at least as much of each resource as another.
+func (a Amount) Holds(o Amount) bool {
+	return a.CPUMilli >= o.CPUMilli && a.MemoryMB >= o.MemoryMB && a.GPUs >= o.GPUs
+}
+
 // Times returns n times the amount.
 func (a Amount) Times(n int) Amount { return Amount{n * a.CPUMilli, n * a.MemoryMB, n * a.GPUs} }
 
@@ -72,7 +79,7 @@
 	if w.Sum == (Amount{}) || each.CPUMilli < w.Least.CPUMilli {
 		w.Least = each
 	}
-	w.Sum = w.Sum.plus(each.Times(count))
+	w.Sum = w.Sum.Plus(each.Times(count))
 }
 
 // Grant is a pool's share of an account's limit, as its holder has recorded it.
