An account's limit is asked once a placement, and is an obstacle like the others

A task that was about to be placed had its account's share asked for twice, by the step's loop and by the task's own check. What unblocks a job at its account's limit stood beside the table of obstacles as a case of its own, with a second walk over the waiting tasks. The holder of shares sorted the names of all accounts in each round to learn how many there are. Behaviour and output are the same.

--- a/internal/accounts/accounts.go
+++ b/internal/accounts/accounts.go
@@ -120,6 +120,14 @@
 	return d.Account(name)
 }
 
+// Len is the number of accounts.
+func (d *Directory) Len() int {
+	if d == nil {
+		return 0
+	}
+	return len(d.byName)
+}
+
 // Names returns the names of all accounts in order.
 func (d *Directory) Names() []string {
 	if d == nil {
--- a/internal/executor/crashes.go
+++ b/internal/executor/crashes.go
@@ -233,7 +233,12 @@
 	return lost.endpoints > 0 && now-lost.last < awaitWord && t.evidence.Crashes+lost.endpoints >= crashesShown
 }
 
-// mayStart reports whether a task waits and may be placed now.
+// isDue reports whether a task waits, and nothing of its own keeps it from being placed now.
+func (c *Core) isDue(now time.Duration, t *task) bool {
+	return t.phase == taskWaiting && now >= t.notBefore && !c.heldBack(now, t)
+}
+
+// mayStart reports whether a task is due and its account may start it.
 func (c *Core) mayStart(now time.Duration, t *task) bool {
-	return t.phase == taskWaiting && now >= t.notBefore && !c.heldBack(now, t) && c.allowed(t.step, 1)
+	return c.isDue(now, t) && c.allowed(t.step, 1)
 }
--- a/internal/executor/dump.go
+++ b/internal/executor/dump.go
@@ -161,9 +161,7 @@
 		for o := range counts {
 			met[o] = true
 		}
-	}
-	if slices.ContainsFunc(j.waitingTasks(), func(t *task) bool { return !c.allowed(t.step, 1) }) {
-		d.Unblock = append(d.Unblock, "the end of a task of the same account, or a higher limit")
+		met[obstacleAccount] = met[obstacleAccount] || !c.allowed(t.step, 1)
 	}
 	for _, o := range obstacles {
 		if met[o] && unblocks[o] != "" {
--- a/internal/executor/explain.go
+++ b/internal/executor/explain.go
@@ -63,7 +63,7 @@
 func (c *Core) whyWaiting(now time.Duration, t *task, counts map[string]int) string {
 	var parts []string
 	if !c.allowed(t.step, 1) {
-		parts = append(parts, waitsForAccount)
+		parts = append(parts, obstacleAccount)
 	}
 	for _, name := range obstacles {
 		if counts[name] > 0 {
@@ -76,11 +76,10 @@
 	return strings.Join(parts, ", ")
 }
 
-// waitsForAccount says that a task waits for others of its client account to end.
-const waitsForAccount = "its account's limit"
-
 // Obstacles, in the order in which they are told.
 const (
+	// obstacleAccount is no endpoint's: the task waits for others of its client account.
+	obstacleAccount   = "its account's limit"
 	obstacleNone      = "open"
 	obstacleRoom      = "full"
 	obstacleLabel     = "unlike"
@@ -103,12 +102,13 @@
 	obstacleBegun     = "where others have just begun"
 )
 
-var obstacles = []string{obstacleNone, obstacleRoom, obstacleLabel, obstacleSpread, obstacleSharing, obstacleTicket, obstacleUnlisted,
+var obstacles = []string{obstacleAccount, obstacleNone, obstacleRoom, obstacleLabel, obstacleSpread, obstacleSharing, obstacleTicket, obstacleUnlisted,
 	obstacleDraining, obstacleVacating, obstacleUnknown, obstacleSilent, obstacleStrangers, obstacleQuiet, obstacleKept, obstacleSlow, obstacleWithheld,
 	obstacleEntry, obstacleTrial, obstacleStale, obstacleBegun}
 
 // unblocks is what ends an obstacle, where something does.
 var unblocks = map[string]string{
+	obstacleAccount:   "the end of a task of the same account, or a higher limit",
 	obstacleRoom:      "a task that ends on a full endpoint, or an instance that comes to the pool",
 	obstacleSpread:    "one more endpoint, for a step whose tasks must be apart",
 	obstacleSharing:   "an endpoint without tasks that serve or fill, whichever the other is",
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -163,7 +163,7 @@
 		if !c.mayPlace(s) || !c.admits(now, s, 1) {
 			return
 		}
-		if !c.mayStart(now, t) {
+		if !c.isDue(now, t) {
 			continue
 		}
 		e := c.choose(now, t, hosts)
@@ -186,7 +186,7 @@
 	}
 	run := 0
 	for _, t := range s.tasks {
-		if !c.mayStart(now, t) {
+		if !c.isDue(now, t) {
 			return
 		}
 		run = max(run, t.run)
--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -142,7 +142,7 @@
 
 // configChanged lets the duties know of a configuration that has come into force.
 func (n *Node) configChanged(c *routing.Config) {
-	n.log.Info("configuration in force", "config_version", c.Version, "queues", len(c.Queues), "accounts", len(c.Accounts.Names()))
+	n.log.Info("configuration in force", "config_version", c.Version, "queues", len(c.Queues), "accounts", c.Accounts.Len())
 	n.manager.SetPools(poolsOf(c))
 	n.manager.SetAccounts(c.Accounts)
 	n.passEndpoints()
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -143,11 +143,10 @@
 // openEarly opens the entries of all accounts where they are few, so that their first jobs
 // need not wait for it.
 func (l *Ledger) openEarly() {
-	names := l.directory.Names()
-	if len(names) > mostEarly || len(l.entries) >= len(names) {
+	if count := l.directory.Len(); count > mostEarly || len(l.entries) >= count {
 		return
 	}
-	for _, account := range names {
+	for _, account := range l.directory.Names() {
 		if l.entries[account] == nil {
 			l.open(account)
 		}
