fleetops: a round reads each list of instances once

Callers saw: the first seconds of a burst without capacity on a fleet of 6,000 instances. Cause, by reading and a benchmark: for each instance that a pool asked for, donor and leastLoaded walked all instances, with an allocation for each one looked at, and redirect sorted all operations, so a round cost instances times moves.

Candidates are now sorted by pool once a round and read through a position for each destination: operations only begin within a round, so what can't be moved to a pool stays so until its end. The capacity on its way is summed in one pass, and owners are told of it by steps of 100 ms instead of one entry an instance. Which instances are chosen is unchanged.

--- a/internal/fleetops/balance.go
+++ b/internal/fleetops/balance.go
@@ -37,20 +37,17 @@
 
 // meanInstanceCPU is the mean size of an instance, in milli-cores.
 func (s *State) meanInstanceCPU() float64 {
-	sum := 0
-	for _, i := range s.instances {
-		sum += i.CPUMilli
-	}
 	if len(s.instances) == 0 {
 		return 0
 	}
-	return float64(sum) / float64(len(s.instances))
+	return float64(s.instancesCPU) / float64(len(s.instances))
 }
 
 func (s *State) balances(now time.Duration, unit float64) []balance {
 	var out []balance
+	incoming := s.incomingCPU(now)
 	for pool, v := range s.pools {
-		b := balance{pool: pool, have: float64(v.Summary.CapacityMilli) + s.incomingCPU(now, pool)}
+		b := balance{pool: pool, have: float64(v.Summary.CapacityMilli) + incoming[pool]}
 		s.computeNeeds(&b, v.Summary, unit)
 		out = append(out, b)
 	}
--- a/internal/fleetops/decide.go
+++ b/internal/fleetops/decide.go
@@ -57,7 +57,7 @@
 // Decide advances the operations and waves in progress and begins those that are due.
 func (s *State) Decide(now time.Duration, wallMs int64) Actions {
 	a := Actions{Due: map[string][]string{}}
-	s.needsList = false
+	s.needsList, s.visits = false, 0
 	s.dropExpired(now)
 	for _, name := range s.sortedOps() {
 		s.reconcileOperation(now, s.ops[name], &a)
--- a/internal/fleetops/incoming.go
+++ b/internal/fleetops/incoming.go
@@ -1,6 +1,8 @@
 package fleetops
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"cyclamenwheel/internal/executor"
@@ -18,15 +20,15 @@
 	return sum
 }
 
-// incomingCPU is the capacity of the instances on their way to a pool, in milli-cores.
-func (s *State) incomingCPU(now time.Duration, pool string) float64 {
-	sum := 0.0
+// incomingCPU is, for each pool, the capacity of the instances on their way there, in milli-cores.
+func (s *State) incomingCPU(now time.Duration) map[string]float64 {
+	sums := map[string]float64{}
 	for _, op := range s.ops {
-		if s.isIncoming(now, op, pool) {
-			sum += float64(s.instances[op.Instance].CPUMilli)
+		if pool, onItsWay := s.incomingTo(now, op); onItsWay {
+			sums[pool] += float64(s.instances[op.Instance].CPUMilli)
 		}
 	}
-	return sum
+	return sums
 }
 
 // IncomingCapacity is, for each pool, the CPU capacity on its way there, and the capacity that could
@@ -35,6 +37,7 @@
 	unit := s.meanInstanceCPU()
 	idle := s.idleSpareCPU()
 	balances := s.balances(now, unit)
+	onTheirWay := s.incomingByArrival(now)
 	incoming := make(map[string][]executor.IncomingCapacity, len(pools))
 	for _, pool := range pools {
 		available := idle
@@ -43,16 +46,26 @@
 				available -= b.shortfall()
 			}
 		}
-		incoming[pool] = append(s.incomingInstances(now, pool), executor.IncomingCapacity{CPUMilli: int(available), InMs: (s.limits.MoveTime + joinTime).Milliseconds()})
+		incoming[pool] = append(onTheirWay[pool], executor.IncomingCapacity{CPUMilli: int(available), InMs: (s.limits.MoveTime + joinTime).Milliseconds()})
 	}
 	return incoming
 }
 
-// incomingInstances are the instances on their way to a pool.
-func (s *State) incomingInstances(now time.Duration, pool string) []executor.IncomingCapacity {
-	var out []executor.IncomingCapacity
+// arrivalStep is the resolution of arrival times that owners are told: the message to a pool's owner
+// then has as many entries as a move has steps, however many instances are on their way.
+const arrivalStep = 100 * time.Millisecond
+
+// incomingByArrival is, for each pool, the capacity on its way there by the time left until its
+// arrival, rounded up to a whole arrivalStep, the soonest first.
+func (s *State) incomingByArrival(now time.Duration) map[string][]executor.IncomingCapacity {
+	type arrival struct {
+		pool  string
+		steps int64
+	}
+	sums := map[arrival]int{}
 	for _, op := range s.ops {
-		if !s.isIncoming(now, op, pool) {
+		pool, onItsWay := s.incomingTo(now, op)
+		if !onItsWay {
 			continue
 		}
 		left := s.limits.MoveTime + joinTime
@@ -62,21 +75,29 @@
 		if op.acceptedAt > 0 {
 			left -= now - op.acceptedAt
 		}
-		out = append(out, executor.IncomingCapacity{CPUMilli: s.instances[op.Instance].CPUMilli, InMs: max(0, left).Milliseconds()})
+		steps := (max(0, left) + arrivalStep - 1) / arrivalStep
+		sums[arrival{pool, int64(steps)}] += s.instances[op.Instance].CPUMilli
+	}
+	out := map[string][]executor.IncomingCapacity{}
+	for a, cpu := range sums {
+		out[a.pool] = append(out[a.pool], executor.IncomingCapacity{CPUMilli: cpu, InMs: a.steps * arrivalStep.Milliseconds()})
+	}
+	for _, list := range out {
+		slices.SortFunc(list, func(x, y executor.IncomingCapacity) int { return cmp.Compare(x.InMs, y.InMs) })
 	}
 	return out
 }
 
-// isIncoming reports whether an operation brings its instance to a pool: the instance moves there,
+// incomingTo returns the pool to which an operation brings its instance: the instance moves there,
 // or comes back from maintenance sooner than another could be requested. One that has had the time
 // to arrive is part of the pool's own capacity, if it did arrive.
-func (s *State) isIncoming(now time.Duration, op *Operation, pool string) bool {
+func (s *State) incomingTo(now time.Duration, op *Operation) (pool string, onItsWay bool) {
 	if op.Phase == PhaseEnded {
-		return false
+		return "", false
 	}
 	if op.Kind == KindMaintain {
-		return op.From == pool && op.acceptedAt > 0 && now-op.acceptedAt < s.limits.MaintainTime+viewLag
+		return op.From, op.acceptedAt > 0 && now-op.acceptedAt < s.limits.MaintainTime+viewLag
 	}
 	arrived := op.acceptedAt > 0 && now-op.acceptedAt > s.limits.MoveTime+viewLag
-	return op.To == pool && !arrived
+	return op.To, !arrived
 }
--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -65,14 +65,15 @@
 	}
 	balances := s.balances(now, unit)
 	sortByNeed(balances, unit)
+	c := newCandidates(s, now)
 	for i := range balances {
 		for balances[i].shortfall() > minShortfall*unit {
-			if op := s.redirect(balances[i].pool); op != nil {
+			if op := c.redirect(balances[i].pool); op != nil {
 				balances[i].have += float64(s.instances[op.Instance].CPUMilli)
 				a.Events = append(a.Events, Event{What: "move redirected", Instance: op.Instance, Reason: "needed", Pool: op.To})
 				continue
 			}
-			donor, donorIndex := s.donor(now, unit, balances, balances[i])
+			donor, donorIndex := c.donor(unit, balances, balances[i])
 			if donor == nil {
 				break
 			}
@@ -83,7 +84,7 @@
 			}
 		}
 	}
-	s.switchOff(now, unit, balances, a)
+	s.switchOff(now, unit, balances, c, a)
 	s.fleetSurplus = s.idleSpareCPU()
 	for _, b := range balances {
 		s.poolSurplus[b.pool] = -b.shortfall()
@@ -107,21 +108,6 @@
 	})
 }
 
-// redirect sends a pool an instance that was about to be switched off and whose order has not been
-// sent.
-func (s *State) redirect(pool string) *Operation {
-	for _, name := range s.sortedOps() {
-		op := s.ops[name]
-		if op.Kind != KindMove || op.To != s.spare || op.Phase != PhaseVacating || op.From == pool || s.rejectedKinds[kindInPool{s.instances[name].Kind, pool}] {
-			continue
-		}
-		op.To = pool
-		s.dirtyOps[name] = true
-		return op
-	}
-	return nil
-}
-
 func (s *State) viewsFresh(now time.Duration) bool {
 	for _, v := range s.pools {
 		if now-v.At > maxViewAge {
@@ -131,28 +117,6 @@
 	return len(s.pools) > 0
 }
 
-// donor returns the instance that is cheapest to give to a pool, and the index in balances of the
-// pool that gives it, or -1 for the spare pool.
-func (s *State) donor(now time.Duration, unit float64, balances []balance, to balance) (*Instance, int) {
-	for _, name := range s.instanceNames {
-		i := s.instances[name]
-		if i.Pool == s.spare && s.movable(now, i, to.pool) {
-			return &i, -1
-		}
-	}
-	if index := largestDonor(balances, to.pool, func(b balance) float64 { return b.availableFor(to, unit) }, unit); index >= 0 {
-		return s.leastLoaded(now, balances[index].pool, to.pool, maxDonorLoad*unit), index
-	}
-	if !to.lacksLongRunning(unit) {
-		return nil, -1
-	}
-	// No pool has a surplus: long-running tasks have priority over short ones.
-	if index := largestDonor(balances, to.pool, func(b balance) float64 { return b.have - b.longRunningNeed }, unit); index >= 0 {
-		return s.leastLoaded(now, balances[index].pool, to.pool, unit), index
-	}
-	return nil, -1
-}
-
 // largestDonor returns the index of the pool that can give the most, at least one instance, or -1.
 func largestDonor(balances []balance, to string, canGive func(balance) float64, unit float64) int {
 	best := -1
@@ -167,42 +131,13 @@
 	return best
 }
 
-// movable reports whether no operation is in progress on an instance, it may get orders, and the
-// platform has not rejected its kind for the pool.
-func (s *State) movable(now time.Duration, i Instance, to string) bool {
-	return i.Up && now >= s.noOrdersUntil[i.Name] && !s.reserved[i.Name] && s.activeOperation(i.Name) == nil && !s.rejectedKinds[kindInPool{i.Kind, to}]
-}
-
-// maxDonorLoad is the share of an instance that may be in use when it is chosen to move: its
-// tasks then end within about a second, their usual duration.
-const maxDonorLoad = 0.4
-
-// leastLoaded returns the instance of a pool with the least work to wait for, with at most maxUsed
-// milli-cores in use and without long-running tasks.
-func (s *State) leastLoaded(now time.Duration, pool, to string, maxUsed float64) *Instance {
-	loads := s.pools[pool].endpointLoads
-	var best *Instance
-	leastUsed := maxUsed
-	for _, name := range s.instanceNames {
-		i := s.instances[name]
-		load, known := loads[i.Endpoint]
-		if i.Pool != pool || !known || load.HasLongRunning || !s.movable(now, i, to) {
-			continue
-		}
-		if used := float64(load.UsedMilli); best == nil && used <= leastUsed || best != nil && used < leastUsed {
-			best, leastUsed = &i, used
-		}
-	}
-	return best
-}
-
 func (s *State) beginMove(now time.Duration, i *Instance, to, reason string, a *Actions) {
 	s.begin(now, &Operation{Instance: i.Name, Kind: KindMove, From: i.Pool, To: to, Endpoint: i.Endpoint})
 	a.Events = append(a.Events, Event{What: "move begun", Instance: i.Name, Reason: reason, Pool: to})
 }
 
 // switchOff moves instances that their pools have not needed for a while to the spare pool.
-func (s *State) switchOff(now time.Duration, unit float64, balances []balance, a *Actions) {
+func (s *State) switchOff(now time.Duration, unit float64, balances []balance, c *candidates, a *Actions) {
 	if s.spare == "" {
 		return
 	}
@@ -222,7 +157,7 @@
 			continue
 		}
 		for have := b.have; have-b.need >= unit; have -= unit {
-			i := s.leastLoaded(now, b.pool, s.spare, maxDonorLoad*unit)
+			i := c.take(b.pool, s.spare, maxDonorLoad*unit)
 			if i == nil {
 				break
 			}
--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -18,7 +18,6 @@
 package fleetops
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -137,8 +136,10 @@
 	pools  map[string]*PoolView
 
 	instances map[string]Instance
-	// instanceNames are the keys of instances, sorted.
-	instanceNames []string
+	// namesByPool are the keys of instances by pool, sorted, and instancesCPU is the sum of their
+	// sizes in milli-cores.
+	namesByPool  map[string][]string
+	instancesCPU int
 	// listedAt is when the instance list was requested.
 	listedAt time.Duration
 	// needsList is set if an order waits for a list requested after the owner's report that the endpoint is empty.
@@ -167,6 +168,8 @@
 	claimedAt time.Duration
 	// rejectedKinds are the kinds of instances that the platform rejected for a pool.
 	rejectedKinds map[kindInPool]bool
+	// visits counts the instances and operations that the last round looked at to choose moves.
+	visits int
 }
 
 // Limits are durations guaranteed by the deployment, and the identity of the holder.
@@ -216,7 +219,14 @@
 	for _, i := range list {
 		s.instances[i.Name] = i
 	}
-	s.instanceNames = slices.Sorted(maps.Keys(s.instances))
+	s.namesByPool, s.instancesCPU = map[string][]string{}, 0
+	for _, i := range s.instances {
+		s.namesByPool[i.Pool] = append(s.namesByPool[i.Pool], i.Name)
+		s.instancesCPU += i.CPUMilli
+	}
+	for _, names := range s.namesByPool {
+		slices.Sort(names)
+	}
 }
 
 // ObservePool applies a summary from a pool's owner.
