fleetops: a round begins, asks and orders no more than the platform takes

On a fleet of thousands, one round began an operation for each idle instance: one record each in one append, each endpoint named in every call to its pool's owner until the operation's end, and all orders at once against a platform that takes 590 a second (the rest answered 429 and repeated after 0.9 s), needed and unneeded ones in the order of names. An owner's answer held the load of each of its endpoints and two entries for each one that is vacated: 23 and 36 bytes each with the platform's ids of 12 characters, so an owner of 1,460 endpoints that is asked about 890 of them exceeded the 64 KB of a peer message. The call then failed without a log line, no report arrived, and nothing in that pool could move.

A call that fails leaves a log line.

--- a/internal/executor/dump.go
+++ b/internal/executor/dump.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -77,6 +78,7 @@
 func (c *Core) Dump(now time.Duration) PoolDump {
 	d := PoolDump{Summary: c.Summary(now), Epoch: c.epoch, Starts: StartsDump{InFlight: c.startLimiter.inFlight,
 		Limit: int(c.startLimiter.limit), Waiting: len(c.startQueue), MedianMs: c.startLimiter.median.Milliseconds()}}
+	d.Summary.EndpointLoads = c.EndpointLoads(0, slices.Collect(maps.Keys(c.endpoints)))
 	for _, e := range c.endpoints {
 		d.Endpoints = append(d.Endpoints, EndpointDump{ID: e.id, Addr: e.addr, StartedMs: e.startedMs, Free: e.free(), Tasks: len(e.tasks),
 			Draining: e.draining, Vacating: e.vacating, FailedPolls: e.failedPolls,
--- a/internal/executor/summary.go
+++ b/internal/executor/summary.go
@@ -23,7 +23,8 @@
 	LongRunningCPUMilli int `json:"lasting_cpu_milli" cbor:"8,keyasint"`
 	// OfferedCoreMs counts all work submitted since the epoch began, accepted or not, each job
 	// once.
-	OfferedCoreMs float64        `json:"offered_core_ms" cbor:"9,keyasint"`
+	OfferedCoreMs float64 `json:"offered_core_ms" cbor:"9,keyasint"`
+	// EndpointLoads are the loads that were asked for, by endpoint.
 	EndpointLoads []EndpointLoad `json:"hosts" cbor:"10,keyasint"`
 	// MinEndpoints is how many endpoints the long-running tasks need to satisfy their steps'
 	// limits of tasks per endpoint, however small the tasks are.
@@ -49,7 +50,51 @@
 // for instances: the work has to be done, but not soon.
 const lateJobShare = 0.3
 
-// Summary returns the pool's state in figures.
+// EndpointLoads returns the loads of the named endpoints, and of the given number of others that
+// have the least load and no long-running tasks, of those that may get tasks.
+func (c *Core) EndpointLoads(least int, named []string) []EndpointLoad {
+	var out, others []EndpointLoad
+	for _, id := range named {
+		if e := c.endpoints[id]; e != nil && e.usable() {
+			out = append(out, e.load())
+		}
+	}
+	if least > 0 {
+		others = c.leastLoaded()
+	}
+	isNamed := make(map[string]bool, len(named))
+	for _, id := range named {
+		isNamed[id] = true
+	}
+	for _, l := range others {
+		if least == 0 {
+			break
+		}
+		if !isNamed[l.Endpoint] {
+			out = append(out, l)
+			least--
+		}
+	}
+	slices.SortFunc(out, func(a, b EndpointLoad) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return out
+}
+
+// leastLoaded returns the loads of the endpoints that may get tasks and have no long-running
+// ones, the least first.
+func (c *Core) leastLoaded() []EndpointLoad {
+	var out []EndpointLoad
+	for _, e := range c.endpoints {
+		if e.usable() && !e.hasLongRunning() {
+			out = append(out, e.load())
+		}
+	}
+	slices.SortFunc(out, func(a, b EndpointLoad) int {
+		return cmp.Or(cmp.Compare(a.UsedMilli, b.UsedMilli), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	return out
+}
+
+// Summary returns the pool's state in figures, without EndpointLoads.
 func (c *Core) Summary(now time.Duration) Summary {
 	s := Summary{Pool: c.pool, Jobs: len(c.open)}
 	for _, e := range c.endpoints {
@@ -59,10 +104,8 @@
 		s.Endpoints++
 		s.CapacityMilli += e.capacity.CPUMilli
 		s.RunningCPUMilli += e.used.CPUMilli
-		s.EndpointLoads = append(s.EndpointLoads, e.load())
 		s.LongRunningCPUMilli += e.longRunningCPU()
 	}
-	slices.SortFunc(s.EndpointLoads, func(a, b EndpointLoad) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	s.OfferedCoreMs = c.offeredCoreMs
 	s.MinEndpoints, s.Starved = c.minLongRunningEndpoints(), c.countUnplaceableSteps(now)
 	for _, j := range c.open {
--- a/internal/fleetops/decide.go
+++ b/internal/fleetops/decide.go
@@ -66,10 +66,12 @@
 	for _, n := range s.sortedWaves() {
 		s.advanceWave(now, wallMs, s.waves[n], &a)
 	}
-	for _, name := range s.sortedOps() {
-		s.vacateAndOrder(now, wallMs, s.ops[name], &a)
-	}
+	s.carryOut(now, wallMs, &a)
 	s.reportEndedIncarnations(&a)
+	a.VacateItems = s.limitItems(now, a.VacateItems)
+	for pool, due := range a.Due {
+		a.Due[pool] = due[:min(len(due), MaxDuePerCall)]
+	}
 	return a
 }
 
@@ -142,7 +144,7 @@
 	// An instance that is up without an endpoint may get one at any moment, so only the spare pool
 	// counts as having none.
 	switchedOff := i.Pool == s.spare
-	if op.Endpoint != "" && !switchedOff {
+	if op.Endpoint != "" && !switchedOff && s.mustAsk(now, op) {
 		a.VacateItems = append(a.VacateItems, VacateItem{Instance: op.Instance, Pool: op.From, Endpoint: op.Endpoint, StartedMs: op.StartedMs,
 			StopTasks: s.mustStopTasks(now, wallMs, op), Ended: s.incarnationEnded(op, i)})
 	}
@@ -157,7 +159,7 @@
 	if !empty || op.orderInFlight || op.orderedAt > 0 && now-op.orderedAt < orderRetryAfter || op.acceptedAt > 0 && !i.Up {
 		return
 	}
-	if op.acceptedAt > 0 && s.listedAt < op.acceptedAt+orderRetryAfter {
+	if op.acceptedAt > 0 && s.listedAt < op.acceptedAt+orderRetryAfter || !s.takeOrder(now) {
 		return
 	}
 	if op.Phase != PhaseOrdered || op.Holder != s.limits.Holder {
--- a/internal/fleetops/fleet_test.go
+++ b/internal/fleetops/fleet_test.go
@@ -53,6 +53,8 @@
 	ordered          []fleetops.Operation
 	journal          map[string][]byte
 	ordersUnanswered bool
+	// lastActions are those of the last round.
+	lastActions fleetops.Actions
 	// proofAge is how old the owners' proofs are.
 	proofAge time.Duration
 }
@@ -127,6 +129,7 @@
 		f.state.ObservePool(f.now, pool, f.summary(pool))
 	}
 	actions := f.state.Decide(f.now, wallStart+f.now.Milliseconds())
+	f.lastActions = actions
 	for _, r := range append(f.state.TakeRecords(f.now, wallStart+f.now.Milliseconds()), f.state.ClockRecord(f.now, wallStart+f.now.Milliseconds())) {
 		f.journal[r.Key] = r.Value
 	}
--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -66,6 +66,7 @@
 	balances := s.balances(now, unit)
 	sortByNeed(balances, unit)
 	c := newCandidates(s, now)
+	needed, switchOff := s.movesToBegin()
 	for i := range balances {
 		for balances[i].shortfall() > minShortfall*unit {
 			if op := c.redirect(balances[i].pool); op != nil {
@@ -73,10 +74,15 @@
 				a.Events = append(a.Events, Event{What: "move redirected", Instance: op.Instance, Reason: "needed", Pool: op.To})
 				continue
 			}
+			if needed == 0 {
+				break
+			}
 			donor, donorIndex := c.donor(unit, balances, balances[i])
 			if donor == nil {
 				break
 			}
+			needed--
+			switchOff--
 			s.beginMove(now, donor, balances[i].pool, "needed", a)
 			balances[i].have += float64(donor.CPUMilli)
 			if donorIndex >= 0 {
@@ -84,7 +90,8 @@
 			}
 		}
 	}
-	s.switchOff(now, unit, balances, c, a)
+	s.switchOff(now, unit, balances, c, switchOff, a)
+	s.updateLoadsWanted(balances, unit)
 	s.fleetSurplus = s.idleSpareCPU()
 	for _, b := range balances {
 		s.poolSurplus[b.pool] = -b.shortfall()
@@ -136,8 +143,9 @@
 	a.Events = append(a.Events, Event{What: "move begun", Instance: i.Name, Reason: reason, Pool: to})
 }
 
-// switchOff moves instances that their pools have not needed for a while to the spare pool.
-func (s *State) switchOff(now time.Duration, unit float64, balances []balance, c *candidates, a *Actions) {
+// switchOff moves instances that their pools have not needed for a while to the spare pool, at most
+// limit of them.
+func (s *State) switchOff(now time.Duration, unit float64, balances []balance, c *candidates, limit int, a *Actions) {
 	if s.spare == "" {
 		return
 	}
@@ -156,12 +164,13 @@
 		if now-d.surplusSince < idleTimeout {
 			continue
 		}
-		for have := b.have; have-b.need >= unit; have -= unit {
+		for have := b.have; have-b.need >= unit && limit > 0; have -= unit {
 			i := c.take(b.pool, s.spare, maxDonorLoad*unit)
 			if i == nil {
 				break
 			}
 			s.beginMove(now, i, s.spare, "not needed", a)
+			limit--
 		}
 	}
 }
--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -50,6 +50,8 @@
 	Items []VacateItem
 	// Due are endpoints whose instances a wave will need soon.
 	Due []string
+	// Loads is how many of the least loaded endpoints to report, beside those in Due.
+	Loads int
 	// IncomingCapacity is the CPU capacity on its way to the pool, or available to it.
 	IncomingCapacity []executor.IncomingCapacity
 	// Shares are the pool's shares of accounts' limits.
@@ -339,7 +341,7 @@
 		}
 		r.vacateInFlight[pool] = true
 		items := byPool[pool]
-		call := VacateCall{Items: items, Due: actions.Due[pool], IncomingCapacity: incoming[pool], Shares: r.shares.Ask(pool)}
+		call := VacateCall{Items: items, Due: actions.Due[pool], Loads: r.state.LoadsWanted(pool), IncomingCapacity: incoming[pool], Shares: r.shares.Ask(pool)}
 		go func() {
 			asked := planlease.Boottime()
 			answer := r.opts.Pools.VacateEndpoints(ctx, pool, call)
--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -75,6 +75,8 @@
 	// endConfirmed is set when the pool's owner has received the incarnation's end.
 	endConfirmed bool
 	beganAt      time.Duration
+	// askedAt is when the pool's owner was last asked to vacate the endpoint.
+	askedAt time.Duration
 	// hadLongRunning is set if long-running tasks were on the instance when the operation began.
 	hadLongRunning bool
 	// acceptedAt is when the platform accepted the order.
@@ -106,6 +108,9 @@
 	within    time.Duration
 	maxAtOnce int
 	done      map[string]bool
+	// loadsAskedAt is when the pools' owners were first asked for the loads of the wave's
+	// instances.
+	loadsAskedAt time.Duration
 	// announced reports whether the operator has been sent the wave's current state.
 	announced bool
 }
@@ -151,6 +156,8 @@
 	// reserved are instances that are not moved because a wave behind its pace needs them: one
 	// that keeps moving from pool to pool would never be available to the wave.
 	reserved map[string]bool
+	// loadsWanted is how many of a pool's least loaded endpoints the next round may take.
+	loadsWanted map[string]int
 	// poolSurplus is each pool's capacity beyond its need in the last round, in milli-cores.
 	poolSurplus map[string]float64
 	// fleetSurplus is the capacity of all pools and the spare pool beyond the pools' needs, in
@@ -168,6 +175,8 @@
 	claimedAt time.Duration
 	// rejectedKinds are the kinds of instances that the platform rejected for a pool.
 	rejectedKinds map[kindInPool]bool
+	// sentOrders are the orders of the last orderWindow.
+	sentOrders []orderBatch
 	// visits counts the instances and operations that the last round looked at to choose moves.
 	visits int
 }
@@ -182,6 +191,8 @@
 	HolderTTL time.Duration
 	// Epoch is the epoch of this holder's claim.
 	Epoch int64
+	// OrdersPerSecond is how many orders the platform accepts per second; 0 if it sets no limit.
+	OrdersPerSecond int
 }
 
 // kindInPool is a kind of instance in a pool.
@@ -191,7 +202,7 @@
 func NewState(limits Limits) *State {
 	return &State{limits: limits, pools: map[string]*PoolView{}, instances: map[string]Instance{}, ops: map[string]*Operation{},
 		waves: map[int]*Wave{}, demand: map[string]*demand{}, dirtyOps: map[string]bool{}, dirtyWaves: map[int]bool{},
-		poolSurplus: map[string]float64{}, reserved: map[string]bool{}, rejectedKinds: map[kindInPool]bool{}, noOrdersUntil: map[string]time.Duration{}}
+		poolSurplus: map[string]float64{}, loadsWanted: map[string]int{}, reserved: map[string]bool{}, rejectedKinds: map[kindInPool]bool{}, noOrdersUntil: map[string]time.Duration{}}
 }
 
 // ConfirmEnd records that a pool's owner has received an incarnation's end.
--- a/internal/fleetops/waves.go
+++ b/internal/fleetops/waves.go
@@ -90,6 +90,9 @@
 
 func (s *State) beginMaintenance(now time.Duration, w *Wave, due []Instance, inProgress, behind int, a *Actions) {
 	s.sortDue(due)
+	if w.loadsAskedAt == 0 {
+		w.loadsAskedAt = now
+	}
 	vacating := s.longRunningVacatesInProgress()
 	for n, i := range due {
 		s.reserved[i.Name] = n < behind
@@ -97,7 +100,7 @@
 	for _, i := range due {
 		hasLongRunning := s.hasLongRunning(i)
 		full := inProgress >= w.maxAtOnce || hasLongRunning && vacating[i.Pool] >= maxLongRunningVacates
-		if full || behind <= 0 && !hasLongRunning && !s.canSpare(i) {
+		if full || s.awaitsLoads(w, i) || behind <= 0 && !hasLongRunning && !s.canSpare(i) {
 			a.Due[i.Pool] = append(a.Due[i.Pool], i.Endpoint)
 			continue
 		}
@@ -114,6 +117,14 @@
 	}
 }
 
+// awaitsLoads reports whether an instance's load is not known yet because the wave has just begun:
+// owners report the loads of endpoints that are due. Begun without them, the wave would take
+// instances that cost the most to vacate.
+func (s *State) awaitsLoads(w *Wave, i Instance) bool {
+	view := s.pools[i.Pool]
+	return i.Pool != s.spare && view != nil && view.At <= w.loadsAskedAt
+}
+
 // longRunningVacatesInProgress counts, by pool, the instances whose long-running tasks are being moved
 // elsewhere for a wave.
 func (s *State) longRunningVacatesInProgress() map[string]int {
@@ -149,9 +160,15 @@
 // sortDue puts the instances first that cost least to vacate: switched off, then idle, then those
 // of the least loaded pools, and last those with long-running tasks.
 func (s *State) sortDue(due []Instance) {
-	cost := map[string]float64{}
+	cost, dueInPool := map[string]float64{}, map[string]int{}
+	for _, i := range due {
+		dueInPool[i.Pool]++
+	}
 	for _, i := range due {
 		cost[i.Name] = s.vacateCost(i)
+		if dueInPool[i.Pool] > MaxDuePerCall && !s.loadKnown(i) {
+			cost[i.Name] += unknownLoadCost
+		}
 	}
 	slices.SortStableFunc(due, func(a, b Instance) int { return cmp.Compare(cost[a.Name], cost[b.Name]) })
 }
@@ -160,8 +177,19 @@
 const (
 	longRunningCost = 2.0
 	idleFactor      = 0.5
+	// unknownLoadCost puts instances last whose loads were not asked for because too many are due.
+	unknownLoadCost = 2 * longRunningCost
 )
 
+func (s *State) loadKnown(i Instance) bool {
+	view := s.pools[i.Pool]
+	if i.Pool == s.spare || view == nil {
+		return true
+	}
+	_, known := view.endpointLoads[i.Endpoint]
+	return known
+}
+
 func (s *State) vacateCost(i Instance) float64 {
 	view := s.pools[i.Pool]
 	if i.Pool == s.spare || view == nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -272,7 +272,8 @@
 		Fleet: func(ctx context.Context, duty shards.Duty) {
 			fleetops.Run(ctx, fleetops.Options{Holder: n.set.Node, Member: member, Claims: duty, Claimed: duty.RecordClaim,
 				Store: store, Cloud: n.client, Pools: calls, Facts: n.fleetFacts, Logger: n.log,
-				Limits: fleetops.Limits{Holder: n.set.Node, MoveTime: n.set.Bounds.MoveTime, MaintainTime: n.set.Bounds.MaintainTime, HolderTTL: n.set.Bounds.HolderTTL}})
+				Limits: fleetops.Limits{Holder: n.set.Node, MoveTime: n.set.Bounds.MoveTime, MaintainTime: n.set.Bounds.MaintainTime, HolderTTL: n.set.Bounds.HolderTTL,
+					OrdersPerSecond: n.set.InstanceOrdersPerSecond}})
 		},
 		AskMembers: func(ctx context.Context, node string) (shards.MembersResult, error) {
 			return shards.AskMembers(ctx, n.peers, node)
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -25,6 +25,9 @@
 	// Store, Instances and Advice are the addresses of the platform's services.
 	// Instances and Advice may be empty.
 	Store, Instances, Advice string
+	// InstanceOrdersPerSecond is how many operations on instances the platform accepts per
+	// second; 0 if it sets no limit.
+	InstanceOrdersPerSecond int
 	// Orders names the transport of orders to endpoints; only "rpc" is
 	// supported.
 	Orders string
@@ -73,6 +76,7 @@
 		{Section: sectionStore, Name: "address", Kind: KindHostPort, Required: true, Doc: "Address of the platform's store."},
 		{Section: sectionStore, Name: "instances", Kind: KindHostPort, Optional: true, Doc: "Address of the platform's instance list."},
 		{Section: sectionStore, Name: "advice", Kind: KindHostPort, Optional: true, Doc: "Address of the advice service, if queues have one."},
+		{Section: sectionStore, Name: "instance_orders_per_second", Kind: KindNumber, Default: "0", Unit: "1/s", Max: 1 << 20, Doc: "Operations on instances that the platform accepts per second; 0 for no limit."},
 		{Section: sectionStore, Name: "orders", Kind: KindName, Default: "rpc", Doc: "Transport of orders to endpoints; only rpc is supported."},
 		{Section: sectionStore, Name: "contracts", Kind: KindList, Default: "", Doc: "Optional parts of the platform's contract that are in force, separated by commas."},
 		{Section: sectionBounds, Name: "strict_keys", Kind: KindBool, Default: "false", Doc: "Reject callers' API keys while the configuration cannot be confirmed."},
@@ -118,6 +122,7 @@
 			StrictKeys:   v.Bool(sectionBounds, "strict_keys"), KeysUnconfirmed: v.Duration(sectionBounds, "keys_unconfirmed"),
 		},
 	}
+	s.InstanceOrdersPerSecond = int(v.Number(sectionStore, "instance_orders_per_second"))
 	s.Contracts = v.List(sectionStore, "contracts")
 	if a := v.Addr(sectionStore, "instances"); a.IsValid() {
 		s.Instances = a.String()
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -64,6 +64,8 @@
 		return parseBool(text)
 	case KindRatio:
 		return parseRatio(text)
+	case KindNumber:
+		return k.parseNumber(text)
 	}
 	return nil, ReasonType, fmt.Sprintf("unknown kind %q", k.Kind)
 }
@@ -203,6 +205,17 @@
 	return nil, ReasonType, fmt.Sprintf("%q is neither true nor false", text)
 }
 
+func (k Key) parseNumber(text string) (any, Reason, string) {
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(f) {
+		return nil, ReasonType, fmt.Sprintf("%q is not a number", text)
+	}
+	if f < float64(k.Min) || f > float64(k.Max) {
+		return nil, ReasonRange, fmt.Sprintf("%s is outside the range: %s", text, k.rangeText())
+	}
+	return f, "", ""
+}
+
 func parseRatio(text string) (any, Reason, string) {
 	f, err := strconv.ParseFloat(text, 64)
 	if err != nil || math.IsNaN(f) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -100,6 +100,7 @@
 			{Section: "s", Name: "list", Kind: settings.KindList},
 			{Section: "s", Name: "on", Kind: settings.KindBool, Default: "false"},
 			{Section: "s", Name: "ratio", Kind: settings.KindRatio, Default: "0.5"},
+			{Section: "s", Name: "number", Kind: settings.KindNumber, Default: "590.0", Max: 1000},
 			{Section: "s", Name: "text", Kind: settings.KindString},
 		}}
 		v, err := settings.Load(writeSettings("[s]\nlist = a, b\non = true\n"), table)
@@ -107,6 +108,7 @@
 		Expect(v.List("s", "list")).To(Equal([]string{"a", "b"}))
 		Expect(v.Bool("s", "on")).To(BeTrue())
 		Expect(v.Ratio("s", "ratio")).To(Equal(0.5))
+		Expect(v.Number("s", "number")).To(Equal(590.0))
 		_, err = settings.Load(writeSettings("[s]\non = yes\nratio = 1.5\n"), table)
 		Expect(err).To(MatchError(And(ContainSubstring("wrong_type"), ContainSubstring("out_of_range"))))
 	})
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -28,6 +28,7 @@
 	KindURL      Kind = "URL"
 	KindBool     Kind = "boolean"
 	KindRatio    Kind = "ratio"
+	KindNumber   Kind = "number"
 )
 
 // Key declares one key.
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -55,5 +55,10 @@
 // Bool returns a boolean.
 func (v Values) Bool(section, key string) bool { return get[bool](v, section, key, "boolean") }
 
+// Number returns a number.
+func (v Values) Number(section, key string) float64 {
+	return get[float64](v, section, key, "number")
+}
+
 // Ratio returns a number from 0 to 1.
 func (v Values) Ratio(section, key string) float64 { return get[float64](v, section, key, "ratio") }
--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -73,6 +73,12 @@
 	StartedMs int64 `cbor:"4,keyasint,omitempty"`
 }
 
+// maxVacateMessage limits a VacateCall and its answer, in bytes. Both name a bounded number of
+// endpoints, however many the pool has.
+const maxVacateMessage = 256 << 10
+
+var maxVacateBytes = peer.MaxBytes(maxVacateMessage)
+
 // VacateCall requests that a pool's owner vacate endpoints and report the pool's state.
 type VacateCall struct {
 	Pool  string       `cbor:"1,keyasint"`
@@ -83,6 +89,8 @@
 	Due []string `cbor:"4,keyasint,omitempty"`
 	// Shares are the pool's shares of client accounts' limits.
 	Shares quota.Ask `cbor:"5,keyasint,omitempty"`
+	// Loads is how many of the least loaded endpoints to report, beside those in Due.
+	Loads int `cbor:"6,keyasint,omitempty"`
 }
 
 // VacateResult reports how many tasks are left on each requested endpoint; endpoints that
@@ -156,7 +164,7 @@
 	})
 	peer.Handle(n, kindVacate, func(ctx context.Context, _ peer.Identity, in VacateCall) (VacateResult, error) {
 		return m.localVacate(ctx, in), nil
-	})
+	}, maxVacateBytes)
 }
 
 // resultNotOwner answers a call on a pool that this process does not own.
@@ -291,8 +299,9 @@
 	if !ok || owner.Node == c.Manager.opts.Node {
 		return VacateResult{}
 	}
-	out, err := peer.Call[VacateCall, VacateResult](ctx, c.Peers, owner.Node, kindVacate, in)
+	out, err := peer.Call[VacateCall, VacateResult](ctx, c.Peers, owner.Node, kindVacate, in, maxVacateBytes)
 	if err != nil {
+		c.Manager.opts.Logger.Warn("pool's owner not asked to vacate endpoints", "pool", in.Pool, "peer", owner.Node, "items", len(in.Items), "error", err.Error())
 		return VacateResult{}
 	}
 	return out
@@ -300,7 +309,7 @@
 
 // VacateEndpoints implements fleetops.Pools by Vacate.
 func (c *Calls) VacateEndpoints(ctx context.Context, pool string, request fleetops.VacateCall) fleetops.VacateResult {
-	in := VacateCall{Pool: pool, IncomingCapacity: request.IncomingCapacity, Due: request.Due, Shares: request.Shares}
+	in := VacateCall{Pool: pool, IncomingCapacity: request.IncomingCapacity, Due: request.Due, Loads: request.Loads, Shares: request.Shares}
 	for _, item := range request.Items {
 		in.Items = append(in.Items, VacateItem{Endpoint: item.Endpoint, StopTasks: item.StopTasks, Ended: item.Ended, StartedMs: item.StartedMs})
 	}
--- a/internal/shards/runner_calls.go
+++ b/internal/shards/runner_calls.go
@@ -189,6 +189,7 @@
 	r.core.SetVacatingSoon(now, in.Due)
 	r.core.SetIncomingCapacity(now, in.IncomingCapacity)
 	result.Summary = r.core.Summary(now)
+	result.Summary.EndpointLoads = r.core.EndpointLoads(in.Loads, in.Due)
 	result.ProofAgeMs = r.tenure.ProofAge().Milliseconds()
 	return result, needsProof
 }
