Nodes without a duty ask a member instead of the store

Such a node now asks one member a second, the first by rank for the node, so that members share the callers and a node keeps one link. The answer leaves out members and holders that the caller has, and names the configuration in force. While a member confirms that, reads of the operators' topic wait 20 s; a read that waits is abandoned as soon as the members' word differs from what the node has, or is missing, or the node joins the group. The store is read as before where no member answers, and at once where a call finds no owner.

Ruled out: reading less often (owners and lost members are then learnt later), longer polls alone (a silent connection then hides a configuration for as long).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -20,6 +20,10 @@
 	// without a reset is detected after this plus the client's slack; together they stay
 	// below the time in which a configuration must take effect.
 	pollWait = 900 * time.Millisecond
+	// longPollWait is how long a read waits while Topic.Watched reports true, and
+	// watchInterval how often that is checked meanwhile.
+	longPollWait  = 20 * time.Second
+	watchInterval = 400 * time.Millisecond
 	// retryMin and retryMax bound the delay between attempts while the store does not
 	// answer.
 	retryMin = 100 * time.Millisecond
@@ -37,6 +41,10 @@
 	// otherwise cost a call for each record.
 	Gap    time.Duration
 	Handle Handler
+	// Watched, if set, reports whether something else would show that a read has missed a
+	// record because its connection has stalled. Reads then wait for longer; one that is
+	// waiting is abandoned as soon as Watched no longer reports true.
+	Watched func() bool
 	// OnAnswer, if set, is called after each answer of the store, once its records have been
 	// handled.
 	OnAnswer func()
@@ -51,7 +59,7 @@
 // Follow reads a topic until ctx ends. If the store no longer has the next records, it
 // reads the newest record of each key again, so that a feed never stays behind.
 func Follow(ctx context.Context, store Store, topic Topic, log *slog.Logger) {
-	f := follower{store: store, topic: topic.Name, log: log, handle: topic.Handle, next: -1}
+	f := follower{store: store, topic: topic.Name, log: log, handle: topic.Handle, watched: topic.Watched, next: -1}
 	retry := retryMin
 	for ctx.Err() == nil {
 		err := f.step(ctx)
@@ -105,8 +113,10 @@
 	topic  string
 	log    *slog.Logger
 	handle Handler
-	next   int64
-	down   bool
+	// watched is Topic.Watched.
+	watched func() bool
+	next    int64
+	down    bool
 }
 
 func (f *follower) step(ctx context.Context) error {
@@ -119,7 +129,7 @@
 		f.handle(true, page.Records)
 		return nil
 	}
-	page, err := f.store.Read(ctx, f.topic, f.next, pollWait)
+	page, err := f.read(ctx)
 	var trimmed *platform.TrimmedError
 	if errors.As(err, &trimmed) {
 		f.next = -1
@@ -135,6 +145,40 @@
 	return nil
 }
 
+// read waits for records, for long only while the topic is watched. A read that is abandoned
+// because it no longer is returns no records.
+func (f *follower) read(ctx context.Context) (platform.Page, error) {
+	if f.watched == nil || !f.watched() {
+		return f.store.Read(ctx, f.topic, f.next, pollWait)
+	}
+	reading, abandon := context.WithCancel(ctx)
+	defer abandon()
+	go f.abandonUnwatched(reading, abandon)
+	page, err := f.store.Read(reading, f.topic, f.next, longPollWait)
+	if err != nil && reading.Err() != nil && ctx.Err() == nil {
+		return platform.Page{Next: f.next}, nil
+	}
+	return page, err
+}
+
+// abandonUnwatched abandons a read once the topic is no longer watched.
+func (f *follower) abandonUnwatched(reading context.Context, abandon context.CancelFunc) {
+	tick := time.NewTicker(watchInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-reading.Done():
+			return
+		case <-tick.C:
+			if !f.watched() {
+				f.log.Info("read abandoned", "topic", f.topic, "reason", "nothing else shows whether it has stalled")
+				abandon()
+				return
+			}
+		}
+	}
+}
+
 func (f *follower) markDown(err error) {
 	if !f.down {
 		f.log.Warn("dependency lost", "dependency", "store", "topic", f.topic, "error", err.Error())
--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -155,12 +156,21 @@
 	n.distributeEndpoints()
 }
 
+// followOperator follows the operators' topic. A node without a duty needs its configurations only,
+// and hears of newer ones from a peer once a second.
 func (n *Node) followOperator(ctx context.Context) {
-	feed.Follow(ctx, n.client, feed.Topic{Name: platform.TopicOperator, Handle: func(reset bool, records []platform.Record) {
+	var version atomic.Int64 // of the configuration that this feed or a peer had brought before the read
+	watched := func() bool {
+		return !n.manager.InGroup() && n.configs.ConfirmedByPeers() && n.configs.Digest().Version == version.Load()
+	}
+	feed.Follow(ctx, n.client, feed.Topic{Name: platform.TopicOperator, Watched: watched, Handle: func(reset bool, records []platform.Record) {
 		if !n.applyOperatorRecords(records) && reset {
 			n.applyOperatorHistory(ctx)
 		}
-	}, OnAnswer: func() { n.configs.Confirm(planlease.Boottime()) }}, n.log)
+	}, OnAnswer: func() {
+		version.Store(n.configs.Digest().Version)
+		n.configs.Confirm(planlease.Boottime())
+	}}, n.log)
 }
 
 // peerNames returns the other nodes, sorted by name.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -275,9 +275,11 @@
 				Limits: fleetops.Limits{Holder: n.set.Node, MoveTime: n.set.Bounds.MoveTime, MaintainTime: n.set.Bounds.MaintainTime, HolderTTL: n.set.Bounds.HolderTTL,
 					OrdersPerSecond: n.set.InstanceOrdersPerSecond}})
 		},
-		AskMembers: func(ctx context.Context, node string) (shards.MembersResult, error) {
-			return shards.AskMembers(ctx, n.peers, node)
+		AskMembers: func(ctx context.Context, node string, in shards.MembersCall) (shards.MembersResult, error) {
+			return shards.AskMembers(ctx, n.peers, node, in)
 		},
+		Config:        n.configs.Digest,
+		ObserveConfig: n.configs.ObserveDigest,
 		NotifyLeaving: func(ctx context.Context, node string) { shards.NotifyLeaving(ctx, n.peers, node, member) },
 		OnPeers:       n.updatePeers,
 	})
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -15,7 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"cyclamenwheel/internal/pause"
 	"cyclamenwheel/internal/peer"
 	"cyclamenwheel/internal/planlease"
 	"cyclamenwheel/internal/routing"
@@ -26,6 +25,11 @@
 	// askPeersAfter is how long ago the store may last have confirmed the configuration
 	// before peers are asked. It is above the time between two answers of a healthy store.
 	askPeersAfter = 1300 * time.Millisecond
+	// askPeersLater replaces askPeersAfter while a peer tells regularly which configuration it
+	// has: it does so about once a second, and its own word is up to a second old.
+	askPeersLater = 2300 * time.Millisecond
+	// digestMaxAge is how long ago a peer's last word counts as regular.
+	digestMaxAge = 1600 * time.Millisecond
 	// askInterval spaces requests to peers, also those for an unknown key: a flood of
 	// unknown keys costs no more.
 	askInterval = 400 * time.Millisecond
@@ -60,11 +64,15 @@
 	// was last asked on a caller's behalf; both on a clock that keeps running during
 	// suspension.
 	confirmedAt, lastAsked atomic.Int64
-	nextPeer               atomic.Int64
+	// digestAt is when a peer last confirmed the configuration.
+	digestAt atomic.Int64
+	nextPeer atomic.Int64
+	// newer receives the peer that has a newer configuration.
+	newer chan string
 }
 
 // New returns a keeper without a configuration.
-func New(opts Options) *Keeper { return &Keeper{opts: opts} }
+func New(opts Options) *Keeper { return &Keeper{opts: opts, newer: make(chan string, 1)} }
 
 // Config returns the configuration in force, nil before the first.
 func (k *Keeper) Config() *routing.Config { return k.config.Load() }
@@ -100,23 +108,80 @@
 // KeysTrusted reports whether callers' keys may be accepted.
 func (k *Keeper) KeysTrusted() bool { return !k.opts.Strict || k.Age() < k.opts.Revoke }
 
-// Follow asks peers while the store does not answer, until ctx ends.
+// Follow asks peers while the store does not answer, and those that have a newer configuration,
+// until ctx ends.
 func (k *Keeper) Follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause.For(ctx, askInterval)
-		if k.Age() > askPeersAfter {
-			k.askPeer(ctx)
+	tick := time.NewTicker(askInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case name := <-k.newer:
+			k.ask(ctx, name)
+		case <-tick.C:
+			if k.Age() > k.maxAge() {
+				k.askPeer(ctx)
+			}
 		}
 	}
 }
 
+// maxAge is how long ago the configuration may last have been confirmed before peers are asked.
+func (k *Keeper) maxAge() time.Duration {
+	if k.ConfirmedByPeers() {
+		return askPeersLater
+	}
+	return askPeersAfter
+}
+
+// ConfirmedByPeers reports whether a peer has recently confirmed the configuration.
+func (k *Keeper) ConfirmedByPeers() bool {
+	at := k.digestAt.Load()
+	return at > 0 && planlease.Boottime()-time.Duration(at) < digestMaxAge
+}
+
+// Digest identifies a configuration.
+type Digest struct {
+	// Version is its version, 0 for none, and AgeMs how long ago it was known to be the
+	// newest.
+	Version int64 `cbor:"1,keyasint"`
+	AgeMs   int64 `cbor:"2,keyasint"`
+}
+
+// Digest identifies the configuration in force.
+func (k *Keeper) Digest() Digest {
+	c := k.Config()
+	if c == nil {
+		return Digest{}
+	}
+	return Digest{Version: c.Version, AgeMs: k.Age().Milliseconds()}
+}
+
+// ObserveDigest takes a peer's word, asked for at the given time, of the configuration that it has:
+// it confirms the one in force here, or has Follow ask the peer for the newer one.
+func (k *Keeper) ObserveDigest(peer string, asked time.Duration, d Digest) {
+	c := k.Config()
+	switch {
+	case d.Version == 0 || c != nil && c.Version > d.Version:
+	case c == nil || c.Version < d.Version:
+		select {
+		case k.newer <- peer:
+		default: // a peer is about to be asked
+		}
+	default:
+		k.Confirm(asked - time.Duration(d.AgeMs)*time.Millisecond)
+		k.digestAt.Store(int64(asked))
+	}
+}
+
 // Newer returns the configuration in force, after asking a peer if that is not newer than
 // version and the store has not confirmed it recently.
 func (k *Keeper) Newer(ctx context.Context, version int64) *routing.Config {
 	if c := k.Config(); c != nil && c.Version > version {
 		return c
 	}
-	if k.Age() > askPeersAfter && k.reserveAsk() {
+	if k.Age() > k.maxAge() && k.reserveAsk() {
 		k.askPeer(ctx)
 	}
 	return k.Config()
@@ -134,7 +199,10 @@
 	if len(peers) == 0 {
 		return
 	}
-	name := peers[int(k.nextPeer.Add(1))%len(peers)]
+	k.ask(ctx, peers[int(k.nextPeer.Add(1))%len(peers)])
+}
+
+func (k *Keeper) ask(ctx context.Context, name string) {
 	have := int64(0)
 	if c := k.Config(); c != nil {
 		have = c.Version
@@ -162,10 +230,7 @@
 
 // Answer describes the configuration in force at a peer.
 type Answer struct {
-	// Version is its version, 0 for none, and AgeMs how long ago it was known to be the
-	// newest.
-	Version int64 `cbor:"1,keyasint"`
-	AgeMs   int64 `cbor:"2,keyasint"`
+	Digest
 	// Config is the configuration itself if it is newer than the requester's.
 	Config *routing.Config `cbor:"3,keyasint,omitempty"`
 }
@@ -175,7 +240,7 @@
 	if c == nil {
 		return Answer{}
 	}
-	a := Answer{Version: c.Version, AgeMs: k.Age().Milliseconds()}
+	a := Answer{Digest: k.Digest()}
 	if c.Version > q.Have {
 		a.Config = c
 	}
--- a/internal/published/published_test.go
+++ b/internal/published/published_test.go
@@ -126,3 +126,35 @@
 		g.Expect(k.KeysTrusted()).To(BeTrue())
 	}
 }
+
+// Guards against a node whose read of the store has stalled and that keeps an old configuration
+// although a member tells it of a newer one.
+func TestAPeersWordOfANewerConfigurationIsFollowed(t *testing.T) {
+	g := NewWithT(t)
+	asker, answerer, asked := pair(false)
+	asker.Put(configOf(g, 1, "old"))
+	answerer.Put(configOf(g, 2, "new"))
+	answerer.Confirm(planlease.Boottime())
+	asker.Confirm(planlease.Boottime())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go asker.Follow(ctx)
+	asker.ObserveDigest("b", planlease.Boottime(), answerer.Digest())
+	g.Eventually(func() int64 { return asker.Digest().Version }).Should(Equal(int64(2)))
+	g.Expect(*asked).To(Equal(1))
+}
+
+// A peer's word confirms the configuration only as of the time at which the peer knew it to be the
+// newest, and only if it is the one in force here.
+func TestAPeersWordConfirmsTheSameConfigurationOnly(t *testing.T) {
+	g := NewWithT(t)
+	k, _, _ := pair(false)
+	k.Put(configOf(g, 2, "k"))
+	now := planlease.Boottime()
+	k.ObserveDigest("b", now, Digest{Version: 1})
+	g.Expect(k.ConfirmedByPeers()).To(BeFalse())
+	g.Expect(k.Age()).To(BeNumerically(">", 10*time.Second))
+	k.ObserveDigest("b", now, Digest{Version: 2, AgeMs: 700})
+	g.Expect(k.ConfirmedByPeers()).To(BeTrue())
+	g.Expect(k.Age()).To(BeNumerically("~", 700*time.Millisecond, 200*time.Millisecond))
+}
--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -12,6 +12,7 @@
 	"cyclamenwheel/internal/pause"
 	"cyclamenwheel/internal/peer"
 	"cyclamenwheel/internal/planlease"
+	"cyclamenwheel/internal/published"
 	"cyclamenwheel/internal/quota"
 )
 
@@ -110,7 +111,10 @@
 }
 
 // MembersCall asks a peer for the group's members.
-type MembersCall struct{}
+type MembersCall struct {
+	// Known is the fingerprint of the reading that the caller has, 0 for none.
+	Known uint64 `cbor:"1,keyasint,omitempty"`
+}
 
 // MembersResult is the peer's last reading of the group: the member that holds each
 // partition.
@@ -119,11 +123,16 @@
 	AgeMs            int64          `cbor:"2,keyasint"`
 	// Holders are the members that claimed each duty last.
 	Holders map[string]holder `cbor:"3,keyasint,omitempty"`
+	// Fingerprint identifies the reading and the holders. If it is the one that the caller
+	// knows, both are left out.
+	Fingerprint uint64 `cbor:"4,keyasint,omitempty"`
+	// Config is the configuration that the peer has in force.
+	Config published.Digest `cbor:"5,keyasint"`
 }
 
 // AskMembers asks a peer for its last reading of the members.
-func AskMembers(ctx context.Context, peers *peer.Node, node string) (MembersResult, error) {
-	return peer.Call[MembersCall, MembersResult](ctx, peers, node, kindMembers, MembersCall{})
+func AskMembers(ctx context.Context, peers *peer.Node, node string, in MembersCall) (MembersResult, error) {
+	return peer.Call[MembersCall, MembersResult](ctx, peers, node, kindMembers, in)
 }
 
 // LeftCall notifies a peer that the caller leaves the group.
@@ -159,8 +168,8 @@
 		m.markDeparted(in.Member)
 		return LeftResult{}, nil
 	})
-	peer.Handle(n, kindMembers, func(context.Context, peer.Identity, MembersCall) (MembersResult, error) {
-		return m.membersResult(), nil
+	peer.Handle(n, kindMembers, func(_ context.Context, _ peer.Identity, in MembersCall) (MembersResult, error) {
+		return m.membersResult(in), nil
 	})
 	peer.Handle(n, kindVacate, func(ctx context.Context, _ peer.Identity, in VacateCall) (VacateResult, error) {
 		return m.localVacate(ctx, in), nil
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -14,6 +14,7 @@
 	"cyclamenwheel/internal/fleetops"
 	"cyclamenwheel/internal/pause"
 	"cyclamenwheel/internal/planlease"
+	"cyclamenwheel/internal/published"
 	"cyclamenwheel/internal/tenure"
 	"cyclamenwheel/platform"
 )
@@ -72,7 +73,11 @@
 	// displaced.
 	Fleet func(ctx context.Context, duty Duty)
 	// AskMembers asks a peer for its last reading of the members.
-	AskMembers func(ctx context.Context, node string) (MembersResult, error)
+	AskMembers func(ctx context.Context, node string, in MembersCall) (MembersResult, error)
+	// Config returns the configuration in force, for peers that ask for the members, and
+	// ObserveConfig receives that of a peer, which was asked at the given time.
+	Config        func() published.Digest
+	ObserveConfig func(peer string, asked time.Duration, d published.Digest)
 	// NotifyLeaving notifies a peer that this member leaves; the notification may get lost.
 	NotifyLeaving func(ctx context.Context, node string)
 	// OnPeers receives the addresses of all members by node.
@@ -98,7 +103,13 @@
 	partitionMembers       map[int]string
 	partitionMembersReadAt time.Duration
 	holdersCurrent         bool
-	leaving                bool
+	// peerReading is the fingerprint of the last reading that a peer sent, 0 if the store has
+	// been read since. peersFailed counts the peers that did not answer.
+	peerReading uint64
+	peersFailed int
+	// inGroup reports whether this process is in the group, or may be.
+	inGroup bool
+	leaving bool
 	// departed are members that have announced that they leave. Each name is used once.
 	departed map[string]bool
 	// members are those last read; nil before the first reading.
@@ -187,6 +198,7 @@
 		if woken {
 			maxAge = 0
 		}
+		m.setInGroup(state.joined)
 		m.refreshMembers(ctx, maxAge)
 		m.startAndStopDuties(ctx)
 		woken = m.awaitJoin(ctx)
--- a/internal/shards/members.go
+++ b/internal/shards/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -10,7 +11,10 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cyclamenwheel/internal/planlease"
+	"cyclamenwheel/internal/rendezvous"
 )
 
 // MemberName returns a process's name in the group. boot identifies the process, started is
@@ -77,6 +81,11 @@
 }
 
 // refreshMembers reads the members if the last reading is older than maxAge.
+//
+// A process outside the group reads them from a member. Load: hundreds of nodes have no duty. If
+// each read the store once a second, that would be most of the calls to the store, and more with
+// each node. A member reads the store as soon as the group has changed. A reading that is due
+// sooner than usual comes from the store: a call has just found no owner.
 func (m *Manager) refreshMembers(ctx context.Context, maxAge time.Duration) {
 	now := planlease.Boottime()
 	m.mu.Lock()
@@ -84,20 +93,34 @@
 	if due {
 		m.membersReadAt = now
 	}
-	pools := m.pools
+	pools, fromPeer := m.pools, !m.inGroup && maxAge >= nonMemberInterval
 	m.mu.Unlock()
-	if !due {
+	if !due || fromPeer && m.refreshFromPeer(ctx, pools) {
 		return
 	}
 	partitionMembers, err := m.opts.Membership.Owners(ctx, group)
 	if err == nil {
 		m.refreshHolders(ctx, partitionMembers)
 		m.storePartitionMembers(partitionMembers)
-	} else if partitionMembers, err = m.membersFromPeers(ctx, err); err != nil {
-		m.opts.Logger.Debug("reading the members failed", "error", err.Error())
+		m.distributeDuties(pools, partitionMembers)
 		return
 	}
-	m.distributeDuties(pools, partitionMembers)
+	if !m.refreshFromPeer(ctx, pools) {
+		m.opts.Logger.Debug("reading the members failed", "error", err.Error())
+	}
+}
+
+func (m *Manager) setInGroup(joined bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.inGroup = joined
+}
+
+// InGroup reports whether this process is in the group, or may be.
+func (m *Manager) InGroup() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.inGroup
 }
 
 // storePartitionMembers keeps a reading of the store, also for peers that can't read it, and
@@ -110,7 +133,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	maps.DeleteFunc(m.departed, func(name string, _ bool) bool { return !present[name] })
-	m.partitionMembers, m.partitionMembersReadAt = partitionMembers, planlease.Boottime()
+	m.partitionMembers, m.partitionMembersReadAt, m.peerReading = partitionMembers, planlease.Boottime(), 0
 }
 
 const (
@@ -121,46 +144,100 @@
 	askPeerTimeout = 250 * time.Millisecond
 )
 
-// membersFromPeers reads the members from peers, or returns failure if no peer answers. A
-// store may reject some nodes while it serves the others; without the peers' reading, the
-// rejected nodes would keep sending calls to former owners.
-func (m *Manager) membersFromPeers(ctx context.Context, failure error) (map[int]string, error) {
-	m.mu.Lock()
-	_, peers := parseMembers(m.partitionMembers)
-	m.mu.Unlock()
-	asked := 0
-	for node := range peers { // in random order
-		if node == m.opts.Node || asked == maxPeersAsked {
+// refreshFromPeer takes the members from a peer and reports whether one answered. A store may
+// reject some nodes while it serves the others; without the peers' reading, the rejected nodes would
+// keep sending calls to former owners.
+func (m *Manager) refreshFromPeer(ctx context.Context, pools []string) bool {
+	for _, node := range m.rankedPeers() {
+		got, ok := m.askMembers(ctx, node)
+		if !ok {
+			m.mu.Lock()
+			m.peersFailed++
+			m.mu.Unlock()
 			continue
 		}
-		asked++
-		if partitionMembers, ok := m.membersFromPeer(ctx, node); ok {
-			return partitionMembers, nil
+		if got != nil {
+			m.distributeDuties(pools, got)
 		}
+		return true
 	}
-	return nil, failure
+	return false
 }
 
-func (m *Manager) membersFromPeer(ctx context.Context, node string) (map[int]string, bool) {
+// rankedPeers returns the members to ask, in the order in which to ask them: by rank for this node,
+// so that nodes without a duty spread over the members and keep to one link each, from the one that
+// answered last.
+func (m *Manager) rankedPeers() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var nodes []string
+	for _, other := range m.members {
+		if other.Node != m.opts.Node {
+			nodes = append(nodes, other.Node)
+		}
+	}
+	if len(nodes) == 0 {
+		return nil
+	}
+	ranked := rendezvous.Ranked([]byte(m.opts.Node), nodes)
+	first := m.peersFailed % len(ranked)
+	return slices.Concat(ranked[first:], ranked[:first])[:min(len(ranked), maxPeersAsked)]
+}
+
+// askMembers asks a peer for its reading of the members. The members are nil if they are those that
+// it sent last.
+func (m *Manager) askMembers(ctx context.Context, node string) (members map[int]string, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, askPeerTimeout)
 	defer cancel()
-	got, err := m.opts.AskMembers(ctx, node)
-	if err != nil || time.Duration(got.AgeMs)*time.Millisecond > maxPeerReadingAge || len(got.PartitionMembers) == 0 {
+	asked := planlease.Boottime()
+	m.mu.Lock()
+	known := m.peerReading
+	m.mu.Unlock()
+	got, err := m.opts.AskMembers(ctx, node, MembersCall{Known: known})
+	unchanged := known != 0 && got.Fingerprint == known
+	if err != nil || time.Duration(got.AgeMs)*time.Millisecond > maxPeerReadingAge || len(got.PartitionMembers) == 0 && !unchanged {
 		return nil, false
 	}
-	m.opts.Logger.Info("members learnt from a peer", "peer", node, "age_ms", got.AgeMs, "members", len(got.PartitionMembers))
+	m.opts.ObserveConfig(node, asked, got.Config)
+	if unchanged {
+		return nil, true
+	}
 	m.mergeHolders(got.Holders)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if asked-time.Duration(got.AgeMs)*time.Millisecond < m.partitionMembersReadAt {
+		return nil, true // older than this process's own reading
+	}
+	m.peerReading = got.Fingerprint
+	m.opts.Logger.Info("members learnt from a peer", "peer", node, "age_ms", got.AgeMs, "members", len(got.PartitionMembers))
 	return got.PartitionMembers, true
 }
 
-// membersResult answers a peer that can't read the store.
-func (m *Manager) membersResult() MembersResult {
+// membersResult answers a peer that doesn't read the store.
+func (m *Manager) membersResult(in MembersCall) MembersResult {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.partitionMembersReadAt == 0 {
 		return MembersResult{AgeMs: math.MaxInt32}
 	}
-	return MembersResult{PartitionMembers: m.partitionMembers, Holders: maps.Clone(m.holders), AgeMs: (planlease.Boottime() - m.partitionMembersReadAt).Milliseconds()}
+	out := MembersResult{AgeMs: (planlease.Boottime() - m.partitionMembersReadAt).Milliseconds(),
+		Fingerprint: fingerprint(m.partitionMembers, m.holders), Config: m.opts.Config()}
+	if out.Fingerprint != in.Known {
+		out.PartitionMembers, out.Holders = m.partitionMembers, maps.Clone(m.holders)
+	}
+	return out
+}
+
+// fingerprint identifies the members and the holders of duties; it is never 0.
+func fingerprint(partitionMembers map[int]string, holders map[string]holder) uint64 {
+	d := xxhash.New()
+	for _, partition := range slices.Sorted(maps.Keys(partitionMembers)) {
+		fmt.Fprintf(d, "%d %q\n", partition, partitionMembers[partition])
+	}
+	for _, duty := range slices.Sorted(maps.Keys(holders)) {
+		fmt.Fprintf(d, "%q %q %d\n", duty, holders[duty].Member, holders[duty].Epoch)
+	}
+	return d.Sum64() | 1
 }
 
 func parseMembers(partitionMembers map[int]string) (members []member, peers map[string]string) {
--- a/internal/shards/owner_recovery_test.go
+++ b/internal/shards/owner_recovery_test.go
@@ -15,6 +15,7 @@
 
 	"cyclamenwheel/internal/attempts"
 	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/published"
 	"cyclamenwheel/internal/standin/wire"
 	"cyclamenwheel/internal/tenure"
 	"cyclamenwheel/platform"
@@ -54,12 +55,14 @@
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), OnPeers: func(map[string]string) {},
 		Limits: executor.Limits{Lease: time.Second, ProofAge: 3 * time.Second, KeepEnded: time.Minute},
 		Fleet:  func(ctx context.Context, _ Duty) { <-ctx.Done() },
-		AskMembers: func(_ context.Context, peer string) (MembersResult, error) {
+		AskMembers: func(_ context.Context, peer string, in MembersCall) (MembersResult, error) {
 			if m := c.manager(peer); m != nil {
-				return m.membersResult(), nil
+				return m.membersResult(in), nil
 			}
 			return MembersResult{}, unreachableError{}
 		},
+		Config:        func() published.Digest { return published.Digest{} },
+		ObserveConfig: func(string, time.Duration, published.Digest) {},
 		NotifyLeaving: func(_ context.Context, peer string) {
 			if m := c.manager(peer); m != nil {
 				m.markDeparted(member)
