--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -12,6 +12,7 @@
 	"cyclamenwheel/internal/pause"
 	"cyclamenwheel/internal/peer"
 	"cyclamenwheel/internal/planlease"
+	"cyclamenwheel/internal/published"
 	"cyclamenwheel/internal/quota"
 )
 
@@ -73,6 +74,12 @@
 	StartedMs int64 `cbor:"4,keyasint,omitempty"`
 }
 
+// maxVacateMessage limits a VacateCall and its answer, in bytes. Both name a bounded number of
+// endpoints, however many the pool has.
+const maxVacateMessage = 256 << 10
+
+var maxVacateBytes = peer.MaxBytes(maxVacateMessage)
+
 // VacateCall requests that a pool's owner vacate endpoints and report the pool's state.
 type VacateCall struct {
 	Pool  string       `cbor:"1,keyasint"`
@@ -83,6 +90,8 @@
 	Due []string `cbor:"4,keyasint,omitempty"`
 	// Shares are the pool's shares of client accounts' limits.
 	Shares quota.Ask `cbor:"5,keyasint,omitempty"`
+	// Loads is how many of the least loaded endpoints to report, beside those in Due.
+	Loads int `cbor:"6,keyasint,omitempty"`
 }
 
 // VacateResult reports how many tasks are left on each requested endpoint; endpoints that
@@ -102,7 +111,10 @@
 }
 
 // MembersCall asks a peer for the group's members.
-type MembersCall struct{}
+type MembersCall struct {
+	// Known is the fingerprint of the reading that the caller has, 0 for none.
+	Known uint64 `cbor:"1,keyasint,omitempty"`
+}
 
 // MembersResult is the peer's last reading of the group: the member that holds each
 // partition.
@@ -111,11 +123,16 @@
 	AgeMs            int64          `cbor:"2,keyasint"`
 	// Holders are the members that claimed each duty last.
 	Holders map[string]holder `cbor:"3,keyasint,omitempty"`
+	// Fingerprint identifies the reading and the holders. If it is the one that the caller
+	// knows, both are left out.
+	Fingerprint uint64 `cbor:"4,keyasint,omitempty"`
+	// Config is the configuration that the peer has in force.
+	Config published.Digest `cbor:"5,keyasint"`
 }
 
 // AskMembers asks a peer for its last reading of the members.
-func AskMembers(ctx context.Context, peers *peer.Node, node string) (MembersResult, error) {
-	return peer.Call[MembersCall, MembersResult](ctx, peers, node, kindMembers, MembersCall{})
+func AskMembers(ctx context.Context, peers *peer.Node, node string, in MembersCall) (MembersResult, error) {
+	return peer.Call[MembersCall, MembersResult](ctx, peers, node, kindMembers, in)
 }
 
 // LeftCall notifies a peer that the caller leaves the group.
@@ -151,12 +168,12 @@
 		m.markDeparted(in.Member)
 		return LeftResult{}, nil
 	})
-	peer.Handle(n, kindMembers, func(context.Context, peer.Identity, MembersCall) (MembersResult, error) {
-		return m.membersResult(), nil
+	peer.Handle(n, kindMembers, func(_ context.Context, _ peer.Identity, in MembersCall) (MembersResult, error) {
+		return m.membersResult(in), nil
 	})
 	peer.Handle(n, kindVacate, func(ctx context.Context, _ peer.Identity, in VacateCall) (VacateResult, error) {
 		return m.localVacate(ctx, in), nil
-	})
+	}, maxVacateBytes)
 }
 
 // resultNotOwner answers a call on a pool that this process does not own.
@@ -291,8 +308,9 @@
 	if !ok || owner.Node == c.Manager.opts.Node {
 		return VacateResult{}
 	}
-	out, err := peer.Call[VacateCall, VacateResult](ctx, c.Peers, owner.Node, kindVacate, in)
+	out, err := peer.Call[VacateCall, VacateResult](ctx, c.Peers, owner.Node, kindVacate, in, maxVacateBytes)
 	if err != nil {
+		c.Manager.opts.Logger.Warn("pool's owner not asked to vacate endpoints", "pool", in.Pool, "peer", owner.Node, "items", len(in.Items), "error", err.Error())
 		return VacateResult{}
 	}
 	return out
@@ -300,7 +318,7 @@
 
 // VacateEndpoints implements fleetops.Pools by Vacate.
 func (c *Calls) VacateEndpoints(ctx context.Context, pool string, request fleetops.VacateCall) fleetops.VacateResult {
-	in := VacateCall{Pool: pool, IncomingCapacity: request.IncomingCapacity, Due: request.Due, Shares: request.Shares}
+	in := VacateCall{Pool: pool, IncomingCapacity: request.IncomingCapacity, Due: request.Due, Loads: request.Loads, Shares: request.Shares}
 	for _, item := range request.Items {
 		in.Items = append(in.Items, VacateItem{Endpoint: item.Endpoint, StopTasks: item.StopTasks, Ended: item.Ended, StartedMs: item.StartedMs})
 	}
