executor: incarnations that are long gone are forgotten

By reading: what an owner remembers of ended incarnations and of the next terms of endpoints that are gone only grew, by an entry for each move and restart, for as long as it owned its pool.

Both are kept while service discovery may list the incarnation and for five minutes after; a term above the second is kept for good, as an endpoint that has seen it would reject a lower one.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -90,9 +90,12 @@
 	jobs      map[string]*job
 	endpoints map[string]*endpoint
 	// terms are the next values of endpoint.term for endpoints that were removed, by id.
-	terms map[string]int
-	// endedIncarnations are incarnations that are confirmed to have ended.
-	endedIncarnations map[Incarnation]bool
+	terms map[string]pastTerm
+	// incarnationsSweptAt is when past incarnations were last searched for some to forget.
+	incarnationsSweptAt time.Duration
+	// endedIncarnations are incarnations that are confirmed to have ended, with the time at which
+	// service discovery was first seen not to list them, 0 while it may.
+	endedIncarnations map[Incarnation]time.Duration
 	// open are the jobs with tasks that may still be started, sorted by priority and objective
 	// unless unsorted is set.
 	open     []*job
@@ -182,7 +185,7 @@
 func New(pool string, epoch int64, limits Limits, now time.Duration) *Core {
 	return &Core{
 		pool: pool, epoch: epoch, limits: limits, claimedAt: now,
-		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, terms: map[string]int{}, endedIncarnations: map[Incarnation]bool{},
+		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, terms: map[string]pastTerm{}, endedIncarnations: map[Incarnation]time.Duration{},
 		unsavedAbandoned: map[string]bool{}, savedAbandoned: map[string]bool{}, unreportedLosses: map[string]unreportedLosses{},
 		lengthModels: map[string]*lengthModel{}, allowance: quota.NewAllowance(), atShareSince: map[string]time.Duration{},
 		refusedSince: map[string]time.Duration{}, refusedByAccount: map[string]int{}, dirty: map[*job]bool{}, acks: map[Incarnation]int64{},
--- a/internal/executor/incarnation.go
+++ b/internal/executor/incarnation.go
@@ -27,10 +27,61 @@
 // from taking effect.
 func (c *Core) forgetEndpoint(e *endpoint) {
 	delete(c.endpoints, e.id)
-	c.terms[e.id] = e.term + 1
+	c.terms[e.id] = pastTerm{next: e.term + 1}
 	c.unsavedAbandoned[e.id] = true
 }
 
+// pastTerm is the next term of an endpoint that is no longer known, and when service discovery was
+// first seen not to list it, 0 while it may.
+type pastTerm struct {
+	next         int
+	missingSince time.Duration
+}
+
+const (
+	// incarnationMemory is how long what is known of a past incarnation is kept after service
+	// discovery has last listed it. Delayed listings and orders are older by seconds at most.
+	incarnationMemory = 5 * time.Minute
+	// incarnationSweep is the time between two searches for those to forget.
+	incarnationSweep = 10 * time.Second
+)
+
+// forgetPastIncarnations forgets incarnations that service discovery has not listed for long; without
+// that an owner's memory grows with each move and restart. A term above the second is kept: an
+// endpoint that has seen it would reject lower ones if it came back.
+func (c *Core) forgetPastIncarnations(now time.Duration, shown map[string]bool, endedShown map[Incarnation]bool) {
+	if now-c.incarnationsSweptAt < incarnationSweep {
+		return
+	}
+	c.incarnationsSweptAt = now
+	for in, missingSince := range c.endedIncarnations {
+		if since, forget := missing(now, missingSince, endedShown[in]); forget {
+			delete(c.endedIncarnations, in)
+		} else {
+			c.endedIncarnations[in] = since
+		}
+	}
+	for id, t := range c.terms {
+		since, forget := missing(now, t.missingSince, shown[id])
+		if forget && t.next <= 1 {
+			delete(c.terms, id)
+		} else {
+			c.terms[id] = pastTerm{next: t.next, missingSince: since}
+		}
+	}
+}
+
+// missing returns since when something has not been listed, and whether that is long ago.
+func missing(now, since time.Duration, listed bool) (newSince time.Duration, forget bool) {
+	switch {
+	case listed:
+		return 0, false
+	case since == 0:
+		return now, false
+	}
+	return since, now-since > incarnationMemory
+}
+
 // observeIncarnation applies the start time of the incarnation that sent an answer or an entry in
 // service discovery. A request under the endpoint's present fencing token was sent after the known
 // incarnation had started, so a different start time is that of a later incarnation, even if it is
--- a/internal/executor/polls.go
+++ b/internal/executor/polls.go
@@ -42,7 +42,7 @@
 func (c *Core) endpoint(id string) *endpoint {
 	e := c.endpoints[id]
 	if e == nil {
-		e = &endpoint{id: id, term: c.terms[id], tasks: map[*task]bool{}}
+		e = &endpoint{id: id, term: c.terms[id].next, tasks: map[*task]bool{}}
 		c.endpoints[id] = e
 	}
 	return e
@@ -54,9 +54,12 @@
 		e.listed = false
 	}
 	shown := make(map[string]bool, len(list))
+	endedShown := map[Incarnation]bool{}
 	for _, info := range list {
 		shown[info.ID] = true
-		if c.endedIncarnations[Incarnation{info.ID, info.StartedMs}] {
+		incarnation := Incarnation{info.ID, info.StartedMs}
+		if _, ended := c.endedIncarnations[incarnation]; ended {
+			endedShown[incarnation] = true
 			continue
 		}
 		e := c.endpoint(info.ID)
@@ -71,6 +74,7 @@
 			c.vacate(now, e)
 		}
 	}
+	c.forgetPastIncarnations(now, shown, endedShown)
 	for id, e := range c.endpoints {
 		if !shown[id] && len(e.tasks) == 0 && !(e.vacating && now < e.vacateUntil) && !e.hasRecentAbandonedRuns(now) {
 			c.forgetEndpoint(e)
@@ -82,7 +86,7 @@
 // endpoint's present incarnation is unknown, its tasks may run on a later one: its first listing
 // shows that.
 func (c *Core) IncarnationEnded(in Incarnation) {
-	c.endedIncarnations[in] = true
+	c.endedIncarnations[in] = 0
 	e := c.endpoints[in.ID]
 	if e == nil || e.incarnation() != in {
 		return
@@ -93,7 +97,7 @@
 }
 
 func (c *Core) endIncarnation(e *endpoint) {
-	c.endedIncarnations[e.incarnation()] = true
+	c.endedIncarnations[e.incarnation()] = 0
 	c.event(Event{Kind: EventIncarnationEnded, Endpoint: e.id, StartedMs: e.startedMs, Run: len(e.tasks)})
 	c.requeueAll(e, "incarnation ended")
 	c.forgetEndpoint(e)
