host: a change of an endpoint reaches the owner of its pool only

Each batch of service discovery made every node with a pool build and pass on the lists of all pools' endpoints, twelve times a second: 6,000 entries a batch on the fleet. Entries are kept by pool now, and only pools that changed and are owned here are listed again.

--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -10,7 +10,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/feed"
 	"cyclamenwheel/internal/fleetops"
 	"cyclamenwheel/internal/operator"
@@ -153,7 +152,6 @@
 	n.log.Info("configuration in force", "config_version", c.Version, "queues", len(c.Queues), "accounts", c.Accounts.Len())
 	n.manager.SetPools(poolNames(c))
 	n.manager.SetAccounts(c.Accounts)
-	n.distributeEndpoints()
 }
 
 // followOperator follows the operators' topic. A node without a duty needs its configurations only,
@@ -192,38 +190,5 @@
 }
 
 func (n *Node) applyEndpoints(reset bool, records []platform.Record) {
-	n.mu.Lock()
-	if reset {
-		clear(n.endpoints)
-	}
-	for _, r := range records {
-		// An unreadable entry removes its endpoint: the endpoint gets no new
-		// work, and its running tasks continue under their leases.
-		delete(n.endpoints, r.Key)
-		if len(r.Value) == 0 && !r.Damaged {
-			continue
-		}
-		entry, err := platform.DecodeEndpoint(r)
-		if err != nil {
-			n.reportUnusableEntry(platform.TopicEndpoints, err)
-			continue
-		}
-		n.endpoints[r.Key] = entry
-	}
-	n.mu.Unlock()
-	n.distributeEndpoints()
-}
-
-// distributeEndpoints passes each pool that this node owns the list of its
-// endpoints.
-func (n *Node) distributeEndpoints() {
-	byPool := map[string][]executor.EndpointInfo{}
-	n.mu.Lock()
-	for _, e := range n.endpoints {
-		info := executor.EndpointInfo{ID: e.ID, StartedMs: e.StartedMs, Addr: e.Addr, Zone: e.Zone, Kind: e.Kind, Rack: e.Rack, Draining: e.Draining, Clock: e.Clock,
-			Capacity: executor.Resources{CPUMilli: e.Capacity.CPUMilli, MemoryMB: e.Capacity.MemoryMB, GPUs: e.Capacity.GPUs}}
-		byPool[e.Service] = append(byPool[e.Service], info)
-	}
-	n.mu.Unlock()
-	n.manager.SetEndpoints(byPool)
+	n.manager.EndpointsChanged(n.endpoints.apply(reset, records, n.reportUnusableEntry))
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -88,9 +88,9 @@
 	ingress         *ingress.Ingress
 	stopping        atomic.Bool
 	requestDeadline requestDeadline
+	endpoints       *endpointTable
 
 	mu          sync.Mutex
-	endpoints   map[string]platform.EndpointEntry
 	waves       map[int]platform.Wave
 	recentPeers map[string]recentPeer
 }
@@ -115,7 +115,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	n := &Node{set: set, log: log, client: platform.NewClient(set.Store, set.Instances, set.Advice),
-		endpoints: map[string]platform.EndpointEntry{}, waves: map[int]platform.Wave{}, recentPeers: map[string]recentPeer{}}
+		endpoints: newEndpointTable(), waves: map[int]platform.Wave{}, recentPeers: map[string]recentPeer{}}
 	log.Info("starting", "version", version.Version, "settings", path)
 	return n.run(ctx, cancel)
 }
@@ -266,7 +266,7 @@
 	store := tenure.Store{Journal: n.client, Attempts: attempts.NewPolicy()}
 	n.manager = shards.NewManager(shards.Options{
 		Node: n.set.Node, Addr: addr, Member: member,
-		Membership: n.client, Store: store, Endpoints: n.client, Logger: n.log,
+		Membership: n.client, Store: store, Endpoints: n.client, ListEndpoints: n.endpoints.list, Logger: n.log,
 		Limits: executor.Limits{Lease: leaseDuration, ProofAge: ownershipProofAge, KeepEnded: n.set.Bounds.KeepEnded, StopTimeout: n.set.Bounds.StopTimeout,
 			LongestLease: n.set.Bounds.LongestLease, CapacityMaxAge: n.set.Bounds.StableWindow + n.set.Bounds.Heartbeat},
 		Fleet: func(ctx context.Context, duty shards.Duty) {
--- a/internal/shards/contested_claims_test.go
+++ b/internal/shards/contested_claims_test.go
@@ -23,8 +23,9 @@
 	member := MemberName(node, "127.0.0.1:1", "boot", time.UnixMilli(1), 0.4)
 	m := NewManager(Options{Node: node, Addr: "127.0.0.1:1", Member: member, Store: store,
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), OnPeers: func(map[string]string) {},
-		Limits: executor.Limits{Lease: time.Second, ProofAge: time.Second, KeepEnded: time.Minute},
-		Fleet:  func(ctx context.Context, _ Duty) { <-ctx.Done() }})
+		Limits:        executor.Limits{Lease: time.Second, ProofAge: time.Second, KeepEnded: time.Minute},
+		ListEndpoints: func(string) []executor.EndpointInfo { return nil },
+		Fleet:         func(ctx context.Context, _ Duty) { <-ctx.Done() }})
 	m.SetPools([]string{"tabs"})
 	return m
 }
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -67,8 +67,10 @@
 	Membership         Membership
 	Store              tenure.Store
 	Endpoints          Endpoints
-	Limits             executor.Limits
-	Logger             *slog.Logger
+	// ListEndpoints returns the endpoints of a pool by service discovery.
+	ListEndpoints func(pool string) []executor.EndpointInfo
+	Limits        executor.Limits
+	Logger        *slog.Logger
 	// Fleet runs the duty that manages instances, until its context ends or it is
 	// displaced.
 	Fleet func(ctx context.Context, duty Duty)
@@ -88,11 +90,10 @@
 type Manager struct {
 	opts Options
 
-	mu        sync.Mutex
-	pools     []string
-	endpoints map[string][]executor.EndpointInfo
-	accounts  *accounts.Directory
-	running   map[string]*runningDuty
+	mu       sync.Mutex
+	pools    []string
+	accounts *accounts.Directory
+	running  map[string]*runningDuty
 	// holders are the newest known claims of each duty.
 	holders map[string]holder
 	// owners is the owner of each duty by the members last read, at membersReadAt.
@@ -132,7 +133,7 @@
 // NewManager returns a manager without pools.
 func NewManager(opts Options) *Manager {
 	return &Manager{opts: opts, wakeup: make(chan struct{}, 1), running: map[string]*runningDuty{}, owners: map[string]Owner{},
-		holders: map[string]holder{}, departed: map[string]bool{}, endpoints: map[string][]executor.EndpointInfo{}}
+		holders: map[string]holder{}, departed: map[string]bool{}}
 }
 
 // SetPools sets the names of all pools.
@@ -146,15 +147,16 @@
 	m.pools = pools
 }
 
-// SetEndpoints passes the endpoints of service discovery, by pool, to the pools that this
-// process owns.
-func (m *Manager) SetEndpoints(byPool map[string][]executor.EndpointInfo) {
+// EndpointsChanged passes the endpoints of service discovery to those of the changed pools that
+// this process owns.
+func (m *Manager) EndpointsChanged(changed map[string]bool) {
 	m.mu.Lock()
-	m.endpoints = byPool
 	runners := m.readyRunnersLocked()
 	m.mu.Unlock()
 	for _, r := range runners {
-		m.observeEndpoints(r, byPool[r.pool])
+		if changed[r.pool] {
+			m.observeEndpoints(r, m.opts.ListEndpoints(r.pool))
+		}
 	}
 }
 
@@ -280,7 +282,7 @@
 	}
 	r.core.SetAccounts(m.accounts)
 	r.core.ApplyShares(r.now(), grants)
-	r.core.ObserveEndpoints(r.now(), m.endpoints[r.pool])
+	r.core.ObserveEndpoints(r.now(), m.opts.ListEndpoints(r.pool))
 	r.vacateEndpoints(leaving)
 	m.mu.Unlock()
 	r.run(ctx)
--- a/internal/shards/owner_recovery_test.go
+++ b/internal/shards/owner_recovery_test.go
@@ -53,8 +53,9 @@
 	store := tenure.Store{Journal: c.client, Attempts: attempts.NewPolicy()}
 	m := NewManager(Options{Node: node, Addr: "127.0.0.1:1", Member: member, Store: store, Membership: c.client,
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), OnPeers: func(map[string]string) {},
-		Limits: executor.Limits{Lease: time.Second, ProofAge: 3 * time.Second, KeepEnded: time.Minute},
-		Fleet:  func(ctx context.Context, _ Duty) { <-ctx.Done() },
+		Limits:        executor.Limits{Lease: time.Second, ProofAge: 3 * time.Second, KeepEnded: time.Minute},
+		ListEndpoints: func(string) []executor.EndpointInfo { return nil },
+		Fleet:         func(ctx context.Context, _ Duty) { <-ctx.Done() },
 		AskMembers: func(_ context.Context, peer string, in MembersCall) (MembersResult, error) {
 			if m := c.manager(peer); m != nil {
 				return m.membersResult(in), nil
