peer: the dialling end alone keeps a link alive

The probes of one end and their acknowledgements show both that the other lives; an owner now answers probes and sends none.

--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -145,7 +145,6 @@
 	return &quic.Config{
 		HandshakeIdleTimeout:           handshakeTimeout,
 		MaxIdleTimeout:                 idleTimeout,
-		KeepAlivePeriod:                keepAlivePeriod,
 		InitialStreamReceiveWindow:     streamWindow,
 		MaxStreamReceiveWindow:         maxStreamWindow,
 		InitialConnectionReceiveWindow: connectionWindow,
@@ -161,9 +160,13 @@
 }
 
 // dialConfig lets the accepting end open nothing but the stream that announces
-// its shutdown: it sends messages over the connection that it dials itself.
+// its shutdown: it sends messages over the connection that it dials itself. The
+// dialling end alone keeps the connection alive; its probes and their
+// acknowledgements show both ends that the other one lives. A process that many
+// others are connected to has only their probes to answer.
 func dialConfig() *quic.Config {
 	c := commonConfig()
+	c.KeepAlivePeriod = keepAlivePeriod
 	c.MaxIncomingStreams = -1
 	c.MaxIncomingUniStreams = 1
 	return c
