fleetops: an idle pool keeps a reserve that grows with the fleet

Two instances hold the first jobs of a pool of ten and next to nothing of one of a thousand. A pool that is idle now keeps 0.06 of the mean pool (2 of 49 instances, 5 of 349, 90 of 6,000); it gets none to reach that.

A pool that needs instances takes those that another one would switch off next before those that are switched off: one move instead of two.

What begins in a round is left out of the pool's capacity until a summary that was asked for later: rounds between two summaries switched off as many instances again.

--- a/internal/fleetops/balance.go
+++ b/internal/fleetops/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -17,10 +18,15 @@
 	longRunningNeed float64
 	// futureNeed is what the pool needs by the time an instance that it gives away could be back.
 	futureNeed float64
+	// reserve is the capacity that the pool keeps although it needs less.
+	reserve float64
 }
 
 func (b balance) shortfall() float64 { return b.need - b.have }
 
+// surplus is the capacity beyond what the pool needs or keeps in reserve.
+func (b balance) surplus() float64 { return b.have - max(b.need, b.reserve) }
+
 // availableFor is the capacity that the pool can give to another one without becoming as short as
 // that one.
 func (b balance) availableFor(to balance, unit float64) float64 {
@@ -45,9 +51,9 @@
 
 func (s *State) balances(now time.Duration, unit float64) []balance {
 	var out []balance
-	incoming := s.incomingCPU(now)
+	incoming, leaving := s.incomingCPU(now), s.leavingCPU()
 	for pool, v := range s.pools {
-		b := balance{pool: pool, have: float64(v.Summary.CapacityMilli) + incoming[pool]}
+		b := balance{pool: pool, have: max(0, float64(v.Summary.CapacityMilli)+incoming[pool]-leaving[pool])}
 		s.computeNeeds(&b, v.Summary, unit)
 		out = append(out, b)
 	}
@@ -55,6 +61,20 @@
 	return out
 }
 
+// leavingCPU is, for each pool, the capacity of instances whose operations began after the owner was
+// asked for its last summary, so that it counts them still, in milli-cores. Counted as the pool's, each
+// round until the next summary would switch off as many again.
+func (s *State) leavingCPU() map[string]float64 {
+	sums := map[string]float64{}
+	for _, op := range s.ops {
+		view := s.pools[op.From]
+		if op.Phase == PhaseVacating && view != nil && (op.firstAskedAt == 0 || op.firstAskedAt > view.AskedAt) {
+			sums[op.From] += float64(s.instances[op.Instance].CPUMilli)
+		}
+	}
+	return sums
+}
+
 // computeNeeds fills in what a pool needs now and what it will need later.
 func (s *State) computeNeeds(b *balance, sum executor.Summary, unit float64) {
 	rate := 0.0
@@ -76,10 +96,18 @@
 		return max(longRunningNeed, float64(sum.LongRunningCPUMilli)+max(minInstances*unit, headroom*(work+drain)))
 	}
 	b.longRunningNeed = longRunningNeed
+	b.reserve = max(longRunningNeed, float64(sum.LongRunningCPUMilli)+s.reserveInstances()*unit)
 	b.need = needFor(max(rate, running))
 	b.futureNeed = needFor(max(rate, runningRetained*running))
 }
 
+// reserveInstances is how many instances a pool keeps, if it has them, beyond the capacity of its
+// long-running tasks. Bursts grow with the fleet: two instances hold the first jobs of a burst in a
+// pool of ten, and next to nothing of one in a pool of a thousand.
+func (s *State) reserveInstances() float64 {
+	return math.Floor(reserveShare * float64(len(s.instances)) / float64(max(1, len(s.pools))))
+}
+
 // Balances returns each pool's capacity and need, for the log.
 func (s *State) Balances(now time.Duration) []Balance {
 	var out []Balance
--- a/internal/fleetops/candidates.go
+++ b/internal/fleetops/candidates.go
@@ -73,6 +73,9 @@
 // donor returns the instance that is cheapest to give to a pool, and the index in balances of the
 // pool that gives it, or -1 for the spare pool.
 func (c *candidates) donor(unit float64, balances []balance, to balance) (*Instance, int) {
+	if i, index := c.idleDonor(unit, balances, to); i != nil {
+		return i, index
+	}
 	if i := c.take(c.s.spare, to.pool, 0); i != nil {
 		return i, -1
 	}
@@ -89,6 +92,27 @@
 	return nil, -1
 }
 
+// surplusSettleTime is how long a pool must have had a surplus before its idle instances go to another
+// pool ahead of those that are switched off.
+const surplusSettleTime = 500 * time.Millisecond
+
+// idleDonor returns an idle instance of a pool that has had a surplus for surplusSettleTime, and the
+// index of that pool in balances: the instance would be switched off next, and another one switched
+// on.
+func (c *candidates) idleDonor(unit float64, balances []balance, to balance) (*Instance, int) {
+	index := largestDonor(balances, to.pool, func(b balance) float64 {
+		d := c.s.demand[b.pool]
+		if d == nil || d.surplusSince == 0 || c.now-d.surplusSince < surplusSettleTime {
+			return 0
+		}
+		return b.surplus()
+	}, unit)
+	if index < 0 {
+		return nil, -1
+	}
+	return c.take(balances[index].pool, to.pool, 0), index
+}
+
 // take returns the instance of a pool with the least work to wait for, of those that can be moved to
 // another pool and have at most maxUsed milli-cores in use, or nil.
 func (c *candidates) take(from, to string, maxUsed float64) *Instance {
--- a/internal/fleetops/decide.go
+++ b/internal/fleetops/decide.go
@@ -68,7 +68,7 @@
 	}
 	s.carryOut(now, wallMs, &a)
 	s.reportEndedIncarnations(&a)
-	a.VacateItems = s.limitItems(now, a.VacateItems)
+	a.VacateItems = s.limitItems(a.VacateItems)
 	for pool, due := range a.Due {
 		a.Due[pool] = due[:min(len(due), MaxDuePerCall)]
 	}
@@ -120,7 +120,7 @@
 	case op.acceptedAt > 0 && s.listedAt > op.acceptedAt && (i.Endpoint != op.Endpoint || s.listedAt > op.acceptedAt+listSettleTime):
 		s.completeOperation(now, op, i, a)
 	case op.acceptedAt == 0 && i.Endpoint != op.Endpoint:
-		op.Endpoint, op.StartedMs, op.vacated = i.Endpoint, 0, false
+		op.Endpoint, op.StartedMs, op.vacated, op.firstAskedAt = i.Endpoint, 0, false, 0
 		s.dirtyOps[op.Instance] = true
 	}
 }
--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -49,6 +49,9 @@
 	// minInstances is how many instances a pool keeps beyond the capacity of its long-running tasks, so
 	// that the first jobs of a burst find capacity.
 	minInstances = 2
+	// reserveShare is the share of the instances that a pool has on the mean, over all pools and
+	// the spare pool, which it does not give up while it is idle.
+	reserveShare = 0.06
 	// maxStarvedSteps limits the instances requested at once for long-running tasks that find no
 	// endpoint.
 	maxStarvedSteps = 3
@@ -154,7 +157,7 @@
 		if d == nil {
 			continue
 		}
-		if b.shortfall() > -unit {
+		if b.surplus() < unit {
 			d.surplusSince = 0
 			continue
 		}
@@ -164,7 +167,7 @@
 		if now-d.surplusSince < idleTimeout {
 			continue
 		}
-		for have := b.have; have-b.need >= unit && limit > 0; have -= unit {
+		for left := b.surplus(); left >= unit && limit > 0; left -= unit {
 			i := c.take(b.pool, s.spare, maxDonorLoad*unit)
 			if i == nil {
 				break
--- a/internal/fleetops/pace.go
+++ b/internal/fleetops/pace.go
@@ -132,15 +132,26 @@
 	}
 }
 
+// Asked records that a pool's owner is being asked about these endpoints.
+func (s *State) Asked(now time.Duration, items []VacateItem) {
+	for _, item := range items {
+		if op := s.ops[item.Instance]; op != nil && op.Endpoint == item.Endpoint {
+			op.askedAt = now
+			if op.firstAskedAt == 0 {
+				op.firstAskedAt = now
+			}
+		}
+	}
+}
+
 // limitItems keeps, for each pool, the items that have waited longest, at most MaxItemsPerCall of
-// them, and records that the owner is asked about them.
-func (s *State) limitItems(now time.Duration, items []VacateItem) []VacateItem {
+// them.
+func (s *State) limitItems(items []VacateItem) []VacateItem {
 	slices.SortStableFunc(items, func(x, y VacateItem) int { return cmp.Compare(s.ops[x.Instance].askedAt, s.ops[y.Instance].askedAt) })
 	count := map[string]int{}
 	kept := items[:0]
 	for _, item := range items {
 		if count[item.Pool]++; count[item.Pool] <= MaxItemsPerCall {
-			s.ops[item.Instance].askedAt = now
 			kept = append(kept, item)
 		}
 	}
--- a/internal/fleetops/run.go
+++ b/internal/fleetops/run.go
@@ -369,16 +369,17 @@
 		}
 		r.vacateInFlight[pool] = true
 		items := byPool[pool]
+		asked := planlease.Boottime()
+		r.state.Asked(asked, items)
 		call := VacateCall{Items: items, Due: actions.Due[pool], Loads: r.state.LoadsWanted(pool), IncomingCapacity: incoming[pool], Shares: r.shares.Ask(pool)}
 		go func() {
-			asked := planlease.Boottime()
 			answer := r.opts.Pools.VacateEndpoints(ctx, pool, call)
 			r.enqueue(ctx, func(now time.Duration) {
 				r.vacateInFlight[pool] = false
 				if !answer.Owned {
 					return
 				}
-				r.state.ObservePool(now, pool, answer.Summary)
+				r.state.ObservePool(asked, now, pool, answer.Summary)
 				r.shares.Observe(now, asked-answer.ProofAge, pool, answer.Accounts)
 				for _, item := range items {
 					if item.Ended {
--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -75,8 +75,9 @@
 	// endConfirmed is set when the pool's owner has received the incarnation's end.
 	endConfirmed bool
 	beganAt      time.Duration
-	// askedAt is when the pool's owner was last asked to vacate the endpoint.
-	askedAt time.Duration
+	// firstAskedAt and askedAt are when the pool's owner was first and last asked to vacate the
+	// endpoint.
+	firstAskedAt, askedAt time.Duration
 	// hadLongRunning is set if long-running tasks were on the instance when the operation began.
 	hadLongRunning bool
 	// acceptedAt is when the platform accepted the order.
@@ -126,10 +127,10 @@
 	CPUMilli int
 }
 
-// PoolView is the last summary from a pool's owner, and when it arrived.
+// PoolView is the last summary from a pool's owner, when it was asked for, and when it arrived.
 type PoolView struct {
-	Summary executor.Summary
-	At      time.Duration
+	Summary     executor.Summary
+	AskedAt, At time.Duration
 	// endpointLoads are those of Summary by endpoint.
 	endpointLoads map[string]executor.EndpointLoad
 }
@@ -240,13 +241,13 @@
 	}
 }
 
-// ObservePool applies a summary from a pool's owner.
-func (s *State) ObservePool(now time.Duration, pool string, sum executor.Summary) {
+// ObservePool applies a summary from a pool's owner, requested at asked.
+func (s *State) ObservePool(asked, now time.Duration, pool string, sum executor.Summary) {
 	loads := make(map[string]executor.EndpointLoad, len(sum.EndpointLoads))
 	for _, l := range sum.EndpointLoads {
 		loads[l.Endpoint] = l
 	}
-	s.pools[pool] = &PoolView{Summary: sum, At: now, endpointLoads: loads}
+	s.pools[pool] = &PoolView{Summary: sum, AskedAt: asked, At: now, endpointLoads: loads}
 	s.observeDemand(now, pool, sum)
 }
 
