--- a/internal/fleetops/pace.go
+++ b/internal/fleetops/pace.go
@@ -18,7 +18,7 @@
 	// waitingWindow is the time in which the platform accepts the orders of all operations that
 	// wait for theirs: long enough for their endpoints to be vacated and the instance list to be
 	// read meanwhile.
-	waitingWindow = 2 * time.Second
+	waitingWindow = 3 * time.Second
 	// switchOffShare is the share of the operations that wait for their orders which may be for
 	// switching instances off; the rest is for instances that a pool needs.
 	switchOffShare = 0.5
