--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -28,6 +28,8 @@
 	// askPeersLater replaces askPeersAfter while a peer tells regularly which configuration it
 	// has: it does so about once a second, and its own word is up to a second old.
 	askPeersLater = 2300 * time.Millisecond
+	// longestPoll is how late a peer may notice that its own read of the store has stalled.
+	longestPoll = 900 * time.Millisecond
 	// digestMaxAge is how long ago a peer's last word counts as regular.
 	digestMaxAge = 1600 * time.Millisecond
 	// askInterval spaces requests to peers, also those for an unknown key: a flood of
@@ -170,8 +172,11 @@
 		default: // a peer is about to be asked
 		}
 	default:
-		k.Confirm(asked - time.Duration(d.AgeMs)*time.Millisecond)
-		k.digestAt.Store(int64(asked))
+		age := time.Duration(d.AgeMs) * time.Millisecond
+		k.Confirm(asked - age)
+		if age < askPeersAfter+longestPoll {
+			k.digestAt.Store(int64(asked))
+		}
 	}
 }
 
--- a/internal/published/published_test.go
+++ b/internal/published/published_test.go
@@ -157,4 +157,8 @@
 	k.ObserveDigest("b", now, Digest{Version: 2, AgeMs: 700})
 	g.Expect(k.ConfirmedByPeers()).To(BeTrue())
 	g.Expect(k.Age()).To(BeNumerically("~", 700*time.Millisecond, 200*time.Millisecond))
+	stale, _, _ := pair(false)
+	stale.Put(configOf(g, 2, "k"))
+	stale.ObserveDigest("b", now, Digest{Version: 2, AgeMs: 5000})
+	g.Expect(stale.ConfirmedByPeers()).To(BeFalse(), "the peer itself has had no word of the store for long")
 }
