fleetops: a predecessor's orders don't hold up a successor's moves; a reserve of 0.08

Instances that a predecessor may have ordered get no order for up to 4.9 s; they counted among the operations that wait for theirs, so that a holder lost while hundreds are switched off left a burst without instances for as long.

--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -51,7 +51,7 @@
 	minInstances = 2
 	// reserveShare is the share of the instances that a pool has on the mean, over all pools and
 	// the spare pool, which it does not give up while it is idle.
-	reserveShare = 0.06
+	reserveShare = 0.08
 	// maxStarvedSteps limits the instances requested at once for long-running tasks that find no
 	// endpoint.
 	maxStarvedSteps = 3
@@ -69,7 +69,7 @@
 	balances := s.balances(now, unit)
 	sortByNeed(balances, unit)
 	c := newCandidates(s, now)
-	needed, switchOff := s.movesToBegin()
+	needed, switchOff := s.movesToBegin(now)
 	for i := range balances {
 		for balances[i].shortfall() > minShortfall*unit {
 			if op := c.redirect(balances[i].pool); op != nil {
--- a/internal/fleetops/pace.go
+++ b/internal/fleetops/pace.go
@@ -67,14 +67,15 @@
 }
 
 // movesToBegin is how many moves may begin in this round: those that wait for their orders must not
-// be more than the platform accepts in one waitingWindow.
-func (s *State) movesToBegin() (needed, switchOff int) {
+// be more than the platform accepts in one waitingWindow. Instances that a predecessor may have
+// ordered wait for something else.
+func (s *State) movesToBegin(now time.Duration) (needed, switchOff int) {
 	if s.limits.OrdersPerSecond == 0 {
 		return math.MaxInt, math.MaxInt
 	}
 	waiting := 0
 	for _, op := range s.ops {
-		if op.Phase != PhaseEnded && op.acceptedAt == 0 {
+		if op.Phase != PhaseEnded && op.acceptedAt == 0 && now >= s.noOrdersUntil[op.Instance] {
 			waiting++
 		}
 	}
