--- a/internal/fleetops/pace_test.go
+++ b/internal/fleetops/pace_test.go
@@ -143,7 +143,7 @@
 		l := limits("a")
 		l.OrdersPerSecond = 10 * ordersPerSecond
 		f.state = fleetops.NewState(l)
-		for len(f.ordered) < 4*ordersPerSecond {
+		for len(f.ordered) < 8*ordersPerSecond {
 			f.round("a", "b")
 		}
 		f.takeOver()
