An abandoned read confirms nothing, and an unchanged answer still places new pools

A long read that was abandoned counted as the store's answer and confirmed the configuration as of that moment. A node outside the group whose member answered that nothing had changed did not place the duties again, so that a pool that a configuration had added had no owner there until a member came or went; and a change of duties that it was told of was placed by its last reading of the store, however old. What a peer sends is now this node's last reading.

Both tests fail before.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -63,6 +63,9 @@
 	retry := retryMin
 	for ctx.Err() == nil {
 		err := f.step(ctx)
+		if errors.HasType(err, (*abandonedError)(nil)) {
+			continue
+		}
 		if err == nil {
 			f.markUp()
 			retry = retryMin
@@ -145,8 +148,13 @@
 	return nil
 }
 
-// read waits for records, for long only while the topic is watched. A read that is abandoned
-// because it no longer is returns no records.
+// abandonedError reports that a read was abandoned because the topic is no longer watched.
+type abandonedError struct{ topic string }
+
+func (e *abandonedError) Error() string { return e.topic + ": read abandoned" }
+
+// read waits for records, for long only while the topic is watched. It returns an abandonedError once
+// the topic no longer is: the store has not answered, so that nothing is confirmed.
 func (f *follower) read(ctx context.Context) (platform.Page, error) {
 	if f.watched == nil || !f.watched() {
 		return f.store.Read(ctx, f.topic, f.next, pollWait)
@@ -156,7 +164,7 @@
 	go f.abandonUnwatched(reading, abandon)
 	page, err := f.store.Read(reading, f.topic, f.next, longPollWait)
 	if err != nil && reading.Err() != nil && ctx.Err() == nil {
-		return platform.Page{Next: f.next}, nil
+		return platform.Page{}, &abandonedError{f.topic}
 	}
 	return page, err
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -35,9 +35,11 @@
 	watched.Store(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go Follow(ctx, store, Topic{Name: "t", Handle: func(bool, []platform.Record) {}, Watched: watched.Load}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	var answers atomic.Int64
+	go Follow(ctx, store, Topic{Name: "t", Handle: func(bool, []platform.Record) {}, Watched: watched.Load, OnAnswer: func() { answers.Add(1) }}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	g.Eventually(store.waits).Should(Receive(Equal(longPollWait)))
 	g.Consistently(store.waits, 2*watchInterval).ShouldNot(Receive())
 	watched.Store(false)
 	g.Eventually(store.waits, 3*watchInterval).Should(Receive(Equal(pollWait)))
+	g.Expect(answers.Load()).To(Equal(int64(1)), "an abandoned read is no answer of the store")
 }
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -99,8 +99,8 @@
 	// owners is the owner of each duty by the members last read, at membersReadAt.
 	owners        map[string]Owner
 	membersReadAt time.Duration
-	// partitionMembers is the store's last answer on who holds each partition, read at
-	// partitionMembersReadAt. holdersCurrent reports that each duty's holder was among them.
+	// partitionMembers is the last answer of the store or of a peer on who holds each
+	// partition; the store's last answer was read at partitionMembersReadAt. holdersCurrent reports that each duty's holder was among them.
 	partitionMembers       map[int]string
 	partitionMembersReadAt time.Duration
 	holdersCurrent         bool
--- a/internal/shards/member_source_test.go
+++ b/internal/shards/member_source_test.go
@@ -127,6 +127,24 @@
 	g.Expect(m.members).To(HaveLen(15), "the member's reading is older than this node's own")
 }
 
+// Guards against a node that finds no owner of a pool that was added while the members stay the same.
+func TestANewPoolHasAnOwnerThoughTheMembersAreUnchanged(t *testing.T) {
+	g := NewWithT(t)
+	answers := map[string]MembersResult{}
+	m, store, _ := outsider(16, answers)
+	for node, answer := range answerOfAll(store.members) {
+		answers[node] = answer
+	}
+	for _, pools := range [][]string{{"a"}, {"a", "b"}} {
+		m.SetPools(pools)
+		later(m)
+		m.refreshMembers(context.Background(), nonMemberInterval)
+	}
+	g.Expect(store.readings).To(Equal(1))
+	_, owned := m.OwnerOf("b")
+	g.Expect(owned).To(BeTrue())
+}
+
 // Guards against a member's answer that leaves out a change which this node has missed.
 func TestAnswersAreLeftOutOnlyIfTheCallerHasThem(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/shards/members.go
+++ b/internal/shards/members.go
@@ -156,9 +156,7 @@
 			m.mu.Unlock()
 			continue
 		}
-		if got != nil {
-			m.distributeDuties(pools, got)
-		}
+		m.distributeDuties(pools, got)
 		return true
 	}
 	return false
@@ -184,8 +182,8 @@
 	return slices.Concat(ranked[first:], ranked[:first])[:min(len(ranked), maxPeersAsked)]
 }
 
-// askMembers asks a peer for its reading of the members. The members are nil if they are those that
-// it sent last.
+// askMembers asks a peer for its reading of the members and returns the newest that this process has
+// then.
 func (m *Manager) askMembers(ctx context.Context, node string) (members map[int]string, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, askPeerTimeout)
 	defer cancel()
@@ -199,16 +197,14 @@
 		return nil, false
 	}
 	m.opts.ObserveConfig(node, asked, got.Config)
-	if unchanged {
-		return nil, true
-	}
 	m.mergeHolders(got.Holders)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if asked-time.Duration(got.AgeMs)*time.Millisecond < m.partitionMembersReadAt {
-		return nil, true // older than this process's own reading
+	olderThanOwn := asked-time.Duration(got.AgeMs)*time.Millisecond < m.partitionMembersReadAt
+	if unchanged || olderThanOwn {
+		return m.partitionMembers, true
 	}
-	m.peerReading = got.Fingerprint
+	m.partitionMembers, m.peerReading = got.PartitionMembers, got.Fingerprint
 	m.opts.Logger.Info("members learnt from a peer", "peer", node, "age_ms", got.AgeMs, "members", len(got.PartitionMembers))
 	return got.PartitionMembers, true
 }
