--- a/internal/executor/incarnation.go
+++ b/internal/executor/incarnation.go
@@ -47,7 +47,7 @@
 )
 
 // forgetPastIncarnations forgets incarnations that service discovery has not listed for long; without
-// that an owner's memory grows with each move and restart. A term above the second is kept: an
+// that an owner's memory grows with each move and restart. A term above the first is kept: an
 // endpoint that has seen it would reject lower ones if it came back.
 func (c *Core) forgetPastIncarnations(now time.Duration, shown map[string]bool, endedShown map[Incarnation]bool) {
 	if now-c.incarnationsSweptAt < incarnationSweep {
--- a/internal/standin/trial/cluster.go
+++ b/internal/standin/trial/cluster.go
@@ -93,7 +93,7 @@
 	addrAt := func(port int) string { return fmt.Sprintf("%s:%d", c.net.IP(i+2), port) }
 	n := &Node{Name: name, Front: addrAt(portCallers), ready: addrAt(portReady), Operator: addrAt(portOperators), metrics: addrAt(portMetrics),
 		settings: filepath.Join(c.dir, name+".ini"), log: filepath.Join(c.dir, name+".log")}
-	text := fmt.Sprintf("[process]\nnode = %s\nzone = z\n[callers]\nlisten = %s\nready = %s\n[peer]\nlisten = %s\n[store]\naddress = %s\ninstances = %s\n[operator]\nlisten = %s\nmetrics = %s\n[bounds]\nmove = 300ms\nlease_ttl = 500ms\nendpoint_heartbeat = %s\nstable_window = %s\n",
+	text := fmt.Sprintf("[process]\nnode = %s\nzone = z\n[callers]\nlisten = %s\nready = %s\n[peer]\nlisten = %s\n[store]\naddress = %s\ninstances = %s\ninstance_orders_per_second = 64.0\n[operator]\nlisten = %s\nmetrics = %s\n[bounds]\nmove = 300ms\nlease_ttl = 500ms\nendpoint_heartbeat = %s\nstable_window = %s\n",
 		name, n.Front, n.ready, addrAt(portPeer), c.Platform.Addr(), c.Platform.Addr(), n.Operator, addrAt(portMetrics), wire.Heartbeat, wire.StableWindow)
 	if c.Platform.HasAccounts() {
 		text = strings.Replace(text, "[store]\n", "[store]\ncontracts = tenants\n", 1)
