Log each ordered stop, with the disruption budget that it was held against

A job that ended logged no stop for its tasks, so that a record without that line did not show who had stopped a long-running step; and no stop said what the owner took for unavailable. All stops go through requestStop now.

--- a/internal/executor/capacity.go
+++ b/internal/executor/capacity.go
@@ -40,6 +40,7 @@
 		c.requeue(t)
 		return
 	}
-	t.resending, t.stopping = false, true
+	t.resending = false
+	c.requestStop(t, "start cancelled")
 	c.stopGangMembers(t.step)
 }
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -156,7 +156,7 @@
 	if result != OrderNoTicket {
 		e.quarantinedUntil = max(e.quarantinedUntil, now+refusalPause)
 	}
-	t.stopping = true
+	c.requestStop(t, "start refused")
 	c.stopGangMembers(t.step)
 }
 
@@ -210,11 +210,10 @@
 
 func (c *Core) tickTask(now time.Duration, e *endpoint, t *task) {
 	if t.confirmedAt > 0 && !t.stopping && c.isStalled(t) {
-		t.stopping = true
 		e.consecutiveFailures++
 		e.quarantinedUntil = now + quarantineBase
 		t.avoidIncarnation = e.incarnation()
-		c.event(Event{Kind: EventStop, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: "no progress"})
+		c.requestStop(t, "no progress")
 	}
 	if t.gangStartOverdue(now) {
 		c.stopGangMembers(t.step)
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -156,7 +156,7 @@
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
 				if t.phase == taskPlaced {
-					t.stopping = true
+					c.requestStop(t, "job "+state.String())
 				}
 			}
 		}
--- a/internal/executor/vacate.go
+++ b/internal/executor/vacate.go
@@ -1,6 +1,9 @@
 package executor
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // vacateFor is how long a request to vacate is valid unless it is repeated.
 const vacateFor = 4 * time.Second
@@ -93,6 +96,9 @@
 	if t.stopping {
 		return
 	}
+	if budget := t.step.spec.MayMiss; budget > 0 {
+		reason = fmt.Sprintf("%s; unavailable tasks of its step: %d, allowed: %d", reason, c.countUnavailable(t.step, t), budget)
+	}
 	t.stopping = true
 	c.event(Event{Kind: EventStop, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: t.endpoint.id, Reason: reason})
 }
