Reproduce: a long-running step is stopped as a whole where one of its tasks is given up

What callers saw: tasks of a long-running step ended by orders while others of it were away, beyond its disruption budget. No test checked that budget: simulated endpoints now do, at the arrival of each order that ends a run, and polls may wait for an end as real endpoints make them wait.

--- a/internal/executor/simulated_endpoints_test.go
+++ b/internal/executor/simulated_endpoints_test.go
@@ -271,7 +271,7 @@
 	}
 	h.fence = order.Fence
 	if order.Kind == executor.OrderStop {
-		w.stop(h, order)
+		w.stop(h, order, late)
 		return executor.OrderDone
 	}
 	if r := h.running[order.Task]; r != nil && r.number == order.Run {
@@ -310,6 +310,9 @@
 	if w.lengthOf != nil {
 		runLength = w.lengthOf(n)
 	}
+	if w.budgetOf(order.Task) != nil {
+		runLength = time.Hour
+	}
 	r := &run{task: order.Task, number: order.Run, began: w.now, ends: w.now + runLength, needs: executor.Resources{CPUMilli: 1000, MemoryMB: 10}}
 	if h.failsAll || n.Step == failingStep {
 		r.outcome = executor.EndedFailed
@@ -345,8 +348,9 @@
 	return w.runs[task]
 }
 
-func (w *world) stop(h *simEndpoint, order executor.Order) {
+func (w *world) stop(h *simEndpoint, order executor.Order, late bool) {
 	if r := h.running[order.Task]; r != nil && r.number == order.Run {
+		w.checkBudget(h, r, late)
 		r.outcome, r.ends = executor.EndedStopped, w.now+100*time.Millisecond
 		return
 	}
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -53,6 +53,11 @@
 	limitMilli int
 	// ownersHandOver makes the owners of random scenarios hand their pool over when they end.
 	ownersHandOver bool
+	// disruptions checks the disruption budgets of long-running steps, by step name.
+	disruptions map[string]*budgetedStep
+	// waitingPolls makes polls wait for an end, as endpoints do; openPolls are those that wait.
+	waitingPolls bool
+	openPolls    []openPoll
 }
 
 type journal struct {
@@ -112,6 +117,8 @@
 	partitioned bool
 	// busy means that the owner receives answers but does nothing else.
 	busy bool
+	// frozenUntil is when a suspended owner continues; answers wait for it.
+	frozenUntil time.Duration
 	// lastProof is when the journal last confirmed the owner's epoch.
 	lastProof time.Duration
 	// batches are in flight to a slow journal, oldest first.
@@ -231,9 +238,11 @@
 		w.now += step
 		w.tickEndpoints()
 		w.writeEntries()
+		w.answerOpenPolls()
 		w.deliverListings()
+		w.observeBudgetedTasks()
 		for _, o := range w.owners {
-			if !o.stopped && !o.busy {
+			if !o.stopped && !o.busy && w.now >= o.frozenUntil {
 				w.round(o)
 			}
 		}
@@ -376,7 +385,7 @@
 	h := w.endpoints[p.Endpoint]
 	switch {
 	case h == nil || !h.reachableBy(o.epoch):
-		o.core.PollDone(w.now, p, executor.PollUnanswered, executor.Listed{})
+		w.failPoll(o, p)
 		return
 	case h.terminated:
 		o.core.PollDone(w.now, p, executor.PollOtherIncarnation, executor.Listed{})
@@ -389,15 +398,27 @@
 	h.extendLease(w.now, p.LeaseUntil)
 	w.acknowledge(h, p.Acknowledged)
 	if w.chance("look", p.Endpoint, o.epoch) < w.loseAnswers {
-		o.core.PollDone(w.now, p, executor.PollUnanswered, executor.Listed{})
+		w.failPoll(o, p)
 		return
 	}
+	if w.waitingPolls && p.Wait > 0 {
+		w.openPolls = append(w.openPolls, openPoll{o, p, h.startedMs, h.number, w.now + p.Wait})
+		return
+	}
+	w.answerPoll(o, p, h)
+}
+
+// answerPoll answers a poll with what the endpoint has now.
+func (w *world) answerPoll(o *owner, p executor.Poll, h *simEndpoint) {
 	listed := executor.Listed{Clock: h.clock(w.now), StartedMs: h.startedMs, Ended: slices.Clone(h.ended)}
 	for _, r := range h.running {
 		percent := 50
 		if !r.stalled {
 			percent = min(99, int(100*(w.now-r.began)/max(step, r.ends-r.began)))
 		}
+		if w.budgetOf(r.task) != nil {
+			percent = min(100, int(100*(w.now-r.began)/serviceStartup))
+		}
 		if h.percent > 0 {
 			percent = h.percent
 		}
@@ -412,7 +433,7 @@
 	waiting := w.answers
 	w.answers = nil
 	for _, a := range waiting {
-		if a.at > w.now {
+		if a.at > w.now || a.to.frozenUntil > w.now {
 			w.answers = append(w.answers, a)
 		} else if !a.to.stopped {
 			a.to.core.PollDone(w.now, a.poll, a.result, a.listed)
@@ -429,6 +450,7 @@
 }
 
 func (w *world) submit(o *owner, j jobs.Job) executor.Verdict {
+	w.watchBudgets(j)
 	v, _ := o.core.Submit(w.now, j, executor.Accepting{Queue: "q", Terms: terms(), Account: w.account}, 1)
 	return v
 }
