executor: giving up a task does not stop the other tasks of a long-running step

Cause: a task under which five endpoints had crashed was given up by failing its job, and the end of a job stops whatever is placed, with no regard to budgets.

A given-up task is now only kept from being started again. Its job goes on while another task with a budget can serve, and fails with the last one; the budget is never asked since nothing is stopped.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -333,6 +333,8 @@
 	// nil if the endpoint has not restarted since the start.
 	evidence      evidence
 	possibleCrash *crash
+	// givenUp is set once the evidence suffices; the task is not started again.
+	givenUp bool
 	// isIsolated is set while the run of a suspect task is new, which keeps runs of other jobs off
 	// its endpoint. isolationWaitSince is when the task began to wait for an endpoint for an isolated
 	// run, 0 if it does not wait.
--- a/internal/executor/crashes.go
+++ b/internal/executor/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -188,17 +189,39 @@
 		Reason: fmt.Sprintf("%s; the last one had %d new runs of other jobs", t.evidence, x.otherNewRuns)})
 	if t.evidence.isPoison() {
 		c.event(Event{Kind: EventPoisonTask, Job: j.rec.Job.ID, Task: t.name(), Run: x.number, Reason: t.evidence.String()})
+		c.giveUp(t)
+	}
+}
+
+// giveUp keeps a poison task from being started again, and fails its job unless other tasks with a
+// disruption budget can go on without it: the end of the job would stop all of them at once.
+func (c *Core) giveUp(t *task) {
+	t.givenUp = true
+	if j := t.step.job; !j.hasBudgetedTasks() {
 		c.endJob(j, JobFailed, "task "+t.name()+" is given up: "+t.evidence.String())
 	}
 }
 
+// hasBudgetedTasks reports whether the job has a long-running task with a disruption budget that has
+// not been given up. Members of a gang can't go on without each other.
+func (j *job) hasBudgetedTasks() bool {
+	for _, o := range j.current {
+		for _, s := range o.steps {
+			if s.spec.LongRunning && s.spec.MayMiss > 0 && !s.spec.Gang && slices.ContainsFunc(s.tasks, func(t *task) bool { return !t.givenUp }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // clearEvidence drops the evidence against a task with a stable run: it does not crash every
 // endpoint.
 func (c *Core) clearEvidence(t *task) {
 	if !t.needsRecentReport() {
 		return
 	}
-	t.evidence, t.leaseExpired = evidence{}, false
+	t.evidence, t.givenUp, t.leaseExpired = evidence{}, false, false
 	c.markDirty(t.step.job)
 }
 
@@ -238,10 +261,10 @@
 	return lost.endpoints > 0 && now-lost.last < crashReportTimeout && t.evidence.Crashes+lost.endpoints >= poisonCrashes
 }
 
-// isDue reports whether a task is waiting and neither its backoff nor pending crash reports keep it
-// from being placed now.
+// isDue reports whether a task is waiting, has not been given up, and neither its backoff nor pending
+// crash reports keep it from being placed now.
 func (c *Core) isDue(now time.Duration, t *task) bool {
-	return t.phase == taskWaiting && now >= t.notBefore && !c.awaitsCrashReports(now, t)
+	return t.phase == taskWaiting && !t.givenUp && now >= t.notBefore && !c.awaitsCrashReports(now, t)
 }
 
 // mayStart reports whether a task is due and its account may start it.
--- a/internal/executor/dump.go
+++ b/internal/executor/dump.go
@@ -158,6 +158,10 @@
 	d.Crashes = j.dumpCrashes()
 	met := map[string]bool{}
 	for _, t := range j.firstWaitingTasks() {
+		if t.givenUp {
+			d.Waiting = append(d.Waiting, t.name()+": given up: "+t.evidence.String())
+			continue
+		}
 		counts := c.countObstacles(now, t)
 		d.Waiting = append(d.Waiting, t.name()+": endpoints "+c.describeObstacles(now, t, counts))
 		for o := range counts {
--- a/internal/executor/explain.go
+++ b/internal/executor/explain.go
@@ -29,6 +29,9 @@
 			continue
 		}
 		for _, t := range j.firstWaitingTasks() {
+			if t.givenUp {
+				continue
+			}
 			if shown == maxExplainedTasks {
 				return
 			}
@@ -39,11 +42,16 @@
 	}
 }
 
-// firstWaitingTasks returns one waiting task of each step that is ready to start.
+// firstWaitingTasks returns one waiting task of each step that is ready to start; one that has been
+// given up only if the step has no other.
 func (j *job) firstWaitingTasks() []*task {
 	var out []*task
 	for s := range j.readySteps() {
-		if first := slices.IndexFunc(s.tasks, func(t *task) bool { return t.phase == taskWaiting }); first >= 0 {
+		first := slices.IndexFunc(s.tasks, func(t *task) bool { return t.phase == taskWaiting && !t.givenUp })
+		if first < 0 {
+			first = slices.IndexFunc(s.tasks, func(t *task) bool { return t.phase == taskWaiting })
+		}
+		if first >= 0 {
 			out = append(out, s.tasks[first])
 		}
 	}
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -358,6 +358,8 @@
 	switch r.Phase {
 	case taskDone:
 		t.phase = taskDone
+	case taskWaiting:
+		t.givenUp = t.evidence.isPoison()
 	case taskPlaced:
 		e := c.endpoint(r.Endpoint)
 		c.occupy(t, e)
--- a/internal/executor/summary.go
+++ b/internal/executor/summary.go
@@ -163,7 +163,7 @@
 			continue
 		}
 		for _, t := range j.firstWaitingTasks() {
-			found := false
+			found := t.givenUp
 			for _, e := range c.endpoints {
 				found = found || c.obstacle(now, t, e) == obstacleNone
 			}
