executor: a long-running task that has seen three crashes starts only isolated

What callers saw: healthy long-running tasks given up, and their jobs failed, in a pool where tasks of another queue crash one endpoint after the other. Cause: each crash within 2 s of a start counts against every run there, and five give a task up. A short task has ended by then; a long-running one is there for all of them. A suspect waits 3 s at most for an endpoint without new runs, which a pool in that state rarely has, and its endpoint takes other runs 250 ms after its start, well before its own run counts as stable.

From the third crash on, a long-running task now waits for an isolated run without a limit, first among the suspects that endpoints are reserved for, and stays isolated until its run is stable. Then only an outside cause can end its endpoint. The bound on starts of a task that does crash its endpoints stays as it was: five crashes, whatever their cause.

--- a/internal/executor/isolation.go
+++ b/internal/executor/isolation.go
@@ -52,7 +52,25 @@
 
 // needsIsolatedRun reports whether a task may only be placed where no run of another job is new.
 func (t *task) needsIsolatedRun(now time.Duration) bool {
-	return t.evidence.Suspect && (t.isolationWaitSince == 0 || now-t.isolationWaitSince < isolationTimeout)
+	return t.requiresIsolation() || t.evidence.Suspect && (t.isolationWaitSince == 0 || now-t.isolationWaitSince < isolationTimeout)
+}
+
+// requiresIsolation reports whether a task starts isolated however long it waits, and stays so until
+// its run is stable. Load: the tasks of other jobs crash one endpoint of the pool after another. Each
+// crash within stableRunAfter of its start counts against a long-running task that only shares the
+// endpoint, until it is given up. A short task would have ended by then.
+func (t *task) requiresIsolation() bool {
+	s := t.step.spec
+	return s.LongRunning && !s.Gang && t.evidence.Crashes >= poisonCrashes
+}
+
+// isolationPeriod is how long an endpoint must have reported since it confirmed a run for the run's
+// isolation to end.
+func (t *task) isolationPeriod() time.Duration {
+	if t.requiresIsolation() {
+		return stableRunAfter
+	}
+	return newRunPeriod
 }
 
 // isolationScore ranks endpoints for a suspect: it prefers those with few runs to lose, and another
@@ -116,13 +134,18 @@
 	}
 }
 
-// waitingSuspects returns the suspects that could start now and need an isolated run.
+// waitingSuspects returns the suspects that could start now and need an isolated run, first those that
+// don't start without one.
 func (c *Core) waitingSuspects(now time.Duration) []*task {
-	var out []*task
+	var required, preferred []*task
 	for _, t := range c.cautiousTasks {
-		if t.needsIsolatedRun(now) && t.step.waitsFor == 0 && c.mayStart(now, t) {
-			out = append(out, t)
+		switch {
+		case !t.needsIsolatedRun(now) || t.step.waitsFor > 0 || !c.mayStart(now, t):
+		case t.requiresIsolation():
+			required = append(required, t)
+		default:
+			preferred = append(preferred, t)
 		}
 	}
-	return out
+	return append(required, preferred...)
 }
--- a/internal/executor/long_running_crash_test.go
+++ b/internal/executor/long_running_crash_test.go
@@ -146,3 +146,45 @@
 		}
 	}
 }
+
+// Guards against a long-running task that never starts again because it requires an isolated run and
+// its pool is full of short tasks that have just begun.
+func TestALongRunningTaskThatRequiresIsolationStartsInABusyPool(t *testing.T) {
+	for endpoints := 1; endpoints <= 3; endpoints++ {
+		t.Run(fmt.Sprint(endpoints, " endpoints"), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := newWorld(1, endpoints)
+			w.limits.KeepEnded, w.downFor = time.Hour, step
+			o := w.takeOver()
+			w.run(500 * time.Millisecond)
+			j := serviceJob(1, 1)
+			task := jobs.TaskName{Job: j.ID}.String()
+			w.submit(o, j)
+			n := 100
+			runBusy := func(until func() bool, limit time.Duration) {
+				for end := w.now + limit; w.now < end && !until(); n++ {
+					w.submit(o, jobOf(n, smallStep(4)))
+					w.run(100 * time.Millisecond)
+				}
+			}
+			for range 3 {
+				runBusy(func() bool { return w.isServing(task) }, longestPause)
+				g.Expect(w.isServing(task)).To(BeTrue(), "before the next crash")
+				for _, h := range w.endpoints {
+					if h.running[task] != nil {
+						w.crash(h)
+					}
+				}
+				w.run(step)
+			}
+			runBusy(func() bool { return w.isServing(task) }, longestPause)
+			g.Expect(w.traceOf(task)).To(ContainSubstring("3 endpoints have crashed under it"))
+			g.Expect(w.isServing(task)).To(BeTrue())
+			g.Expect(w.violations).To(BeEmpty())
+		})
+	}
+}
+
+// longestPause is how long a long-running task may be without a run while its pool has capacity.
+const longestPause = 9 * time.Second
--- a/internal/executor/polls.go
+++ b/internal/executor/polls.go
@@ -341,7 +341,7 @@
 	c.recordConfirmation(now, t)
 	t.onCurrentIncarnation = true
 	t.possibleCrash = nil
-	if t.confirmedFor() >= newRunPeriod {
+	if t.confirmedFor() >= t.isolationPeriod() {
 		t.endIsolation()
 	}
 	if t.confirmedFor() >= stableRunAfter {
