executor: a task whose endpoint drains counts as unavailable

What callers could see: a task of a long-running step stopped for a wave while another one is stopped because its endpoint has begun to drain. Cause: stops on draining endpoints ask no budget and are sent at the next tick; a request to vacate that is handled between the entry and that tick still counted the task as available, and both stops left in one round. Either may end first. Since the task counts as unavailable as soon as its endpoint is known to drain, the wave waits for it.

--- /dev/null
+++ b/internal/executor/disruption_budget_cases_test.go
@@ -0,0 +1,53 @@
+package executor_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/jobs"
+)
+
+// servingWorld returns a pool on whose endpoints the tasks of a service are at work, one on each of the
+// first ones.
+func servingWorld(endpoints, tasks int) (w *world, o *owner, service jobs.Job) {
+	w = newWorld(1, endpoints)
+	w.waitingPolls = true
+	o = w.takeOver()
+	w.run(100 * time.Millisecond)
+	service = serviceJob(1, tasks)
+	w.submit(o, service)
+	w.run(2 * time.Second)
+	return w, o, service
+}
+
+// endpointsServing returns the endpoints on which tasks of services run.
+func (w *world) endpointsServing() []*simEndpoint {
+	var out []*simEndpoint
+	for _, info := range w.discoveryList() {
+		if h := w.endpoints[info.ID]; len(h.running) > 0 {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// Guards against a stop for a wave that is sent together with that of a task whose endpoint has just
+// begun to drain: the second one may end first.
+func TestATaskOnADrainingEndpointCountsAsUnavailable(t *testing.T) {
+	g := NewWithT(t)
+	w, o, _ := servingWorld(4, 3)
+	serving := w.endpointsServing()
+	serving[0].draining = true
+	o.core.ObserveEndpoints(w.now, w.discoveryList())
+	o.core.Vacate(w.now, serving[1].id, false)
+	w.run(50 * time.Millisecond)
+	for _, r := range serving[1].running {
+		g.Expect(r.outcome).NotTo(Equal(executor.EndedStopped))
+	}
+	for _, r := range serving[0].running {
+		g.Expect(r.outcome).To(Equal(executor.EndedStopped))
+	}
+}
--- a/internal/executor/vacate.go
+++ b/internal/executor/vacate.go
@@ -104,13 +104,19 @@
 }
 
 // countUnavailable counts the tasks of a step, other than one, that are not confirmed to be
-// fully started.
+// fully started or are about to be stopped.
 func (c *Core) countUnavailable(s *stepRun, except *task) int {
 	n := 0
 	for _, t := range s.tasks {
-		if t != except && (t.phase != taskPlaced || t.stopping || t.percent < fullyStarted || t.endpoint.failedPolls > 0) {
+		if t != except && !t.isAvailable() {
 			n++
 		}
 	}
 	return n
 }
+
+// isAvailable reports whether a long-running task is confirmed to be fully started and is not about to
+// be stopped.
+func (t *task) isAvailable() bool {
+	return t.phase == taskPlaced && !t.stopping && t.percent >= fullyStarted && t.endpoint.failedPolls == 0 && !t.endpoint.draining
+}
