executor: a new owner counts the stops that its predecessor has sent by what endpoints list

What callers could see: a second task of a long-running step stopped while the one that the former owner had stopped was away. Cause: a new owner waited for the stop time-out and one second after its claim, and then took a task for available by its newest listing, however old: if the poll that would have shown the end is lost, that listing is from while the stop was in progress, and a late first report is not covered by the wait at all.

A task now counts as available once its endpoint has listed the run a stop time-out after its first report to this owner, by the endpoint's clock: that report raises the fence, so no older stop begins later. The wait after a claim is not needed any more.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -394,6 +394,8 @@
 	// failedPolls counts the polls that went unanswered since the last answer.
 	failedPolls int
 
+	// firstReportClock is the endpoint's clock in its first answer to a poll under this epoch.
+	firstReportClock time.Duration
 	// clock is the newest reading of the endpoint's clock, and clockAt when it was received.
 	clock   time.Duration
 	clockAt time.Duration
--- a/internal/executor/disruption_budget_cases_test.go
+++ b/internal/executor/disruption_budget_cases_test.go
@@ -34,6 +34,29 @@
 	return out
 }
 
+// Guards against a stop beyond the budget by a new owner that has read an endpoint while the
+// predecessor's stop was in progress there, and can't reach it any more.
+func TestANewOwnerCountsAStopThatItsPredecessorHasSent(t *testing.T) {
+	for _, sinceStop := range []time.Duration{0, 50 * time.Millisecond, 90 * time.Millisecond} {
+		g := NewWithT(t)
+		w, o, _ := servingWorld(4, 3)
+		serving := w.endpointsServing()
+		g.Expect(serving).To(HaveLen(3))
+		o.core.Vacate(w.now, serving[0].id, false)
+		w.run(step)
+		w.run(sinceStop)
+		o.stopped = true
+		next := w.takeOver()
+		w.run(2 * step)
+		serving[0].unresponsive = true
+		for range 16 {
+			w.run(100 * time.Millisecond)
+			next.core.Vacate(w.now, serving[1].id, false)
+		}
+		g.Expect(w.violations).To(BeEmpty(), "%v after the stop", sinceStop)
+	}
+}
+
 // Guards against a stop for a wave that is sent together with that of a task whose endpoint has just
 // begun to drain: the second one may end first.
 func TestATaskOnADrainingEndpointCountsAsUnavailable(t *testing.T) {
--- a/internal/executor/polls.go
+++ b/internal/executor/polls.go
@@ -272,6 +272,7 @@
 		// renew them now that the fence is raised. If they counted as expired, the tasks would
 		// be started elsewhere before this owner's first renewal, beside runs that go on here.
 		e.grantedUntil = max(e.grantedUntil, e.clock+c.limits.Lease)
+		e.firstReportClock = in.Clock
 	}
 	e.nextPoll = now + e.pollInterval()
 	if !e.hasReported || e.failedPolls > 0 {
--- a/internal/executor/vacate.go
+++ b/internal/executor/vacate.go
@@ -34,7 +34,7 @@
 	// An endpoint that service discovery does not list yet counts as vacating once it is listed.
 	e := c.endpoint(id)
 	c.vacate(now, e)
-	c.stopLongRunning(now, e)
+	c.stopLongRunning(e)
 	if stopTasks {
 		for t := range e.tasks {
 			if !t.step.spec.LongRunning {
@@ -55,19 +55,9 @@
 	}
 }
 
-// predecessorStopWindow covers a stop that the predecessor sent just before it was fenced.
-const predecessorStopWindow = time.Second
-
 // stopLongRunning stops long-running tasks, as many at a time as their steps' disruption budgets
 // (MayMiss) allow. Tasks of a step without a budget are stopped at once.
-//
-// The predecessor may have sent stops that this owner has no record of, and endpoints list a run
-// as running until its stop is complete. Until those stops must have ended, a further one could
-// exceed the budget.
-func (c *Core) stopLongRunning(now time.Duration, e *endpoint) {
-	if c.epoch > 1 && now < c.claimedAt+c.limits.StopTimeout+predecessorStopWindow {
-		return
-	}
+func (c *Core) stopLongRunning(e *endpoint) {
 	for t := range e.tasks {
 		s := t.step
 		if !s.spec.LongRunning || t.stopping {
@@ -108,7 +98,7 @@
 func (c *Core) countUnavailable(s *stepRun, except *task) int {
 	n := 0
 	for _, t := range s.tasks {
-		if t != except && !t.isAvailable() {
+		if t != except && !c.isAvailable(t) {
 			n++
 		}
 	}
@@ -117,6 +107,15 @@
 
 // isAvailable reports whether a long-running task is confirmed to be fully started and is not about to
 // be stopped.
-func (t *task) isAvailable() bool {
-	return t.phase == taskPlaced && !t.stopping && t.percent >= fullyStarted && t.endpoint.failedPolls == 0 && !t.endpoint.draining
+func (c *Core) isAvailable(t *task) bool {
+	return t.phase == taskPlaced && !t.stopping && t.percent >= fullyStarted && t.endpoint.failedPolls == 0 && !t.endpoint.draining &&
+		c.outlivedPredecessor(t)
+}
+
+// outlivedPredecessor reports whether a run has been listed since any stop of it that the predecessor
+// may have sent must be complete. This owner has no record of such a stop, and endpoints list a run as
+// running until its stop is complete. None can begin once an endpoint has reported to this owner, which
+// raises its fencing token.
+func (c *Core) outlivedPredecessor(t *task) bool {
+	return c.epoch == 1 || t.listedAt >= t.endpoint.firstReportClock+c.limits.StopTimeout
 }
