executor: the repetition of a start does not stop a run that is listed

What callers could see: a long-running task at work is stopped, without regard to its budget, and started elsewhere. Cause: a start that had gone unanswered is repeated; the first order is carried out late, and then the repetition is refused (an unhealthy endpoint), or can't be sent because the endpoint's capacity has shrunk or its entry is too old. Both withdrew the start by a stop of its run number, though the run was listed by then.

A repetition whose run is listed is dropped, and a refusal of one means nothing: the run is where it was to be.

--- a/internal/executor/disruption_budget_cases_test.go
+++ b/internal/executor/disruption_budget_cases_test.go
@@ -74,3 +74,62 @@
 		g.Expect(r.outcome).To(Equal(executor.EndedStopped))
 	}
 }
+
+// repeatedStart drives a Core until the start of a service's task is about to be repeated: its order
+// has gone unanswered, and the endpoint has not listed the run. It returns the first order.
+func repeatedStart(g Gomega, c *executor.Core, e executor.EndpointInfo) (now time.Duration, first executor.Order) {
+	now = time.Second
+	answer := func(listed executor.Listed) {
+		now += 10 * time.Millisecond
+		listed.Clock = now
+		for _, p := range c.DuePolls(now) {
+			c.PollDone(now, p, executor.PollAnswered, listed)
+		}
+	}
+	c.ObserveEndpoints(now, []executor.EndpointInfo{e})
+	answer(executor.Listed{})
+	c.Submit(now, serviceJob(1, 1), executor.Accepting{Queue: "q", Terms: terms()}, 1)
+	c.Decide(now)
+	c.Advance(now, c.Ready(now))
+	first, _, sent := c.NextStart(now)
+	g.Expect(sent).To(BeTrue())
+	c.OrderDone(now, first, executor.OrderUnanswered, executor.Answer{})
+	now += time.Second
+	answer(executor.Listed{})
+	return now, first
+}
+
+// Guards against a stop of a run that is at work because the order that was to repeat its start is
+// refused or can't be sent any more. The first order was carried out late.
+func TestARunThatIsListedOutlivesTheRepetitionOfItsStart(t *testing.T) {
+	e := executor.EndpointInfo{ID: "i-00", Addr: "i-00", Capacity: executor.Resources{CPUMilli: 4000, MemoryMB: 4000}}
+	for _, refused := range []bool{true, false} {
+		g := NewWithT(t)
+		c := executor.New("pool", 1, testLimits(), time.Second)
+		now, first := repeatedStart(g, c, e)
+		if refused {
+			repeated, _, sent := c.NextStart(now)
+			g.Expect(sent).To(BeTrue())
+			now += 100 * time.Millisecond
+			list(c, now, first)
+			c.OrderDone(now, repeated, executor.OrderUnhealthy, executor.Answer{})
+		} else {
+			now += 100 * time.Millisecond
+			list(c, now, first)
+			shrunk := e
+			shrunk.Capacity.CPUMilli = 500
+			c.ObserveEndpoints(now, []executor.EndpointInfo{shrunk})
+			_, _, sent := c.NextStart(now)
+			g.Expect(sent).To(BeFalse())
+		}
+		c.Tick(now)
+		g.Expect(c.TakeStops()).To(BeEmpty(), "refused: %v", refused)
+	}
+}
+
+// list answers the due polls with a run that is at work.
+func list(c *executor.Core, now time.Duration, o executor.Order) {
+	for _, p := range c.DuePolls(now) {
+		c.PollDone(now, p, executor.PollAnswered, executor.Listed{Clock: now, Running: []executor.ListedRun{{Task: o.Task, Run: o.Run, Percent: 100}}})
+	}
+}
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -63,6 +63,10 @@
 		if !o.isCurrent() || o.Fence != c.fence(o.task.endpoint) || o.task.stopping {
 			continue
 		}
+		if o.task.isListed() {
+			o.task.resending = false
+			continue
+		}
 		if !c.maySendStart(now, o.task.endpoint) {
 			c.cancelStart(o.task)
 			continue
@@ -79,6 +83,10 @@
 	return o.task != nil && o.task.endpoint != nil && o.task.endpoint.id == o.Endpoint && o.task.run == o.Run
 }
 
+// isListed reports whether an endpoint has listed the task's current run. Its start is not repeated any
+// more, and a refusal of an earlier repetition means nothing.
+func (t *task) isListed() bool { return t.listedAt > 0 }
+
 // OrderDone applies the outcome of an order.
 func (c *Core) OrderDone(now time.Duration, o Order, result OrderResult, a Answer) {
 	switch {
@@ -152,10 +160,13 @@
 // still arrive if one went unanswered, so the run stays on the endpoint until a stop has made
 // sure that its number can't start any more.
 func (c *Core) withdrawStart(now time.Duration, t *task, e *endpoint, result OrderResult) {
-	c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: "start refused: " + result.String()})
 	if result != OrderNoTicket {
 		e.quarantinedUntil = max(e.quarantinedUntil, now+refusalPause)
 	}
+	if t.isListed() {
+		return
+	}
+	c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: "start refused: " + result.String()})
 	c.requestStop(t, "start refused")
 	c.stopGangMembers(t.step)
 }
