executor: the clock of another incarnation says nothing about a crashed one

What callers could see: a task that crashes its endpoints is started once too often. Cause: an order that is answered by another incarnation at the address carries that one's clock. Where the endpoint's start time is not known, the clock decides whose answer it is; if it fitted, the crashed incarnation seemed to have reported for the time in between, and its crash did not count.

--- a/internal/executor/crash_test.go
+++ b/internal/executor/crash_test.go
@@ -382,3 +382,24 @@
 		g.Expect(w.state(o, j)).To(Equal("completed"))
 	}
 }
+
+// Guards against a crash that does not count because the incarnation that answers in place of the
+// crashed one shows a clock that could be that one's.
+func TestAnotherIncarnationsClockDoesNotProlongACrashedRun(t *testing.T) {
+	g := NewWithT(t)
+	c := executor.New("pool", 1, testLimits(), time.Second)
+	now := time.Second
+	c.ObserveEndpoints(now, []executor.EndpointInfo{{ID: "i-00", Addr: "i-00", Capacity: executor.Resources{CPUMilli: 4000, MemoryMB: 4000}}})
+	for _, p := range c.DuePolls(now) {
+		c.PollDone(now, p, executor.PollAnswered, executor.Listed{Clock: now})
+	}
+	c.Submit(now, jobOf(1, smallStep(1)), executor.Accepting{Queue: "q", Terms: terms()}, 1)
+	c.Decide(now)
+	c.Advance(now, c.Ready(now))
+	start, _, sent := c.NextStart(now)
+	g.Expect(sent).To(BeTrue())
+	c.OrderDone(now, start, executor.OrderDone, executor.Answer{Clock: now})
+	now += 3 * time.Second
+	c.OrderDone(now, start, executor.OrderOtherIncarnation, executor.Answer{Clock: now})
+	g.Expect(c.TakeEvents()).To(ContainElement(HaveField("Kind", executor.EventCrashed)))
+}
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -110,7 +110,7 @@
 	if c.observeIncarnation(now, e, a.StartedMs); o.Fence != c.fence(e) {
 		return // another incarnation has answered
 	}
-	fromCurrent := a.isFrom(now, o.sent, e)
+	fromCurrent := result != OrderOtherIncarnation && a.isFrom(now, o.sent, e)
 	if fromCurrent {
 		e.recordClock(now, a.Clock)
 	}
