The stand-in and the soak check disruption budgets

One long-running job a pool, of three tasks under a budget of one, runs through each soak: no stop may end a task that is at work while another one is away, and all are at work in the end.

--- a/cmd/cyclamen-trial/main.go
+++ b/cmd/cyclamen-trial/main.go
@@ -88,7 +88,7 @@
 }
 
 func runScenario(o options, randomFaults bool) (report trial.Report, dir string, err error) {
-	dir, err = withDeployment(o, shapes[o.shape], trial.SoakAccounts, func(c *trial.Cluster, pools []string, _ string) error {
+	dir, err = withDeployment(o, shapes[o.shape], append(trial.SoakAccounts, trial.ServiceAccount), func(c *trial.Cluster, pools []string, _ string) error {
 		if !randomFaults {
 			go injectDemoFaults(c, pools[0])
 		}
--- a/internal/standin/trial/jobs.go
+++ b/internal/standin/trial/jobs.go
@@ -42,6 +42,14 @@
 	return c.submit(Submission{Path: jobPath(pool, number), Tasks: 1, WantState: "failed"}, body)
 }
 
+// SubmitService submits a job whose tasks run until it is cancelled, on separate endpoints, with a
+// disruption budget of one task that the platform checks.
+func (c *Caller) SubmitService(pool string, number, width int) Submission {
+	body := fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":1000,"memMb":64,"estMs":300,"longRunning":true,"mayMiss":1,"maxPerServer":1}]}`, wire.SpecServes, width)
+	c.Cluster.Platform.WatchBudget(fmt.Sprintf("%016x", number), 1, width)
+	return c.submit(Submission{Path: jobPath(pool, number), Tasks: width, WantState: "running"}, body)
+}
+
 func jobPath(pool string, number int) string { return fmt.Sprintf("/%s/%016x", pool, number) }
 
 // submit sends a job until it is accepted or maxAttempts is reached.
--- a/internal/standin/trial/soak.go
+++ b/internal/standin/trial/soak.go
@@ -40,6 +40,10 @@
 	// the configuration that the nodes start with.
 	minLimit     = 2000
 	firstVersion = 1
+	// serviceWidth is the number of tasks of each long-running job.
+	serviceWidth = 3
+	// servicesTimeout bounds the wait for the long-running tasks after the last fault.
+	servicesTimeout = 20 * time.Second
 	// drainTimeout bounds the wait for the last jobs.
 	drainTimeout = 60 * time.Second
 )
@@ -56,6 +60,10 @@
 	var r Report
 	var all []Submission
 	var mu sync.Mutex
+	services := &Caller{Cluster: c, Host: host, Account: ServiceAccount.Name, Key: ServiceAccount.Keys[0]}
+	for n, pool := range pools {
+		all = append(all, services.SubmitService(pool, (submitters+2)<<32+n, serviceWidth))
+	}
 	var wg sync.WaitGroup
 	for s := range submitters {
 		wg.Go(func() {
@@ -80,7 +88,7 @@
 		r.Faults = injectUntil(c, host, pools, seed, end)
 	}
 	wg.Wait()
-	r.Unfinished = callers[0].AwaitAll(all, drainTimeout)
+	r.Unfinished = append(callers[0].AwaitAll(all, drainTimeout), awaitServices(c.Platform)...)
 	r.Broken = c.Platform.Violations()
 	for _, j := range all {
 		r.Jobs++
@@ -98,6 +106,23 @@
 // SoakAccounts are the accounts that submit jobs. Their limits are a fraction of the fleet.
 var SoakAccounts = []wire.Account{{Name: "alpha", Keys: []string{"alpha-key-1"}, CPUMilli: 8000}, {Name: "beta", Keys: []string{"beta-key-1"}, CPUMilli: 30000}}
 
+// ServiceAccount submits the long-running jobs.
+var ServiceAccount = wire.Account{Name: "services", Keys: []string{"services-key-1"}}
+
+// awaitServices waits until all tasks of the long-running jobs are at work, and returns those that
+// are not within servicesTimeout.
+func awaitServices(p *wire.Platform) []string {
+	deadline := time.Now().Add(servicesTimeout)
+	for len(p.NotAtWork()) > 0 && time.Now().Before(deadline) {
+		time.Sleep(50 * time.Millisecond)
+	}
+	var out []string
+	for _, task := range p.NotAtWork() {
+		out = append(out, task+" is not at work")
+	}
+	return out
+}
+
 // submitCrashing submits jobs whose tasks crash their endpoints, until end.
 func submitCrashing(caller *Caller, pools []string, seed uint64, end time.Time) []Submission {
 	rng := rand.New(rand.NewPCG(seed, 79))
@@ -207,6 +232,7 @@
 	for i := range accounts {
 		accounts[i].CPUMilli = minLimit + in.limitRand.IntN(accounts[i].CPUMilli)
 	}
+	accounts = append(accounts, ServiceAccount)
 	in.version++
 	in.faults = append(in.faults, fmt.Sprintf("limits are %d and %d", accounts[0].CPUMilli, accounts[1].CPUMilli))
 	in.c.Platform.SetAccounts(accounts...)
--- a/internal/standin/wire/endpoint.go
+++ b/internal/standin/wire/endpoint.go
@@ -43,6 +43,8 @@
 	startedAt time.Time
 	duration  time.Duration
 	stopping  bool
+	// serves is set for a task that runs until its job is cancelled.
+	serves bool
 }
 
 type taskEnd struct {
@@ -150,8 +152,9 @@
 
 // dropRunsLocked drops all running tasks without reporting an end.
 func (e *Endpoint) dropRunsLocked() {
-	for name := range e.running {
+	for name, run := range e.running {
 		e.p.history(name).running--
+		e.recordRunEndLocked(name, run)
 	}
 	clear(e.running)
 }
@@ -214,21 +217,26 @@
 	if e.lease <= e.clock() {
 		return http.StatusConflict, "late"
 	}
-	ms, err := strconv.Atoi(in.Spec)
-	if err != nil && in.Spec != SpecCrashes {
-		return http.StatusBadRequest, ""
-	}
-	if in.Spec == SpecCrashes {
-		ms = int(time.Hour.Milliseconds())
+	run := &taskRun{number: in.Run, startedAt: time.Now(), duration: time.Hour, serves: in.Spec == SpecServes}
+	switch in.Spec {
+	case SpecServes:
+	case SpecCrashes:
 		e.recordCrashingStartLocked(in.Task)
+	default:
+		ms, err := strconv.Atoi(in.Spec)
+		if err != nil {
+			return http.StatusBadRequest, ""
+		}
+		run.duration = time.Duration(ms) * time.Millisecond
 	}
-	e.running[in.Task] = &taskRun{number: in.Run, startedAt: time.Now(), duration: time.Duration(ms) * time.Millisecond}
+	e.running[in.Task] = run
 	e.p.recordStart(in.Task, e)
 	return http.StatusOK, ""
 }
 
 func (e *Endpoint) stopRun(in order) (int, string) {
 	if run := e.running[in.Task]; run != nil && run.number == in.Run {
+		e.checkBudgetLocked(in.Task, run)
 		run.stopping, run.duration = true, time.Since(run.startedAt)+stopDuration
 		return http.StatusOK, ""
 	}
@@ -254,6 +262,7 @@
 
 func (e *Endpoint) endRun(name string, run *taskRun, outcome string) {
 	delete(e.running, name)
+	e.recordRunEndLocked(name, run)
 	e.highestRun[name] = max(e.highestRun[name], run.number)
 	e.lastEndNumber++
 	e.ended = append(e.ended, taskEnd{number: e.lastEndNumber, task: name, run: run.number, outcome: outcome})
@@ -310,6 +319,9 @@
 	running, ended := [][]any{}, [][]any{}
 	for name, run := range e.running {
 		percent := min(99, int(100*time.Since(run.startedAt)/(run.duration+1)))
+		if run.serves {
+			percent = min(100, int(100*time.Since(run.startedAt)/serveStartup))
+		}
 		running = append(running, []any{name, run.number, "", percent, 0})
 	}
 	for _, end := range e.ended {
