--- a/internal/standin/wire/platform.go
+++ b/internal/standin/wire/platform.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -357,7 +358,7 @@
 func (p *Platform) changeLocked(i *instance, name, pool string, wave int, maintain bool) {
 	if e := p.endpoints[i.endpoint]; e != nil {
 		if len(e.running) > 0 {
-			p.violations = append(p.violations, name+" was taken while tasks ran on it")
+			p.violations = append(p.violations, fmt.Sprintf("%s was taken while tasks ran on %s: %v", name, e.id, slices.Sorted(maps.Keys(e.running))))
 		}
 		e.endLocked()
 	}
