executor: admission by sums of outstanding work; late acceptance and shares by weight under overload control

A refusal scanned all open jobs. The sums of their work are kept between decisions instead, so that a refusal costs the same however many jobs wait.

--- a/internal/executor/accounts.go
+++ b/internal/executor/accounts.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"cyclamenwheel/internal/accounts"
@@ -19,7 +20,11 @@
 }
 
 // SetAccounts applies the published client accounts.
-func (c *Core) SetAccounts(d *accounts.Directory) { c.allowance.SetDirectory(d) }
+func (c *Core) SetAccounts(d *accounts.Directory) {
+	c.directory = d
+	c.outstanding.valid = false
+	c.allowance.SetDirectory(d)
+}
 
 // ApplyShares applies this pool's shares of the accounts' limits.
 func (c *Core) ApplyShares(now time.Duration, grants []quota.Grant) {
@@ -80,18 +85,16 @@
 	maps.DeleteFunc(c.atShareSince, func(account string, _ time.Duration) bool { return !waiting[account] })
 }
 
-// workWithinShares returns how much of a backlog, in milli-core-milliseconds, can run within ms
-// milliseconds. Load: one account submits many times its limit; the jobs beyond the limit don't
-// delay those of other accounts.
-func (c *Core) workWithinShares(backlog map[string]float64, ms float64) float64 {
-	sum := 0.0
-	for account, work := range backlog {
+// limitedTo returns how much work, in milli-core-ms, an account can have done within ms milliseconds;
+// +Inf for accounts without a CPU limit. Load: one account submits many times its limit; the jobs
+// beyond the limit don't delay those of other accounts.
+func (c *Core) limitedTo(ms float64) func(account string) float64 {
+	return func(account string) float64 {
 		if cpu, bounded := c.allowance.CPU(account); bounded {
-			work = min(work, float64(cpu)*ms)
+			return float64(cpu) * ms
 		}
-		sum += work
+		return math.Inf(1)
 	}
-	return sum
 }
 
 // shareSettleTime is how long an account may be at its share before that share is taken as
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -28,6 +28,7 @@
 import (
 	"time"
 
+	"cyclamenwheel/internal/accounts"
 	"cyclamenwheel/internal/jobs"
 	"cyclamenwheel/internal/quota"
 	"cyclamenwheel/internal/routing"
@@ -49,6 +50,9 @@
 	StopTimeout time.Duration
 	// LongestLease is the longest lease that endpoints grant; they shorten longer ones to it.
 	LongestLease time.Duration
+	// OverloadControl makes a pool that receives more than it can run accept jobs that will be late
+	// but of use, and divide its capacity among accounts by their weights.
+	OverloadControl bool
 	// CapacityMaxAge is how long starts may rely on a reported capacity after it has shrunk;
 	// endpoints report their capacity at intervals. 0 means no bound.
 	CapacityMaxAge time.Duration
@@ -123,6 +127,10 @@
 	refusedSince  map[string]time.Duration
 	// refusedByAccount counts refused jobs by client account.
 	refusedByAccount map[string]int
+	// outstanding sums the work of the accepted jobs, for admission.
+	outstanding outstandingWork
+	// directory has the published client accounts.
+	directory *accounts.Directory
 	// incoming are announced additions to the pool's CPU capacity, soonest first; the announcement
 	// is valid until incomingValidUntil.
 	incoming           []capacityArrival
@@ -229,6 +237,10 @@
 	placedTasks int
 	// inOpen is set while the job is in Core.open.
 	inOpen bool
+	// beyondShare is set while the job's account exceeds its share of a full pool with it.
+	beyondShare bool
+	// admission is what was decided when this owner accepted the job.
+	admission admissionDecision
 }
 
 // occurrence is one execution of all steps of a job; recurring jobs have several.
@@ -504,8 +516,13 @@
 	AgeMs int64
 	// StartedMs is when the endpoint's incarnation started, if relevant.
 	StartedMs int64
-	// Account is the client account, if relevant.
-	Account string
+	// Account and Queue are the client account and the queue, if relevant.
+	Account, Queue string
+	// WaitMs and SlackMs are the predicted wait that a refusal is based on, and the wait that the
+	// job's objective would have allowed.
+	WaitMs, SlackMs int64
+	// PredictedMs and ActualMs are the predicted and the actual time from acceptance to a job's end.
+	PredictedMs, ActualMs int64
 }
 
 // Kinds of events.
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -157,6 +157,7 @@
 func gangKey(occurrence, step int) string { return taskKey(occurrence, step, 0) }
 
 func (c *Core) markDirty(j *job) {
+	c.outstanding.valid = c.outstanding.valid && c.limits.OverloadControl
 	if !c.dirty[j] {
 		c.dirty[j] = true
 		c.dirtyOrder = append(c.dirtyOrder, j)
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -68,6 +68,8 @@
 	c.expandDueOccurrences()
 	c.evictEnded()
 	c.evictRefused(now)
+	c.outstanding.valid = false
+	c.markBeyondShare(now)
 	c.sortOpen()
 	c.dropIdleAccounts()
 	c.explainWaiting(now)
@@ -92,7 +94,7 @@
 		}
 		c.placeJob(now, j, endpoints)
 	}
-	for _, j := range late {
+	for _, j := range c.orderLate(now, late) {
 		if !anyCPULeft(endpoints) {
 			return
 		}
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -72,14 +72,15 @@
 		return VerdictAccepted, Refusal{}
 	}
 	j := &job{firstSeen: now, rec: jobRecord{Job: in, Queue: accepting.Queue, Terms: accepting.Terms, Account: accepting.Account, AcceptedMs: c.wallMs}}
-	refusal, refused := c.checkAdmission(now, j)
-	firstOffered := c.recordOffer(now, j, refused)
-	if refused {
-		c.event(Event{Kind: EventRefused, Job: in.ID, Reason: refusal.Reason, Account: accepting.Account})
+	decision := c.decideAdmission(now, j)
+	firstOffered := c.recordOffer(now, j, decision.refused())
+	if decision.refused() {
+		c.event(Event{Kind: EventRefused, Job: in.ID, Reason: decision.refusal.Reason, Account: accepting.Account, Queue: accepting.Queue,
+			WaitMs: int64(decision.waitMs), SlackMs: int64(decision.slackMs), AgeMs: (now - c.outstanding.at).Milliseconds()})
 		if accepting.Account != "" {
 			c.refusedByAccount[accepting.Account]++
 		}
-		return VerdictRefused, refusal
+		return VerdictRefused, decision.refusal
 	}
 	j.offeredAt = firstOffered
 	j.rec.OfferedMs = c.wallMs - (now - firstOffered).Milliseconds()
@@ -93,6 +94,7 @@
 		c.expandNextOccurrence(j)
 	}
 	c.setObjective(j)
+	c.recordAdmission(now, j, decision)
 	return VerdictAccepted, Refusal{}
 }
 
@@ -151,7 +153,11 @@
 		j.rec.Reason = reason
 	}
 	c.markDirty(j)
-	c.event(Event{Kind: EventEnded, Job: j.rec.Job.ID, Reason: state.String() + ": " + reason})
+	ended := Event{Kind: EventEnded, Job: j.rec.Job.ID, Queue: j.rec.Queue, Account: j.rec.Account, Reason: state.String() + ": " + reason}
+	if state == JobCompleted {
+		c.recordPrediction(&ended, j)
+	}
+	c.event(ended)
 	for _, o := range j.current {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
@@ -242,50 +248,13 @@
 	}
 }
 
-// Admission control. Load: a queue receives five times its mean rate for seconds, more than its
-// pool can run. Accepting all of it would make every job late, and a late job is worth a
-// fifteenth of one that is on time. So a job that could not end within its objective behind the work already
-// accepted is refused at once, with the time after which the backlog will have drained.
 const (
-	// minRetryAfter is one second because HTTP's Retry-After counts in seconds.
-	minRetryAfter = time.Second
-	// maxRetryAfter is below the deadline of an ordinary caller, so that the caller can still
-	// retry.
-	maxRetryAfter = 3 * time.Second
 	// refusalTTL is how long a refused job is recognised when it is submitted again.
 	refusalTTL = 15 * time.Second
 	// maxRememberedRefusals bounds the memory used for this.
 	maxRememberedRefusals = 20000
 )
 
-// checkAdmission reports whether a job is refused, and why.
-func (c *Core) checkAdmission(now time.Duration, j *job) (Refusal, bool) {
-	if !c.canEverRun(j) {
-		return Refusal{Reason: RefusedAccount}, true
-	}
-	if isLongRunning(&j.rec.Job) || j.rec.Job.Occurrences > 0 {
-		return Refusal{}, false
-	}
-	pool := float64(c.shortTaskCPU())
-	if pool <= 0 {
-		return Refusal{}, false
-	}
-	criticalPath := c.criticalPathMs(j)
-	slack := (j.rec.Terms.SlowdownFactor-1)*criticalPath + float64(j.rec.Terms.Slack.Milliseconds())
-	ahead := c.backlog(now, j.rec.Terms.Priority)
-	backlog := c.workWithinShares(ahead.byAccount, slack)
-	wait := max(c.drainMs(now, backlog, pool), float64(c.startLimiter.startQueueDelay(ahead.tasks+len(c.startQueue)).Milliseconds()))
-	reason := RefusedBacklog
-	if accountWait := c.accountWaitMs(now, j.rec.Account, ahead.byAccount[j.rec.Account]); accountWait > wait {
-		wait, reason = accountWait, RefusedAccountBacklog
-	}
-	if wait <= slack {
-		return Refusal{}, false
-	}
-	retry := time.Duration(wait-slack) * time.Millisecond
-	return Refusal{Reason: reason, RetryAfter: min(max(retry, minRetryAfter), maxRetryAfter)}, true
-}
-
 // recordOffer adds a job's work to the total offered, once however often the job is submitted
 // again after a refusal. It returns when the job was first offered, because callers measure its
 // time from then.
@@ -351,29 +320,6 @@
 	return cpu
 }
 
-// queuedWork is accepted work that is ahead of a new job.
-type queuedWork struct {
-	// byAccount is the work in milli-core-milliseconds, by client account.
-	byAccount map[string]float64
-	// tasks is the number of tasks of it that could start at once.
-	tasks int
-}
-
-// backlog returns the remaining work of accepted jobs of this or a more urgent priority. Jobs
-// that are late in any case don't count, because they are placed last.
-func (c *Core) backlog(now time.Duration, priority int) queuedWork {
-	q := queuedWork{byAccount: map[string]float64{}}
-	for _, j := range c.open {
-		if j.rec.State.Ended() || j.rec.Terms.Priority > priority || isLongRunning(&j.rec.Job) || c.cannotMeetObjective(now, j) {
-			continue
-		}
-		w := c.remaining(j)
-		q.byAccount[j.rec.Account] += w.ready + w.running + laterStepsShare*w.later
-		q.tasks += w.tasks
-	}
-	return q
-}
-
 // work is what a job still has to run, in milli-core-milliseconds.
 type work struct {
 	// ready is the work of tasks that could start at once, later that of tasks that wait for earlier
@@ -400,21 +346,3 @@
 	}
 	return w
 }
-
-// laterStepsShare is the fraction of the work of later steps that counts as ahead of a new job:
-// most of it runs beside the new job's own steps and not before them.
-const laterStepsShare = 0.35
-
-// sortOpen orders jobs by priority and then by objective.
-func (c *Core) sortOpen() {
-	if !c.unsorted {
-		return
-	}
-	c.unsorted = false
-	slices.SortStableFunc(c.open, func(a, b *job) int {
-		if a.rec.Terms.Priority != b.rec.Terms.Priority {
-			return a.rec.Terms.Priority - b.rec.Terms.Priority
-		}
-		return int((a.objective - b.objective) / time.Millisecond)
-	})
-}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -268,7 +268,7 @@
 		Node: n.set.Node, Addr: addr, Member: member,
 		Membership: n.client, Store: store, Endpoints: n.client, ListEndpoints: n.endpoints.list, Logger: n.log,
 		Limits: executor.Limits{Lease: leaseDuration, ProofAge: ownershipProofAge, KeepEnded: n.set.Bounds.KeepEnded, StopTimeout: n.set.Bounds.StopTimeout,
-			LongestLease: n.set.Bounds.LongestLease, CapacityMaxAge: n.set.Bounds.StableWindow + n.set.Bounds.Heartbeat},
+			LongestLease: n.set.Bounds.LongestLease, CapacityMaxAge: n.set.Bounds.StableWindow + n.set.Bounds.Heartbeat, OverloadControl: n.overloadControl()},
 		Fleet: func(ctx context.Context, duty shards.Duty) {
 			fleetops.Run(ctx, fleetops.Options{Holder: n.set.Node, Member: member, Claims: duty, Claimed: duty.RecordClaim,
 				Store: store, Cloud: n.client, Pools: calls, Facts: n.fleetFacts, Logger: n.log,
@@ -289,6 +289,17 @@
 	return n.peers.Start()
 }
 
+// overloadControl reports whether overload control is in force.
+func (n *Node) overloadControl() bool {
+	switch n.set.OverloadControl {
+	case settings.OverloadOn:
+		return true
+	case settings.OverloadOff:
+		return false
+	}
+	return platform.OverloadControlInForce(n.set.Contracts)
+}
+
 // peerRemovalDelay is how long a node stays a peer after it stopped being a
 // member. Removing it at once would cut calls in flight to it, and their
 // callers would not know the outcome.
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -35,12 +35,21 @@
 	// force.
 	Contracts []string
 	Bounds    NodeBounds
+	// OverloadControl is OverloadOn, OverloadOff or OverloadAuto.
+	OverloadControl string
 	// Memory is the memory use in bytes above which the process is killed.
 	Memory int64
 	// Processor is the share of a CPU core that the node may use.
 	Processor float64
 }
 
+// Values of NodeSettings.OverloadControl.
+const (
+	OverloadOn   = "on"
+	OverloadOff  = "off"
+	OverloadAuto = "auto"
+)
+
 // NodeBounds holds the time bounds that the deployment guarantees.
 type NodeBounds struct {
 	Grace       time.Duration
@@ -70,6 +79,7 @@
 		{Section: sectionProcess, Name: "deployment", Kind: KindName, Default: "cyclamenwheel", Doc: "Name of the deployment, which peers' certificates must carry."},
 		{Section: sectionCallers, Name: "listen", Kind: KindHostPort, Required: true, Doc: "TCP address for callers' HTTP requests."},
 		{Section: sectionCallers, Name: "ready", Kind: KindHostPort, Required: true, Doc: "TCP address for the load balancer's readiness checks."},
+		{Section: sectionCallers, Name: "overload_control", Kind: KindName, Default: OverloadAuto, Doc: "Overload control: on, off, or auto to follow the platform's contract."},
 		{Section: sectionPeer, Name: "listen", Kind: KindHostPort, Required: true, Doc: "UDP address for QUIC links between nodes."},
 		{Section: sectionOperator, Name: "listen", Kind: KindHostPort, Default: "127.0.0.1:0", Doc: "TCP address for operators, on loopback."},
 		{Section: sectionOperator, Name: "metrics", Kind: KindHostPort, Optional: true, Doc: "TCP address for metrics collectors, plain HTTP at /metrics; disabled by default."},
@@ -124,6 +134,7 @@
 	}
 	s.InstanceOrdersPerSecond = int(v.Number(sectionStore, "instance_orders_per_second"))
 	s.Contracts = v.List(sectionStore, "contracts")
+	s.OverloadControl = v.String(sectionCallers, "overload_control")
 	if a := v.Addr(sectionStore, "instances"); a.IsValid() {
 		s.Instances = a.String()
 	}
