--- a/internal/executor/admission.go
+++ b/internal/executor/admission.go
@@ -27,16 +27,16 @@
 	lateFactor = 3
 	// lateWaitShare is the part of the time until then that accepted work may take: jobs that arrive
 	// later and are on time go first.
-	lateWaitShare = 0.6
+	lateWaitShare = 0.7
 	// outstandingMaxAge bounds the age of the sums of outstanding work. They are computed again only
 	// then, so that a refusal costs the same however many jobs wait.
 	outstandingMaxAge = 25 * time.Millisecond
 	// laterStepsShare is the fraction of the work of later steps that counts as ahead of a new job:
 	// most of it runs beside the new job's own steps and not before them.
 	laterStepsShare = 0.35
-	// shareHorizon is the time over which shares of a full pool are divided: what an account has
+	// shareHorizonMs is the time over which shares of a full pool are divided: what an account has
 	// waiting beyond its share of it is placed after the others' work.
-	shareHorizon = time.Second
+	shareHorizonMs = 1500.0
 )
 
 // outstandingWork sums the work of the accepted jobs, in milli-core-ms.
@@ -47,11 +47,14 @@
 	onTime map[int]*admission.Shares
 	// startable is the number of their tasks that could start at once, by priority.
 	startable map[int]int
+	// startableWork is the work of tasks of all these jobs that could start at once.
+	startableWork float64
 	// late is the work of jobs that can still end before their late limit.
 	late *admission.Shares
 }
 
 func (o *outstandingWork) add(j *job, w work, late bool, weightOf func(string) float64) {
+	o.startableWork += w.ready
 	if late {
 		o.late.Add(j.rec.Account, w.ready+w.running+w.later)
 		return
@@ -112,7 +115,7 @@
 	if isLongRunning(&j.rec.Job) || j.rec.Job.Occurrences > 0 {
 		return admissionDecision{}
 	}
-	pool := float64(c.shortTaskCPU())
+	pool := c.achievableCPU()
 	if pool <= 0 {
 		return admissionDecision{}
 	}
@@ -246,7 +249,8 @@
 		return
 	}
 	c.updateOutstanding(now)
-	capacity := float64(c.shortTaskCPU()) * float64(shareHorizon.Milliseconds())
+	c.sampleUtilization(now)
+	capacity := c.capacityWithin(now, shareHorizonMs, c.achievableCPU())
 	level := map[int]float64{}
 	cumulative := map[int]map[string]float64{}
 	for _, j := range c.open {
--- a/internal/executor/incoming_capacity.go
+++ b/internal/executor/incoming_capacity.go
@@ -52,7 +52,20 @@
 			backlog -= drained
 			elapsed = until
 		}
-		cpuMilli += a.cpuMilli
+		cpuMilli += a.cpuMilli * c.utilization.share()
 	}
 	return elapsed + backlog/cpuMilli
 }
+
+// capacityWithin returns how much work, in milli-core-ms, can be done within ms with the present
+// capacity and what arrives meanwhile.
+func (c *Core) capacityWithin(now time.Duration, ms, cpuMilli float64) float64 {
+	sum := ms * cpuMilli
+	if now > c.incomingValidUntil {
+		return sum
+	}
+	for _, a := range c.incoming {
+		sum += max(0, ms-float64((a.at-now).Milliseconds())) * a.cpuMilli * c.utilization.share()
+	}
+	return sum
+}
