executor: split core.go by responsibility

A pure move: the files' lines differ in imports and package clauses only, and the tests of the package pass.

--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -5,36 +5,6 @@
 	"time"
 )
 
-// OrderResult is the outcome of an order.
-type OrderResult uint8
-
-// Results of orders.
-const (
-	OrderDone OrderResult = iota
-	// OrderUnanswered: no answer came; the order may have been carried out, or may still be.
-	OrderUnanswered
-	// OrderFenced: the endpoint has seen a newer epoch.
-	OrderFenced
-	// OrderStaleRun: the run has ended or was stopped on the endpoint.
-	OrderStaleRun
-	// OrderLeaseExpired: the lease had expired when the order arrived.
-	OrderLeaseExpired
-	// OrderNoCapacity: the endpoint, which checks its capacity, is full.
-	OrderNoCapacity
-	// OrderNoTicket: the endpoint requires a valid ticket.
-	OrderNoTicket
-	// OrderOtherIncarnation: another incarnation answers at the address.
-	OrderOtherIncarnation
-	// OrderUnhealthy: the endpoint accepts no orders at present.
-	OrderUnhealthy
-	// OrderInvalid: the endpoint can't decode the order.
-	OrderInvalid
-)
-
-var orderResultNames = [...]string{"done", "unanswered", "fenced", "old", "late", "no room", "no ticket", "gone", "unhealthy", "invalid"}
-
-func (r OrderResult) String() string { return orderResultNames[r] }
-
 // Quarantine of endpoints on which runs fail. Load: an endpoint fails every run at once while
 // its health checks pass, and as it is always free it attracts most of the starts. After a
 // quarantine, the first starts probe the endpoint at the cost of one task each.
