executor: one check of a stop against the disruption budget

The decision to stop a long-running task for a request to vacate and the check before the stop is sent compared the same count with the same budget in two forms. Both use withinBudget now. The tests of budgets, stops, drains and waves pass unchanged.

--- a/internal/executor/vacate.go
+++ b/internal/executor/vacate.go
@@ -59,14 +59,9 @@
 // (MayMiss) allow. Tasks of a step without a budget are stopped at once.
 func (c *Core) stopLongRunning(e *endpoint) {
 	for t := range e.tasks {
-		s := t.step
-		if !s.spec.LongRunning || t.stopping {
-			continue
+		if t.step.spec.LongRunning && !t.stopping && c.withinBudget(t) {
+			c.requestStop(t, "instance leaves")
 		}
-		if s.spec.MayMiss > 0 && c.countUnavailable(s, t) >= s.spec.MayMiss {
-			continue
-		}
-		c.requestStop(t, "instance leaves")
 	}
 }
 
@@ -98,9 +93,14 @@
 // held against the disruption budget each time. Endpoints that drain, and jobs that have ended, end
 // their runs in any case.
 func (c *Core) maySendStop(t *task) bool {
-	s := t.step
-	return s.spec.MayMiss == 0 || !s.spec.LongRunning || t.percent < fullyStarted || t.endpoint.draining || s.job.rec.State.Ended() ||
-		c.countUnavailable(s, t) < s.spec.MayMiss
+	return !t.step.spec.LongRunning || t.percent < fullyStarted || t.endpoint.draining || t.step.job.rec.State.Ended() || c.withinBudget(t)
+}
+
+// withinBudget reports whether the disruption budget of a long-running task's step, if it has one,
+// allows that the task becomes unavailable.
+func (c *Core) withinBudget(t *task) bool {
+	budget := t.step.spec.MayMiss
+	return budget <= 0 || c.countUnavailable(t.step, t) < budget
 }
 
 // countUnavailable counts the tasks of a step, other than one, that are not confirmed to be
