executor: a postponed stop ends with its request to vacate

A stop that was decided for a request to vacate an endpoint, and then held back because the disruption budget was used up, stayed decided after the request had expired: the task counted as unavailable, and was stopped for nothing as soon as the budget was free again. When the request expires, which is also how a withdrawn one ends, as it is then not repeated, such a stop is withdrawn (event "task stop withdrawn"). A stop stays if it is also due for another reason, or once an order has been sent, which may still be carried out.

The test for stops with a second reason fails if requestStop does not note the second reason.

--- a/internal/executor/disruption_budget_cases_test.go
+++ b/internal/executor/disruption_budget_cases_test.go
@@ -98,6 +98,40 @@
 	g.Expect(serving[1].running).To(BeEmpty(), "once the task of the draining endpoint is at work elsewhere")
 }
 
+// Guards against a stop for an operation on an instance that is sent after the operation was given up:
+// the stop had been held back, as the budget was used up, until the request to vacate had expired.
+func TestAPostponedStopExpiresWithItsRequestToVacate(t *testing.T) {
+	g := NewWithT(t)
+	w, o, _ := servingWorld(3, 3)
+	serving := w.endpointsServing()
+	g.Expect(serving).To(HaveLen(3))
+	o.core.Vacate(w.now, serving[1].id, false)
+	serving[0].draining = true
+	w.run(5 * time.Second)
+	g.Expect(serving[0].running).To(BeEmpty())
+	g.Expect(serving[1].running).To(HaveLen(1))
+	serving[0].draining = false
+	w.run(6 * time.Second)
+	g.Expect(serving[0].running).To(HaveLen(1), "the budget is free again")
+	for _, r := range serving[1].running {
+		g.Expect(r.began).To(BeNumerically("<", 2*time.Second), "its first run goes on")
+		g.Expect(r.outcome).NotTo(Equal(executor.EndedStopped))
+	}
+	g.Expect(w.violations).To(BeEmpty())
+}
+
+// Guards against a job that goes on after it was cancelled, because the owner was suspended before it
+// sent the stops, one of which had been decided first for a request to vacate that expires meanwhile.
+func TestAStopThatIsAlsoDueForACancelOutlivesItsRequestToVacate(t *testing.T) {
+	g := NewWithT(t)
+	w, o, service := servingWorld(4, 3)
+	id := w.endpointsServing()[1].id
+	o.core.Vacate(w.now, id, false)
+	o.core.Cancel(w.now, service.ID, 2)
+	o.core.Tick(w.now + 5*time.Second)
+	g.Expect(o.core.TakeStops()).To(ContainElement(HaveField("Endpoint", id)))
+}
+
 // repeatedStart drives a Core until the start of a service's task is about to be repeated: its order
 // has gone unanswered, and the endpoint has not listed the run. It returns the first order.
 func repeatedStart(g Gomega, c *executor.Core, e executor.EndpointInfo) (now time.Duration, first executor.Order) {
--- a/internal/executor/events.go
+++ b/internal/executor/events.go
@@ -34,6 +34,7 @@
 	EventLost             EventKind = "task lost"
 	EventIncarnationEnded EventKind = "endpoint gone"
 	EventStop             EventKind = "task stop ordered"
+	EventStopWithdrawn    EventKind = "task stop withdrawn"
 	EventQuarantined      EventKind = "endpoint quarantined"
 	EventUnknownRun       EventKind = "unknown run stopped"
 	EventFenced           EventKind = "fenced by a newer epoch"
--- a/internal/executor/job.go
+++ b/internal/executor/job.go
@@ -172,6 +172,9 @@
 	// stopping is set once the run is to be stopped; stopSentAt is when the stop was last sent.
 	stopping   bool
 	stopSentAt time.Duration
+	// stopForVacate is set if only a request to vacate the endpoint asks for the stop; stopOrdered, once
+	// an order to stop the run may have been sent.
+	stopForVacate, stopOrdered bool
 	// avoidIncarnation is the incarnation on which a run last failed, stalled or was slow. notBefore
 	// is the end of the backoff after a failure.
 	avoidIncarnation Incarnation
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -23,9 +23,14 @@
 // out if it is outdated by now; Tick repeats those that are still due.
 func (c *Core) TakeStops() []Order {
 	out := slices.DeleteFunc(c.stops, func(o Order) bool {
-		return o.task != nil && (!o.isCurrent() || !c.maySendStop(o.task))
+		return o.task != nil && (!o.isCurrent() || !o.task.stopping || !c.maySendStop(o.task))
 	})
 	c.stops = nil
+	for _, o := range out {
+		if o.task != nil {
+			o.task.stopOrdered = true
+		}
+	}
 	return out
 }
 
@@ -183,7 +188,7 @@
 	c.updateSlowEndpoints()
 	for _, e := range c.endpoints {
 		if e.vacating && now > e.vacateUntil && !e.draining {
-			e.vacating = false
+			c.expireVacate(e)
 		}
 		if e.draining {
 			c.stopLongRunningOnDrain(e)
--- a/internal/executor/vacate.go
+++ b/internal/executor/vacate.go
@@ -8,6 +8,9 @@
 // vacateFor is how long a request to vacate is valid unless it is repeated.
 const vacateFor = 4 * time.Second
 
+// reasonVacate is the reason of stops that a request to vacate the endpoint asks for.
+const reasonVacate = "instance leaves"
+
 // vacate marks an endpoint so that no tasks are placed on it for vacateFor.
 func (c *Core) vacate(now time.Duration, e *endpoint) {
 	if !e.vacating {
@@ -38,7 +41,7 @@
 	if stopTasks {
 		for t := range e.tasks {
 			if !t.step.spec.LongRunning {
-				c.requestStop(t, "instance leaves")
+				c.requestStop(t, reasonVacate)
 			}
 		}
 	}
@@ -60,7 +63,7 @@
 func (c *Core) stopLongRunning(e *endpoint) {
 	for t := range e.tasks {
 		if t.step.spec.LongRunning && !t.stopping && c.withinBudget(t) {
-			c.requestStop(t, "instance leaves")
+			c.requestStop(t, reasonVacate)
 		}
 	}
 }
@@ -79,8 +82,12 @@
 // requestStop marks a task's run to be stopped and logs the reason.
 func (c *Core) requestStop(t *task, reason string) {
 	if t.stopping {
+		if reason != reasonVacate {
+			t.stopForVacate = false
+		}
 		return
 	}
+	t.stopForVacate, t.stopOrdered = reason == reasonVacate, false
 	if budget := t.step.spec.MayMiss; budget > 0 {
 		reason = fmt.Sprintf("%s; unavailable tasks of its step: %d, allowed: %d", reason, c.countUnavailable(t.step, t), budget)
 	}
@@ -88,6 +95,24 @@
 	c.event(Event{Kind: EventStop, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: t.endpoint.id, Reason: reason})
 }
 
+// expireVacate ends a request to vacate an endpoint that was not repeated in time.
+func (c *Core) expireVacate(e *endpoint) {
+	e.vacating = false
+	for t := range e.tasks {
+		if t.isStopPostponed() {
+			t.stopping = false
+			c.event(Event{Kind: EventStopWithdrawn, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: e.id, Reason: "request to vacate expired"})
+		}
+	}
+}
+
+// isStopPostponed reports whether a stop was decided only for a request to vacate the endpoint and has
+// been held back since, as maySendStop does with runs that are at work. Once an order has been sent, it
+// may still be carried out.
+func (t *task) isStopPostponed() bool {
+	return t.stopping && t.stopForVacate && !t.stopOrdered && t.step.spec.LongRunning && t.percent >= fullyStarted
+}
+
 // maySendStop reports whether the stop of a run may be sent. Between the decision and the order, or its
 // repetition, other tasks of the step may have become unavailable: a stop of a run that is at work is
 // held against the disruption budget each time. Endpoints that drain, and jobs that have ended, end
