executor: tests for what makes a long-running task unavailable

Without "failedPolls == 0" or "!draining" in isAvailable all tests of disruption budgets passed. Both clauses matter to the users of a job, and each gets a test:

- Without failedPolls == 0, a task counts as available while its endpoint has crashed and its lease has not expired, and a wave stops a second one.
TestATaskOnAnEndpointThatDoesNotAnswerCountsAsUnavailable fails then: 1 of 3 tasks is at work instead of 2.
- Without !draining, a wave stops a task that has just come to work and is listed as starting up, while another one's endpoint begins to drain: the check before the stop is sent lets starting tasks pass.
TestATaskThatIsNotListedAsAtWorkYetIsKeptBesideADrainingOne fails then: 1 of 3 tasks is at work instead of 2.

Both tests pass with the clauses.

--- a/internal/executor/disruption_budget_cases_test.go
+++ b/internal/executor/disruption_budget_cases_test.go
@@ -132,6 +132,59 @@
 	g.Expect(o.core.TakeStops()).To(ContainElement(HaveField("Endpoint", id)))
 }
 
+// Guards against a stop for a wave while another endpoint with a task of the step has crashed: until its
+// leases expire, all that is known is that its polls go unanswered.
+func TestATaskOnAnEndpointThatDoesNotAnswerCountsAsUnavailable(t *testing.T) {
+	g := NewWithT(t)
+	w, o, _ := servingWorld(4, 3)
+	serving := w.endpointsServing()
+	w.downFor = time.Minute
+	w.crash(serving[0])
+	w.run(2 * time.Second)
+	g.Expect(w.endpointsServing()).To(HaveLen(2), "the crashed task's lease has not expired")
+	for range 10 {
+		o.core.Vacate(w.now, serving[1].id, false)
+		w.run(50 * time.Millisecond)
+		g.Expect(w.tasksAtWork()).To(Equal(2), "at %v", w.now)
+	}
+}
+
+// Guards against a stop for a wave of a task that has just come to work, while the endpoint of another
+// one begins to drain: the newest listing shows the first one as starting, and stops of such tasks are
+// sent at once.
+func TestATaskThatIsNotListedAsAtWorkYetIsKeptBesideADrainingOne(t *testing.T) {
+	g := NewWithT(t)
+	w, o, _ := servingWorld(4, 3)
+	serving := w.endpointsServing()
+	g.Expect(serving).To(HaveLen(3))
+	o.core.Vacate(w.now, serving[0].id, false)
+	w.run(200 * time.Millisecond)
+	g.Expect(w.tasksAtWork()).To(Equal(2), "one task moves")
+	for w.tasksAtWork() < 3 {
+		w.run(step)
+	}
+	moved := w.endpoints["i-03"]
+	g.Expect(moved.running).To(HaveLen(1))
+	serving[2].draining = true
+	o.core.ObserveEndpoints(w.now, w.discoveryList())
+	o.core.Vacate(w.now, moved.id, false)
+	w.run(2 * step)
+	g.Expect(w.tasksAtWork()).To(Equal(2), "only the draining endpoint's task is stopped")
+}
+
+// tasksAtWork returns how many tasks with a disruption budget are at work.
+func (w *world) tasksAtWork() int {
+	n := 0
+	for _, step := range w.disruptions {
+		for _, t := range step.tasks {
+			if t.atWork {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // repeatedStart drives a Core until the start of a service's task is about to be repeated: its order
 // has gone unanswered, and the endpoint has not listed the run. It returns the first order.
 func repeatedStart(g Gomega, c *executor.Core, e executor.EndpointInfo) (now time.Duration, first executor.Order) {
