--- a/internal/admission/returns_test.go
+++ b/internal/admission/returns_test.go
@@ -90,23 +90,22 @@
 		Expect(counts).To(Equal(map[time.Duration]int{time.Second: 40, 2 * time.Second: 40}))
 	})
 
-	// Guards against bursts where the delays of 2 s given earlier meet the delays of 1 s given later.
-	It("keeps every window of a second within the rate", func() {
+	// Guards against bursts where the delays given earlier and later meet in one second.
+	DescribeTable("counts retries in the same second", func(scheduled int, drain time.Duration, inOne, inTwo int) {
 		r := NewReturns(1)
 		r.SetRate(now, class, 10)
-		due := map[int64]int{}
-		for i := range 15 {
-			at := now + time.Duration(i)*reservationSlot
-			if i < 4 || i > 8 {
-				for n := range 3 {
-					due[slotNumber(at+r.Refuse(at, fmt.Sprint(i, n), class, 1, 0))]++
-				}
-			}
+		for i := range scheduled {
+			Expect(r.Refuse(now, fmt.Sprint(i), class, 1, drain)).To(Equal(max(drain, time.Second)))
 		}
-		for first := slotNumber(now); first < slotNumber(now+8*time.Second); first++ {
-			Expect(due[first]+due[first+1]+due[first+2]+due[first+3]).To(BeNumerically("<=", 10), "slot %d", first)
+		counts := [4]int{}
+		for i := range 10 {
+			counts[r.Refuse(now+500*time.Millisecond, fmt.Sprint("later", i), class, 1, 0)/time.Second]++
 		}
-	})
+		Expect(counts).To(Equal([4]int{0, inOne, inTwo, 0}))
+	},
+		Entry("scheduled before", 9, time.Duration(0), 1, 9),
+		Entry("scheduled after", 5, 2*time.Second, 5, 5),
+	)
 
 	// Guards against capacity kept for callers whose deadline ends before they retry.
 	It("reserves nothing beyond the caller's deadline", func() {
