--- a/internal/executor/accounts.go
+++ b/internal/executor/accounts.go
@@ -29,6 +29,7 @@
 // ApplyShares applies this pool's shares of the accounts' limits.
 func (c *Core) ApplyShares(now time.Duration, grants []quota.Grant) {
 	c.sharesReportedAt = now
+	c.outstanding.valid = false
 	c.allowance.Grant(grants)
 }
 
@@ -85,16 +86,14 @@
 	maps.DeleteFunc(c.atShareSince, func(account string, _ time.Duration) bool { return !waiting[account] })
 }
 
-// limitedTo returns how much work, in milli-core-ms, an account can have done within ms milliseconds;
-// +Inf for accounts without a CPU limit. Load: one account submits many times its limit; the jobs
-// beyond the limit don't delay those of other accounts.
-func (c *Core) limitedTo(ms float64) func(account string) float64 {
-	return func(account string) float64 {
-		if cpu, bounded := c.allowance.CPU(account); bounded {
-			return float64(cpu) * ms
-		}
-		return math.Inf(1)
+// cpuLimitOf returns how much work, in milli-core-ms per ms, an account may have done; +Inf for accounts
+// without a CPU limit. Load: one account submits many times its limit; the jobs beyond the limit don't
+// delay those of other accounts.
+func (c *Core) cpuLimitOf(account string) float64 {
+	if cpu, bounded := c.allowance.CPU(account); bounded {
+		return float64(cpu)
 	}
+	return math.Inf(1)
 }
 
 // shareSettleTime is how long an account may be at its share before that share is taken as
--- a/internal/executor/admission.go
+++ b/internal/executor/admission.go
@@ -51,7 +51,8 @@
 	late *admission.Shares
 }
 
-func (o *outstandingWork) add(j *job, w work, late bool, weightOf func(string) float64) {
+func (c *Core) addOutstanding(j *job, w work, late bool) {
+	o := &c.outstanding
 	if late {
 		o.late.Add(j.rec.Account, w.ready+w.running+w.later)
 		return
@@ -59,7 +60,7 @@
 	priority := j.rec.Terms.Priority
 	shares := o.onTime[priority]
 	if shares == nil {
-		shares = admission.NewShares(weightOf)
+		shares = admission.NewShares(c.weightOf, c.cpuLimitOf)
 		o.onTime[priority] = shares
 	}
 	shares.Add(j.rec.Account, w.ready+w.running+laterStepsShare*w.later)
@@ -72,7 +73,7 @@
 	if o.valid && now-o.at < outstandingMaxAge {
 		return
 	}
-	*o = outstandingWork{at: now, valid: true, onTime: map[int]*admission.Shares{}, startable: map[int]int{}, late: admission.NewShares(c.weightOf)}
+	*o = outstandingWork{at: now, valid: true, onTime: map[int]*admission.Shares{}, startable: map[int]int{}, late: admission.NewShares(c.weightOf, c.cpuLimitOf)}
 	for _, j := range c.open {
 		if j.rec.State.Ended() || isLongRunning(&j.rec.Job) {
 			continue
@@ -81,7 +82,7 @@
 		if late && (!c.limits.OverloadControl || c.cannotMeetLateLimit(now, j)) {
 			continue
 		}
-		o.add(j, c.remaining(j), late, c.weightOf)
+		c.addOutstanding(j, c.remaining(j), late)
 	}
 }
 
@@ -162,9 +163,9 @@
 		own += shares.Of(account)
 		switch {
 		case p == priority && c.limits.OverloadControl:
-			ahead += shares.WorkAhead(account, c.jobWork(j), c.limitedTo(horizonMs))
+			ahead += shares.WorkAhead(account, c.jobWork(j), horizonMs)
 		default:
-			ahead += shares.TotalWithin(c.limitedTo(horizonMs))
+			ahead += shares.TotalWithin(horizonMs)
 		}
 	}
 	wait = max(c.drainMs(now, ahead, pool), float64(c.startLimiter.startQueueDelay(tasks+len(c.startQueue)).Milliseconds()))
@@ -176,9 +177,9 @@
 // jobs.
 func (c *Core) fitsAsLate(now time.Duration, j *job, pool, allowedMs float64) bool {
 	allowedMs -= c.msSinceFirstOffer(now, j)
-	ahead := c.outstanding.late.WorkAhead(j.rec.Account, c.jobWork(j), c.limitedTo(allowedMs))
+	ahead := c.outstanding.late.WorkAhead(j.rec.Account, c.jobWork(j), allowedMs)
 	for _, shares := range c.outstanding.onTime {
-		ahead += shares.TotalWithin(c.limitedTo(allowedMs))
+		ahead += shares.TotalWithin(allowedMs)
 	}
 	return c.drainMs(now, ahead, pool) <= lateWaitShare*allowedMs
 }
@@ -200,7 +201,7 @@
 		return
 	}
 	j.admission = d
-	c.outstanding.add(j, c.remaining(j), d.late, c.weightOf)
+	c.addOutstanding(j, c.remaining(j), d.late)
 }
 
 // recordPrediction adds to the event of a job's end what was predicted when it was accepted. Jobs
