executor: returns of refused jobs and learned corrections decide on admission

A caller that is refused comes back in a second, and found no more than any newcomer; what was predicted was never compared with what came. Refused jobs are now known to admission.Returns: the time since the first offer counts against the objective, newcomers of the same account and priority leave the capacity that is reserved for retries, and who retries on time may use all of the time in which a late result is of use. Predictions are corrected by the queue's actual times, apart for jobs on time and late.

--- a/internal/executor/admission.go
+++ b/internal/executor/admission.go
@@ -27,7 +27,7 @@
 	lateFactor = 3
 	// lateWaitShare is the part of the time until then that accepted work may take: jobs that arrive
 	// later and are on time go first.
-	lateWaitShare = 0.7
+	lateWaitShare = 0.8
 	// outstandingMaxAge bounds the age of the sums of outstanding work. They are computed again only
 	// then, so that a refusal costs the same however many jobs wait.
 	outstandingMaxAge = 25 * time.Millisecond
@@ -100,7 +100,7 @@
 	refusal Refusal
 	// late is set if the job is accepted although it can't end within its objective.
 	late bool
-	// predicted is set if there is a prediction: the job would begin after waitMs and has slackMs to
+	// predicted is set if there is a prediction: the job would begin after waitMs, has slackMs to
 	// spare, and takes criticalPathMs from then on.
 	predicted                       bool
 	waitMs, slackMs, criticalPathMs float64
@@ -108,55 +108,91 @@
 
 func (d admissionDecision) refused() bool { return d.refusal.Reason != "" }
 
+// predictedEnd is the predicted time from the decision to the job's end.
+func (d admissionDecision) predictedEnd() time.Duration {
+	return time.Duration((d.waitMs + d.criticalPathMs) * float64(time.Millisecond))
+}
+
+// offer is a submitted job that admission control decides on.
+type offer struct {
+	job *job
+	// waited is how long ago the caller first submitted the job, and returnsOnTime is set if it was
+	// refused and is submitted again at the time that it was told.
+	waited        time.Duration
+	returnsOnTime bool
+	// pool is the CPU, in milli-cores, that can be expected to run short tasks.
+	pool float64
+	// criticalPathMs is the length of the job's critical path, objectiveMs the time that it may take.
+	criticalPathMs, objectiveMs float64
+}
+
 // decideAdmission decides whether a job is accepted, and if not, why.
 func (c *Core) decideAdmission(now time.Duration, j *job) admissionDecision {
 	if !c.canEverRun(j) {
+		c.returns.Refuse(now, j.rec.Job.ID, j.returnKey(), 0, 0)
 		return admissionDecision{refusal: Refusal{Reason: RefusedAccount}}
 	}
 	if isLongRunning(&j.rec.Job) || j.rec.Job.Occurrences > 0 {
 		return admissionDecision{}
 	}
-	pool := c.achievableCPU()
-	if pool <= 0 {
+	o := offer{job: j, pool: c.achievableCPU(), criticalPathMs: c.criticalPathMs(j)}
+	if o.pool <= 0 {
 		return admissionDecision{}
 	}
-	c.updateOutstanding(now)
-	criticalPath := c.criticalPathMs(j)
-	objective := j.rec.Terms.SlowdownFactor*criticalPath + float64(j.rec.Terms.Slack.Milliseconds())
-	d := admissionDecision{predicted: true, criticalPathMs: criticalPath, slackMs: objective - criticalPath}
-	if c.limits.OverloadControl {
-		d.slackMs -= c.msSinceFirstOffer(now, j)
+	o.objectiveMs = j.rec.Terms.SlowdownFactor*o.criticalPathMs + float64(j.rec.Terms.Slack.Milliseconds())
+	if earlier, known := c.returns.Lookup(now, j.rec.Job.ID); known && c.limits.OverloadControl {
+		o.waited, o.returnsOnTime = now-earlier.FirstOffered, earlier.OnTime
 	}
-	var accountWait float64
-	d.waitMs, accountWait = c.predictWait(now, j, pool, objective-criticalPath)
-	reason := RefusedBacklog
-	if accountWait > d.waitMs {
-		d.waitMs, reason = accountWait, RefusedAccountBacklog
-	}
-	if d.waitMs <= d.slackMs {
+	c.updateOutstanding(now)
+	d, reason := c.decideOnTime(now, o)
+	if reason == "" {
 		return d
 	}
-	if c.limits.OverloadControl && reason == RefusedBacklog && c.fitsAsLate(now, j, pool, lateFactor*objective-criticalPath) {
-		d.late = true
-		return d
+	if late, accepted := c.decideLate(now, o); accepted && reason == RefusedBacklog {
+		return late
 	}
-	retry := time.Duration(d.waitMs-d.slackMs) * time.Millisecond
-	d.refusal = Refusal{Reason: reason, RetryAfter: min(max(retry, minRetryAfter), maxRetryAfter)}
+	d.refusal = Refusal{Reason: reason, RetryAfter: c.retryAfter(now, o, d)}
 	return d
 }
 
-// msSinceFirstOffer returns how long ago the caller first submitted the job.
-func (c *Core) msSinceFirstOffer(now time.Duration, j *job) float64 {
-	if at, known := c.refusedSince[j.rec.Job.ID]; known && now-at < refusalTTL {
-		return float64((now - at).Milliseconds())
+// decideOnTime decides whether a job can end within its objective; the reason is empty if it can.
+func (c *Core) decideOnTime(now time.Duration, o offer) (d admissionDecision, reason string) {
+	d = admissionDecision{predicted: true, criticalPathMs: o.criticalPathMs}
+	d.slackMs = o.objectiveMs - o.criticalPathMs - float64(o.waited.Milliseconds())
+	wait, accountWait := c.predictWait(now, o)
+	d.waitMs = max(wait, accountWait)
+	if c.correctedWaitMs(d, o.job, onTimeClass) <= d.slackMs {
+		return d, ""
+	}
+	if accountWait > wait {
+		return d, RefusedAccountBacklog
 	}
-	return 0
+	return d, RefusedBacklog
 }
 
-// predictWait predicts how many ms a new job waits for the work ahead of it, and how many for the
-// work of its own account if that is at its limit.
-func (c *Core) predictWait(now time.Duration, j *job, pool, horizonMs float64) (wait, accountWait float64) {
-	priority, account := j.rec.Terms.Priority, j.rec.Account
+// decideLate decides whether a job that can't be on time ends early enough to be of use: behind all
+// accepted work that is of use and, in its share, behind that of other late jobs.
+func (c *Core) decideLate(now time.Duration, o offer) (d admissionDecision, accepted bool) {
+	if !c.limits.OverloadControl {
+		return d, false
+	}
+	allowedMs := lateFactor*o.objectiveMs - o.criticalPathMs - float64(o.waited.Milliseconds())
+	ahead := c.outstanding.late.WorkAhead(o.job.rec.Account, c.jobWork(o.job), allowedMs)
+	for _, shares := range c.outstanding.onTime {
+		ahead += shares.TotalWithin(allowedMs)
+	}
+	d = admissionDecision{late: true, predicted: true, criticalPathMs: o.criticalPathMs, slackMs: allowedMs, waitMs: c.drainMs(now, ahead, o.pool)}
+	if !o.returnsOnTime {
+		allowedMs *= lateWaitShare
+	}
+	return d, c.correctedWaitMs(d, o.job, lateClass) <= allowedMs
+}
+
+// predictWait predicts how many ms a job waits for the work ahead of it, and how many for the work
+// of its own account if that is at its limit.
+func (c *Core) predictWait(now time.Duration, o offer) (wait, accountWait float64) {
+	priority, account := o.job.rec.Terms.Priority, o.job.rec.Account
+	horizonMs := o.objectiveMs - o.criticalPathMs
 	ahead, tasks, own := 0.0, 0, 0.0
 	for p, shares := range c.outstanding.onTime {
 		if p > priority {
@@ -164,27 +200,51 @@
 		}
 		tasks += c.outstanding.startable[p]
 		own += shares.Of(account)
-		switch {
-		case p == priority && c.limits.OverloadControl:
-			ahead += shares.WorkAhead(account, c.jobWork(j), horizonMs)
-		default:
-			ahead += shares.TotalWithin(horizonMs)
+		if p == priority && c.limits.OverloadControl {
+			ahead += shares.WorkAhead(account, c.jobWork(o.job), horizonMs)
+			continue
 		}
+		ahead += shares.TotalWithin(horizonMs)
+	}
+	if c.limits.OverloadControl && !o.returnsOnTime {
+		ahead += c.returns.Due(now, now+time.Duration(horizonMs)*time.Millisecond, o.job.returnKey())
 	}
-	wait = max(c.drainMs(now, ahead, pool), float64(c.startLimiter.startQueueDelay(tasks+len(c.startQueue)).Milliseconds()))
+	wait = max(c.drainMs(now, ahead, o.pool), float64(c.startLimiter.startQueueDelay(tasks+len(c.startQueue)).Milliseconds()))
 	return wait, c.accountWaitMs(now, account, own)
 }
 
-// fitsAsLate reports whether a job that can't be on time ends within allowedMs of its first
-// submission behind all accepted work that is of use and, in its share, behind that of other late
-// jobs.
-func (c *Core) fitsAsLate(now time.Duration, j *job, pool, allowedMs float64) bool {
-	allowedMs -= c.msSinceFirstOffer(now, j)
-	ahead := c.outstanding.late.WorkAhead(j.rec.Account, c.jobWork(j), allowedMs)
-	for _, shares := range c.outstanding.onTime {
-		ahead += shares.TotalWithin(allowedMs)
+// Classes of predictions of a queue: jobs that are accepted as on time and as late.
+const (
+	onTimeClass = " on time"
+	lateClass   = " late"
+)
+
+// correctedWaitMs returns a predicted wait, corrected by how wrong the predictions of the queue's
+// jobs have been.
+func (c *Core) correctedWaitMs(d admissionDecision, j *job, class string) float64 {
+	if !c.limits.OverloadControl {
+		return d.waitMs
+	}
+	end := c.predictions.Correct(j.rec.Queue+class, d.predictedEnd())
+	return float64(end.Milliseconds()) - d.criticalPathMs
+}
+
+// retryAfter returns when the caller of a refused job is to retry.
+func (c *Core) retryAfter(now time.Duration, o offer, d admissionDecision) time.Duration {
+	drain := time.Duration(d.waitMs-d.slackMs) * time.Millisecond
+	if c.limits.OverloadControl {
+		const msPerSecond = 1000
+		c.returns.SetRate(now, o.job.returnKey(), o.pool*msPerSecond)
 	}
-	return c.drainMs(now, ahead, pool) <= lateWaitShare*allowedMs
+	scheduled := c.returns.Refuse(now, o.job.rec.Job.ID, o.job.returnKey(), c.jobWork(o.job), drain)
+	if c.limits.OverloadControl {
+		return scheduled
+	}
+	return min(max(drain, minRetryAfter), maxRetryAfter)
+}
+
+func (j *job) returnKey() admission.ReturnKey {
+	return admission.ReturnKey{Priority: j.rec.Terms.Priority, Account: j.rec.Account}
 }
 
 // jobWork returns the work of a job that has not started, in milli-core-ms.
@@ -213,8 +273,16 @@
 	if !j.admission.predicted {
 		return
 	}
-	e.PredictedMs = int64(j.admission.waitMs + j.admission.criticalPathMs)
-	e.ActualMs = max(0, c.wallMs-j.rec.AcceptedMs)
+	actual := time.Duration(c.wallMs-j.rec.AcceptedMs) * time.Millisecond
+	if actual <= 0 || actual > maxRestoredWait {
+		return // the wall clock has jumped
+	}
+	class := onTimeClass
+	if j.admission.late {
+		class = lateClass
+	}
+	c.predictions.Observe(j.rec.Queue+class, j.admission.predictedEnd(), actual)
+	e.PredictedMs, e.ActualMs = j.admission.predictedEnd().Milliseconds(), actual.Milliseconds()
 }
 
 // lateLimit is the time by which the result of a job must be there to be of use.
@@ -297,15 +365,11 @@
 			return a.rec.Terms.Priority - b.rec.Terms.Priority
 		}
 		if a.beyondShare != b.beyondShare {
-			return boolOrder(a.beyondShare)
+			if a.beyondShare {
+				return 1
+			}
+			return -1
 		}
 		return int((a.objective - b.objective) / time.Millisecond)
 	})
 }
-
-func boolOrder(first bool) int {
-	if first {
-		return 1
-	}
-	return -1
-}
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -29,6 +29,7 @@
 	"time"
 
 	"cyclamenwheel/internal/accounts"
+	"cyclamenwheel/internal/admission"
 	"cyclamenwheel/internal/quota"
 	"cyclamenwheel/internal/routing"
 )
@@ -101,10 +102,12 @@
 	lengthsSavedMs int64
 	lengthsChanged bool
 
-	// offeredCoreMs is the total work of submitted jobs, accepted or not, in core-ms. refusedSince
-	// is when each refused job was first offered, so that a resubmitted job is not counted again.
+	// offeredCoreMs is the total work of submitted jobs, accepted or not, in core-ms. returns knows
+	// the refused jobs, so that a resubmitted job is not counted again.
 	offeredCoreMs float64
-	refusedSince  map[string]time.Duration
+	returns       *admission.Returns
+	// predictions corrects the predicted times to jobs' ends by the actual ones.
+	predictions *admission.Predictions
 	// refusedByAccount counts refused jobs by client account.
 	refusedByAccount map[string]int
 	// outstanding sums the work of the accepted jobs, for admission.
@@ -178,7 +181,7 @@
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, terms: map[string]pastTerm{}, endedIncarnations: map[Incarnation]time.Duration{},
 		unsavedAbandoned: map[string]bool{}, savedAbandoned: map[string]bool{}, unreportedLosses: map[string]unreportedLosses{},
 		lengthModels: map[string]*lengthModel{}, allowance: quota.NewAllowance(), atShareSince: map[string]time.Duration{},
-		refusedSince: map[string]time.Duration{}, refusedByAccount: map[string]int{}, dirty: map[*job]bool{}, acks: map[Incarnation]int64{},
+		returns: admission.NewReturns(uint64(epoch)), predictions: admission.NewPredictions(), refusedByAccount: map[string]int{}, dirty: map[*job]bool{}, acks: map[Incarnation]int64{},
 		startLimiter: newStartLimiter(),
 	}
 }
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -248,47 +248,26 @@
 	}
 }
 
-const (
-	// refusalTTL is how long a refused job is recognised when it is submitted again.
-	refusalTTL = 15 * time.Second
-	// maxRememberedRefusals bounds the memory used for this.
-	maxRememberedRefusals = 20000
-)
-
 // recordOffer adds a job's work to the total offered, once however often the job is submitted
 // again after a refusal. It returns when the job was first offered, because callers measure its
 // time from then.
 func (c *Core) recordOffer(now time.Duration, j *job, refused bool) time.Duration {
-	id := j.rec.Job.ID
-	firstOffered, resubmitted := c.refusedSince[id]
-	resubmitted = resubmitted && now-firstOffered < refusalTTL
-	if !resubmitted {
-		firstOffered = now
+	id, firstOffered := j.rec.Job.ID, now
+	earlier, resubmitted := c.returns.Lookup(now, id)
+	if resubmitted {
+		firstOffered = earlier.FirstOffered
+		resubmitted = earlier.FirstOffered != now
 	}
-	if refused && len(c.refusedSince) < maxRememberedRefusals {
-		c.refusedSince[id] = firstOffered
-	} else {
-		delete(c.refusedSince, id)
+	if !refused {
+		c.returns.Forget(id)
 	}
 	if resubmitted || isLongRunning(&j.rec.Job) {
 		return firstOffered
 	}
-	for i := range j.rec.Job.Steps {
-		st := &j.rec.Job.Steps[i]
-		c.offeredCoreMs += float64(st.Count) * float64(st.CPUMilli) / 1000 * c.expectedTaskMs(j.rec.Queue, st)
-	}
+	c.offeredCoreMs += c.jobWork(j) / 1000
 	return firstOffered
 }
 
-// evictRefused removes refused jobs that have not been submitted again.
-func (c *Core) evictRefused(now time.Duration) {
-	for id, at := range c.refusedSince {
-		if now-at > refusalTTL {
-			delete(c.refusedSince, id)
-		}
-	}
-}
-
 // isLongRunning reports whether the job has a long-running step.
 func isLongRunning(j *jobs.Job) bool {
 	for i := range j.Steps {
