executor: counts of admission by priority and account in a pool's dump

A dump of a pool showed neither what admission control had decided nor whose work was ahead, so that an account within its share that lost jobs could not be told from the account that sent the storm.

Under overload control, the owner counts submissions by priority and by account: offered, accepted as on time and as late, refused by reason, and refused at nodes (CountRefusedAtNode, for the nodes' gates). Each count exists since the claim and for the last 4 to 5 s. The section "admission" of the dump adds weights, shares and demand, waiting work, the last predicted wait, and the age of each. At most 10,000 accounts are counted and the 500 busiest listed. TakeAdmissions passes the outcomes to the metrics. Without overload control nothing is counted, and the section says only that.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -129,6 +129,8 @@
 	refusedByAccount map[string]int
 	// outstanding sums the work of the accepted jobs, for admission.
 	outstanding outstandingWork
+	// admissionStats counts what admission control decides.
+	admissionStats admissionStats
 	// directory has the published client accounts.
 	directory *accounts.Directory
 	// incoming are announced additions to the pool's CPU capacity, soonest first; the announcement
--- a/internal/executor/dump.go
+++ b/internal/executor/dump.go
@@ -18,6 +18,8 @@
 	Jobs      []JobDump      `json:"jobs"`
 	// Accounts are the client accounts' usage of this pool and their shares of their limits.
 	Accounts []AccountDump `json:"accounts,omitempty"`
+	// Admission is what admission control decides and by what.
+	Admission *AdmissionDump `json:"admission,omitempty"`
 	// Failed are the recently failed jobs, newest first.
 	Failed []FailedDump `json:"failed,omitempty"`
 }
@@ -91,6 +93,7 @@
 	}
 	d.Failed = c.dumpFailed()
 	d.Accounts = c.dumpAccounts(now)
+	d.Admission = c.dumpAdmission(now)
 	return d
 }
 
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -74,6 +74,7 @@
 	j := &job{firstSeen: now, rec: jobRecord{Job: in, Queue: accepting.Queue, Terms: accepting.Terms, Account: accepting.Account, AcceptedMs: c.wallMs}}
 	decision := c.decideAdmission(now, j)
 	firstOffered := c.recordOffer(now, j, decision.refused())
+	c.countAdmission(now, j, decision, firstOffered == now)
 	if decision.refused() {
 		c.event(Event{Kind: EventRefused, Job: in.ID, Reason: decision.refusal.Reason, Account: accepting.Account, Queue: accepting.Queue,
 			WaitMs: int64(decision.waitMs), SlackMs: int64(decision.slackMs), AgeMs: (now - c.outstanding.at).Milliseconds()})
