shards: outcomes of admission and errors of predictions in metrics and log lines

The log line of a refusal had its reason, but not the queue nor the predicted wait and the slack that it was based on, and no metric showed how far predictions are off.

Under overload control, `job refused` has queue, wait_ms and slack_ms, and `job ended` predicted_ms and actual_ms; values of zero are left out. cyclamen_admission_total counts outcomes by pool and priority, cyclamen_prediction_error_ratio is a histogram of actual over predicted time by queue. The bound on values of the label "account" now bounds each of these labels too. Without overload control, lines and metrics stay as they were.

--- a/internal/shards/accounts_test.go
+++ b/internal/shards/accounts_test.go
@@ -9,13 +9,13 @@
 
 // Without a bound, a deployment with thousands of accounts creates as many time series in
 // each process.
-func TestAccountLabelsAreBounded(t *testing.T) {
+func TestLabelValuesAreBounded(t *testing.T) {
 	g := NewWithT(t)
-	var l accountLabels
-	for n := range maxAccountLabels {
+	var l boundedLabels
+	for n := range maxLabelValues {
 		name := strconv.Itoa(n)
 		g.Expect(l.labelFor(name)).To(Equal(name))
 	}
-	g.Expect(l.labelFor("one more")).To(Equal(otherAccountsLabel))
+	g.Expect(l.labelFor("one more")).To(Equal(otherLabelValue))
 	g.Expect(l.labelFor("7")).To(Equal("7"))
 }
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -256,6 +256,11 @@
 		if e.Account != "" {
 			attrs = append(attrs, "account", e.Account)
 		}
+		if r.limits.OverloadControl {
+			observePrediction(e)
+			attrs = append(attrs, admissionAttrs(e)...)
+		}
 		r.log.Info(string(e.Kind), attrs...)
 	}
+	countAdmissions(r.pool, r.core.TakeAdmissions())
 }
