--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -45,6 +45,7 @@
 		settledCommand(),
 		explainCommand(),
 		accountsCommand(),
+		loadCommand(),
 		dumpCommand(),
 		validateCommand(),
 		settingsCommand(),
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
+	"strings"
 
 	"github.com/integrii/flaggy"
 
@@ -16,28 +18,35 @@
 func explainCommand() *Command {
 	var conn connection
 	var asJSON bool
-	var nodes string
+	var nodes, logs string
 	return &Command{
 		Name: "explain", Summary: "Tell why something is as it is, what it waits for, and what would unblock it.",
 		Args: "instance|pool|job|manifest [NAME]",
 		Flags: func(sub *flaggy.Subcommand) {
 			conn.addFlags(sub)
 			addNodesFlag(sub, &nodes)
+			sub.String(&logs, "", "logs", "Log files (FILE,...; - for standard input) of nodes, to explain the refusals of a job from.")
 			sub.Bool(&asJSON, "", "json", "Print as JSON.")
 		},
 		Run: func(ctx context.Context, streams Streams, args []string) error {
 			if len(args) == 0 || len(args) > 2 || len(args) == 1 && args[0] != string(explain.KindManifest) {
 				return &UsageError{Detail: "explain: name a kind and what to explain"}
 			}
-			hc, err := conn.httpClient()
-			if err != nil {
-				return err
-			}
 			name := ""
 			if len(args) == 2 {
 				name = args[1]
 			}
-			e, err := fetchExplanation(ctx, hc, &conn, nodes, explain.Kind(args[0]), name)
+			kind := explain.Kind(args[0])
+			if logs != "" && (kind != explain.KindJob || nodes != "") {
+				return &UsageError{Detail: "explain: --logs takes a job, and no --nodes"}
+			}
+			var e explain.Explanation
+			var err error
+			if logs != "" {
+				e, err = explainFromLogs(streams.In, logs, name)
+			} else {
+				e, err = fetchExplanation(ctx, &conn, nodes, kind, name)
+			}
 			if err != nil {
 				return err
 			}
@@ -51,9 +60,13 @@
 
 // fetchExplanation explains an object from the dumps of nodes if --nodes is
 // set, and from the log and the planner's view otherwise.
-func fetchExplanation(ctx context.Context, hc *operatorClient, conn *connection, nodes string, kind explain.Kind, name string) (explain.Explanation, error) {
+func fetchExplanation(ctx context.Context, conn *connection, nodes string, kind explain.Kind, name string) (explain.Explanation, error) {
+	hc, err := conn.httpClient()
+	if err != nil {
+		return explain.Explanation{}, err
+	}
 	if nodes != "" {
-		return explain.FromNodes(fetchNodeDumps(ctx, hc, nodes), kind, name)
+		return explain.FromNodes(fetchNodeDumps(ctx, hc, nodes, sectionDuties, sectionPools), kind, name)
 	}
 	st, err := conn.fleetState(ctx, hc)
 	if err != nil {
@@ -62,6 +75,24 @@
 	return explain.FromFleet(st, plannerView(ctx, hc, st), kind, name)
 }
 
+// explainFromLogs explains a job's refusals from log files.
+func explainFromLogs(stdin io.Reader, names, job string) (explain.Explanation, error) {
+	var logs []io.Reader
+	for _, name := range strings.Split(names, ",") {
+		if name == "-" || name == stdinName {
+			logs = append(logs, stdin)
+			continue
+		}
+		file, err := os.Open(name)
+		if err != nil {
+			return explain.Explanation{}, &explain.LogError{Cause: err}
+		}
+		defer file.Close()
+		logs = append(logs, file)
+	}
+	return explain.FromLogs(logs, job)
+}
+
 // fleetState returns the folded state, from the process named by --process or
 // else from the log.
 func (c *connection) fleetState(ctx context.Context, hc *operatorClient) (*fleetlog.State, error) {
--- a/internal/ctl/nodes.go
+++ b/internal/ctl/nodes.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/url"
 	"strings"
 	"sync"
 
@@ -12,21 +13,29 @@
 	"cyclamenwheel/internal/explain"
 )
 
+// Sections of a node's dump.
+const (
+	sectionDuties = "duties"
+	sectionPools  = "pools"
+	sectionGate   = "gate"
+)
+
 // addNodesFlag declares --nodes, which makes a command query nodes on the users'
 // platform.
 func addNodesFlag(sub *flaggy.Subcommand, into *string) {
 	sub.String(into, "", "nodes", "Operator addresses (host:port,...) of nodes on the users' platform, to ask instead.")
 }
 
-// fetchNodeDumps requests the dumps of all nodes in parallel. For a node that
-// does not answer, Err of its dump is set.
-func fetchNodeDumps(ctx context.Context, hc *operatorClient, addrs string) []explain.NodeDump {
+// fetchNodeDumps requests sections of the dumps of all nodes in parallel. For a
+// node that does not answer, Err of its dump is set.
+func fetchNodeDumps(ctx context.Context, hc *operatorClient, addrs string, sections ...string) []explain.NodeDump {
+	path := "/dump?" + url.Values{"section": sections}.Encode()
 	list := strings.Split(addrs, ",")
 	dumps := make([]explain.NodeDump, len(list))
 	var wg sync.WaitGroup
 	for i, addr := range list {
 		wg.Go(func() {
-			if err := getJSON(ctx, hc, addr, "/dump?section=duties&section=pools", &dumps[i]); err != nil {
+			if err := getJSON(ctx, hc, addr, path, &dumps[i]); err != nil {
 				dumps[i].Err = err.Error()
 			}
 			dumps[i].Node = addr
@@ -49,7 +58,7 @@
 // showDuties fetches and prints which node owns each duty, as each node reports
 // it.
 func showDuties(ctx context.Context, out io.Writer, hc *operatorClient, addrs string, asJSON bool) error {
-	dumps := fetchNodeDumps(ctx, hc, addrs)
+	dumps := fetchNodeDumps(ctx, hc, addrs, sectionDuties, sectionPools)
 	if asJSON {
 		return encode(out, dumps)
 	}
--- a/internal/explain/nodes.go
+++ b/internal/explain/nodes.go
@@ -1,6 +1,7 @@
 package explain
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -16,6 +17,8 @@
 	Err    string              `json:"error,omitempty"`
 	Duties shards.Status       `json:"duties"`
 	Pools  []executor.PoolDump `json:"pools"`
+	// Gate is the dump of the node's gate for submissions, if it was requested and the node has one.
+	Gate json.RawMessage `json:"gate,omitempty"`
 }
 
 // NotFoundError reports that no answering node has the object.
