settings: overload_control accepts only on, off and auto

Any name was accepted, and one other than on and off acted as auto, so that a misspelt "off" left overload control on. The key is now a choice, a new kind of key: another value is reported at load with its line, with the reason out_of_range.

--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -79,7 +79,7 @@
 		{Section: sectionProcess, Name: "deployment", Kind: KindName, Default: "cyclamenwheel", Doc: "Name of the deployment, which peers' certificates must carry."},
 		{Section: sectionCallers, Name: "listen", Kind: KindHostPort, Required: true, Doc: "TCP address for callers' HTTP requests."},
 		{Section: sectionCallers, Name: "ready", Kind: KindHostPort, Required: true, Doc: "TCP address for the load balancer's readiness checks."},
-		{Section: sectionCallers, Name: "overload_control", Kind: KindName, Default: OverloadAuto, Doc: "Overload control: on, off, or auto to follow the platform's contract."},
+		{Section: sectionCallers, Name: "overload_control", Kind: KindChoice, Choices: []string{OverloadOn, OverloadOff, OverloadAuto}, Default: OverloadAuto, Doc: "Overload control; auto enables it if contracts in [store] has pressure."},
 		{Section: sectionPeer, Name: "listen", Kind: KindHostPort, Required: true, Doc: "UDP address for QUIC links between nodes."},
 		{Section: sectionOperator, Name: "listen", Kind: KindHostPort, Default: "127.0.0.1:0", Doc: "TCP address for operators, on loopback."},
 		{Section: sectionOperator, Name: "metrics", Kind: KindHostPort, Optional: true, Doc: "TCP address for metrics collectors, plain HTTP at /metrics; disabled by default."},
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -66,6 +67,8 @@
 		return parseRatio(text)
 	case KindNumber:
 		return k.parseNumber(text)
+	case KindChoice:
+		return k.parseChoice(text)
 	}
 	return nil, ReasonType, fmt.Sprintf("unknown kind %q", k.Kind)
 }
@@ -216,6 +219,13 @@
 	return f, "", ""
 }
 
+func (k Key) parseChoice(text string) (any, Reason, string) {
+	if !slices.Contains(k.Choices, text) {
+		return nil, ReasonRange, fmt.Sprintf("%q is none of %s", text, strings.Join(k.Choices, ", "))
+	}
+	return text, "", ""
+}
+
 func parseRatio(text string) (any, Reason, string) {
 	f, err := strconv.ParseFloat(text, 64)
 	if err != nil || math.IsNaN(f) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -113,6 +113,28 @@
 		Expect(err).To(MatchError(And(ContainSubstring("wrong_type"), ContainSubstring("out_of_range"))))
 	})
 
+	// Guards against a misspelt value that leaves overload control in another state than intended.
+	It("accepts only on, off and auto for a node's overload_control", func() {
+		load := func(value string) (settings.NodeSettings, error) {
+			return settings.LoadNode(writeSettings("[process]\nnode = n-1\nzone = a\n[callers]\nlisten = 127.0.0.1:1\nready = 127.0.0.1:2\n" + value +
+				"[peer]\nlisten = 127.0.0.1:3\n[store]\naddress = 127.0.0.1:4\n"))
+		}
+		for text, want := range map[string]string{"": "auto", "overload_control = on\n": "on", "overload_control = off\n": "off", "overload_control = auto\n": "auto"} {
+			s, err := load(text)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(s.OverloadControl).To(Equal(want))
+		}
+		for _, value := range []string{"true", "On", "", "of"} {
+			_, err := load("overload_control = " + value + "\n")
+			var faults *settings.FaultsError
+			Expect(errors.As(err, &faults)).To(BeTrue(), "%v", err)
+			Expect(faults.Faults).To(HaveExactElements(And(HaveField("Reason", settings.ReasonRange), HaveField("Line", 7))))
+		}
+		var b strings.Builder
+		Expect(settings.NodeTable().Reference(&b)).To(Succeed())
+		Expect(b.String()).To(ContainSubstring("; Type: choice, range: on, off, auto.\n;overload_control = auto"))
+	})
+
 	It("prints a reference with every key and its default", func() {
 		var b strings.Builder
 		Expect(settings.ControlTable().Reference(&b)).To(Succeed())
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -29,6 +29,7 @@
 	KindBool     Kind = "boolean"
 	KindRatio    Kind = "ratio"
 	KindNumber   Kind = "number"
+	KindChoice   Kind = "choice"
 )
 
 // Key declares one key.
@@ -50,7 +51,9 @@
 	// Min and Max bound a number: nanoseconds for a duration, bytes for a size.
 	// A Max of 0 means no upper bound.
 	Min, Max int64
-	Doc      string
+	// Choices are the values that a choice may have.
+	Choices []string
+	Doc     string
 }
 
 // Check is a rule over several keys. It runs only if every key is valid by
@@ -118,8 +121,11 @@
 // rangeText returns the allowed range in the notation of a settings file; empty
 // if there is none.
 func (k Key) rangeText() string {
-	if k.Kind == KindRatio {
+	switch k.Kind {
+	case KindRatio:
 		return "0 to 1"
+	case KindChoice:
+		return strings.Join(k.Choices, ", ")
 	}
 	if k.Min == 0 && k.Max == 0 {
 		return ""
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -24,7 +24,7 @@
 	return value
 }
 
-// String returns a string, name or path.
+// String returns a string, name, choice or path.
 func (v Values) String(section, key string) string { return get[string](v, section, key, "string") }
 
 // Int returns an integer.
