executor: tests tell outcomes apart, count retries once and list by demand

Exchanged counts of on time and late, a demand that grows with retries, and a list by name would have passed the tests of the dump of admission.

--- a/internal/executor/admission_stats_test.go
+++ b/internal/executor/admission_stats_test.go
@@ -49,7 +49,10 @@
 	// outcome.
 	It("counts submissions by account, priority and outcome, and shares by weight", func() {
 		w, o := overloadedOwner(true)
-		offered := offer(w, o, "a", 1, 5)
+		_, _ = o.core.Submit(w.now, jobOf(8000, smallStep(1)), accepting("a"), 1)
+		Expect(o.core.TakeAdmissions()).To(Equal(map[executor.AdmissionOutcome]int{{Outcome: executor.AdmittedOnTime}: 1}))
+		Expect(o.core.Dump(w.now).Admission.Priorities[0].AdmittedOnTime).To(Equal(1))
+		offered := 1 + offer(w, o, "a", 1, 5)
 		_, _ = o.core.Submit(w.now, jobOf(9000, smallStep(1)), accepting("b"), 1)
 		o.core.CountRefusedAtNode(w.now, 0, "b", 7)
 		d := o.core.Dump(w.now).Admission
@@ -67,6 +70,22 @@
 		Expect(o.core.TakeAdmissions()).To(BeEmpty())
 	})
 
+	// Guards against a demand that grows with the number of retries instead of the work.
+	It("counts the work of a job once in the demand", func() {
+		w, o := overloadedOwner(true)
+		refused := offer(w, o, "a", 1, 1)
+		_, _ = o.core.Submit(w.now, jobOf(9000, smallStep(1)), accepting("b"), 1)
+		before := accountOf(o.core.Dump(w.now).Admission, "a")
+		for range 10 {
+			w.run(step)
+			verdict, _ := o.core.Submit(w.now, jobOf(refused, smallStep(20)), accepting("a"), 1)
+			Expect(verdict).To(Equal(executor.VerdictRefused))
+		}
+		after := accountOf(o.core.Dump(w.now).Admission, "a")
+		Expect(after.Offered).To(Equal(before.Offered + 10))
+		Expect(after.DemandPercent).To(Equal(before.DemandPercent))
+	})
+
 	// Guards against recent figures that still show a storm that is over.
 	It("drops what is older than the window from the recent counts alone", func() {
 		w, o := overloadedOwner(true)
@@ -91,8 +110,11 @@
 		Expect(d.UnlistedAccounts).To(Equal(9_500))
 		Expect(d.Uncounted.RefusedAtNodes).To(Equal(50))
 		w.run(61 * time.Second)
-		offer(w, o, "a", 1, 1)
-		Expect(o.core.Dump(w.now).Admission.Accounts[0].Account).To(Equal("a"))
+		_, _ = o.core.Submit(w.now, jobOf(9000, smallStep(1)), accepting("a"), 1)
+		offer(w, o, "z", 1, 1)
+		listed := o.core.Dump(w.now).Admission.Accounts
+		Expect(listed).To(HaveLen(2))
+		Expect(listed[0].Account).To(Equal("z"))
 	})
 
 	// Guards against effects of overload control where a deployment has not enabled it.
