executor, ctl: tests of slots that are used again, of the order by demand, and of gates of other classes

Mutants of these survived: recent counts that keep a slot's former second, a list by waiting work, a gate counted for another pool, priority or account, and an account listed twice.

--- a/internal/ctl/load_test.go
+++ b/internal/ctl/load_test.go
@@ -35,7 +35,8 @@
 		Accounts: []executor.AccountDump{{State: quota.State{Account: "b", SharePercent: 50}, SharesReportedAgoMs: 31}},
 		Admission: &executor.AdmissionDump{Enabled: true, Epoch: epoch, AgeMs: ageMs, WindowMs: 5000,
 			Priorities: []executor.PriorityAdmission{{Priority: 1, Recent: recent, WaitMs: 420, WaitAgeMs: 7000, WaitingCoreMs: 9000}},
-			Accounts:   []executor.AccountAdmission{{Account: "a", Weight: 12, SharePercent: 8.1, DemandPercent: 40.2, Refused: recent.Refused, Recent: recent, AgeMs: ageMs}}}}
+			Accounts: []executor.AccountAdmission{{Account: "a", Weight: 12, SharePercent: 8.1, DemandPercent: 40.2, Refused: recent.Refused, Recent: recent, AgeMs: ageMs},
+				{Account: "b", Weight: 1, SharePercent: 0.7}}}}
 }
 
 // rowOf returns the fields of the line that starts with a name.
@@ -55,7 +56,8 @@
 		duties := shards.Status{Duties: []shards.DutyStatus{{Duty: "tabs", Owner: "n-2"}, {Duty: "rooms", Owner: "n-9"}, {Duty: "instances", Owner: "n-9"}}}
 		former = serveDump(map[string]any{"duties": duties, "pools": []executor.PoolDump{poolWith(8, 9000)}})
 		current = serveDump(map[string]any{"duties": duties, "pools": []executor.PoolDump{poolWith(9, 12)},
-			"gate": map[string]any{"classes": []map[string]any{{"pool": "tabs", "priority": 1, "account": "a", "admit": 0.25, "notice_age_ms": 6000}, {"pool": "tabs", "priority": 1, "account": "b", "admit": 1}}}})
+			"gate": map[string]any{"classes": []map[string]any{{"pool": "tabs", "priority": 1, "account": "a", "admit": 0.25, "notice_age_ms": 6000}, {"pool": "tabs", "priority": 1, "account": "b", "admit": 1},
+				{"pool": "tabs", "priority": 0, "account": "b", "admit": 0.1}, {"pool": "rooms", "priority": 1, "account": "a", "admit": 0.1}}}})
 		all = former + "," + current + ",127.0.0.1:1"
 	})
 
@@ -76,7 +78,7 @@
 		Expect(code).To(Equal(ctl.ExitOK))
 		Expect(errs).To(ContainSubstring("missing: node 127.0.0.1:1: "))
 		Expect(rowOf(out, "a")).To(Equal("a tabs " + current + " - none - - 10 - 12 8.1% 40.2% 6.0 4.0 2.0 5.0 backlog 10 0.0 1, admit 0.25, 6000 ms, old 12 ms"))
-		Expect(rowOf(out, "b")).To(HavePrefix("b tabs " + current + " 0.0 none 50.0% 0 0 31 ms ago - -"))
+		Expect(rowOf(out, "b")).To(HavePrefix("b tabs " + current + " 0.0 none 50.0% 0 0 31 ms ago 1 0.7% 0.0% 0.0 0.0 0.0 0.0 - 0.0 1, admit 0.10"))
 	})
 
 	// Guards against a change of the output that present scripts read.
@@ -99,7 +101,9 @@
 		var report map[string]any
 		Expect(json.Unmarshal([]byte(out), &report)).To(Succeed())
 		Expect(report["missing"]).To(HaveKey("127.0.0.1:1"))
-		Expect(report["gates"]).To(HaveLen(1))
+		Expect(report["gates"]).To(HaveLen(3))
+		_, out, _ = run("", "accounts", "--json", "--nodes", all)
+		Expect(strings.Count(out, `"pool": "tabs"`)).To(Equal(2+2), "one row and one gate for each account")
 		_, out, _ = run("", "accounts", "a", "--json", "--nodes", all)
 		var rows []map[string]any
 		Expect(json.Unmarshal([]byte(out), &rows)).To(Succeed())
--- a/internal/executor/admission_stats_test.go
+++ b/internal/executor/admission_stats_test.go
@@ -96,6 +96,9 @@
 		Expect(a.Recent).To(BeZero())
 		Expect(a.Refused).To(HaveLen(1))
 		Expect(a.AgeMs).To(BeEquivalentTo(6000))
+		w.run(4 * time.Second) // as many seconds as use the same slot again
+		_, _ = o.core.Submit(w.now, jobOf(9000, smallStep(1)), accepting("a"), 1)
+		Expect(accountOf(o.core.Dump(w.now).Admission, "a").Recent.Offered).To(Equal(1))
 	})
 
 	// Guards against memory and dumps that grow with the number of accounts, and against a
@@ -110,11 +113,13 @@
 		Expect(d.UnlistedAccounts).To(Equal(9_500))
 		Expect(d.Uncounted.RefusedAtNodes).To(Equal(50))
 		w.run(61 * time.Second)
-		_, _ = o.core.Submit(w.now, jobOf(9000, smallStep(1)), accepting("a"), 1)
-		offer(w, o, "z", 1, 1)
+		offer(w, o, "a", 1, 1)
+		w.run(6 * time.Second)
+		_, _ = o.core.Submit(w.now, jobOf(9000, smallStep(1)), accepting("z"), 1)
 		listed := o.core.Dump(w.now).Admission.Accounts
 		Expect(listed).To(HaveLen(2))
 		Expect(listed[0].Account).To(Equal("z"))
+		Expect(listed[1].WaitingCoreMs).To(BeNumerically(">", listed[0].WaitingCoreMs))
 	})
 
 	// Guards against effects of overload control where a deployment has not enabled it.
