--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -114,6 +114,8 @@
 	outstanding outstandingWork
 	// utilization is measured with overload control only.
 	utilization utilization
+	// admissionStats counts what admission control decides.
+	admissionStats admissionStats
 	// directory has the published client accounts.
 	directory *accounts.Directory
 	// incoming are announced additions to the pool's CPU capacity, soonest first; the announcement
