shards: a bounded queue for submissions beside the runner's inbox

Submissions shared the runner's inbox with the answers of renewals, cancels and polls. A flood of submissions delayed all of them, and a caller whose time ended while its submission waited got 504 although nothing was decided.

A runner that ends answers the queue before it hands its pool over, so that callers go on to the next owner.

--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -79,7 +79,9 @@
 	tenure *tenure.Tenure
 	epoch  int64
 	inbox  chan func(now time.Duration)
-	ctx    context.Context
+	// submissions wait apart from the inbox, so that a flood of them delays no other message.
+	submissions *submissionQueue
+	ctx         context.Context
 
 	waitingCalls map[uint64]chan Result
 	nextToken    uint64
@@ -103,7 +105,7 @@
 	return &Runner{
 		pool: pool, topic: TopicOf(pool), owner: m.opts.Member, store: m.opts.Store, endpoints: m.opts.Endpoints,
 		log: m.opts.Logger.With("pool", pool), limits: m.opts.Limits, now: planlease.Boottime, wallClock: time.Now,
-		inbox: make(chan func(time.Duration), inboxSize), appendOutcomes: make(chan appendOutcome, maxInFlightBatches), done: make(chan struct{}), waitingCalls: map[uint64]chan Result{},
+		inbox: make(chan func(time.Duration), inboxSize), submissions: newSubmissionQueue(), appendOutcomes: make(chan appendOutcome, maxInFlightBatches), done: make(chan struct{}), waitingCalls: map[uint64]chan Result{},
 	}
 }
 
@@ -151,35 +153,40 @@
 		case <-tick.C:
 		case outcome := <-r.appendOutcomes:
 			r.handleAppend(outcome)
-			r.gatherMessages(last)
+			r.awaitMessages(last)
 		case msg := <-r.inbox:
 			msg(r.now())
-			r.gatherMessages(last)
+			r.awaitMessages(last)
+		case <-r.submissions.arrived:
+			r.awaitMessages(last)
 		}
+		r.drainInbox()
+		r.handleSubmissions()
 		last = r.now()
 		r.runRound(last)
 		tick.Reset(r.nextTick())
 	}
+	r.submissions.close()
 	r.appendHandover()
 	r.answerWaitingCalls()
 }
 
-// gatherMessages waits for more messages, so that one round handles all of them.
-func (r *Runner) gatherMessages(last time.Duration) {
+// awaitMessages waits for more messages, so that one round handles all of them.
+func (r *Runner) awaitMessages(last time.Duration) {
 	if gap := gatherInterval - (r.now() - last); gap > 0 {
 		time.Sleep(gap)
 	}
-	r.drainInbox()
 }
 
+// drainInbox handles the outcomes of appends and the messages that have arrived by now. Messages
+// that arrive meanwhile wait for the next round, so that they cannot keep submissions waiting for
+// ever.
 func (r *Runner) drainInbox() {
-	for {
-		select {
-		case msg := <-r.inbox:
-			msg(r.now())
-		default:
-			return
-		}
+	for range len(r.appendOutcomes) {
+		r.handleAppend(<-r.appendOutcomes)
+	}
+	for range len(r.inbox) {
+		(<-r.inbox)(r.now())
 	}
 }
 
--- a/internal/shards/runner_calls.go
+++ b/internal/shards/runner_calls.go
@@ -52,14 +52,7 @@
 // returns it; otherwise it waits for reply to be called with the token.
 func (r *Runner) request(ctx context.Context, f func(now time.Duration, token uint64) (Result, bool)) Result {
 	ch := make(chan Result, 1)
-	ok := r.post(func(now time.Duration) {
-		r.nextToken++
-		token := r.nextToken
-		r.waitingCalls[token] = ch
-		if result, done := f(now, token); done {
-			r.reply(token, result)
-		}
-	})
+	ok := r.post(func(now time.Duration) { r.decide(now, ch, f) })
 	if !ok {
 		return resultOwnerChanging
 	}
@@ -69,19 +62,26 @@
 	case <-r.done:
 		return resultOwnerChangingUnknown
 	case <-ctx.Done():
-		return Result{Outcome: OutcomeUnknown, Reason: "no answer in time"}
+		return resultNoAnswer
+	}
+}
+
+// decide runs f for a call whose answer goes to ch.
+func (r *Runner) decide(now time.Duration, ch chan Result, f func(now time.Duration, token uint64) (Result, bool)) {
+	r.nextToken++
+	token := r.nextToken
+	r.waitingCalls[token] = ch
+	if result, done := f(now, token); done {
+		r.reply(token, result)
 	}
 }
 
 // submit submits a job to the pool and waits until its acceptance is stored.
 func (r *Runner) submit(ctx context.Context, job jobs.Job, acceptance executor.Accepting) Result {
-	return r.request(ctx, func(now time.Duration, token uint64) (Result, bool) {
+	return r.requestQueued(ctx, func(now time.Duration, token uint64) (Result, bool) {
 		if r.storeStalled(now) {
 			return Result{Outcome: OutcomeUnavailable, Reason: "the store does not answer", RetryAfterMs: storeRetryAfterMs}, true
 		}
-		if ctx.Err() != nil {
-			return Result{Outcome: OutcomeUnavailable, Reason: "came too late"}, true
-		}
 		verdict, refusal := r.core.Submit(now, job, acceptance, token)
 		switch verdict {
 		case executor.VerdictDuplicate:
