peer: drop calls undecoded whose caller's time has passed

An overloaded process decoded and handled calls whose callers had given up while the request waited to be read. Such a call is now dropped before its body is decoded, and its stream is reset with the code for calls that were not handled. The time counts from the moment that the stream was accepted.

Counter: cyclamen_peer_calls_dropped_total, reason expired_undecoded, by kind.

--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -220,6 +220,17 @@
 	streamCanceled
 )
 
+// expiredError reports a request whose caller's time had passed before its body
+// was decoded.
+type expiredError struct {
+	Kind   string
+	Waited time.Duration
+}
+
+func (e *expiredError) Error() string {
+	return fmt.Sprintf("%s not handled: its caller's time passed, %s after the stream was accepted", e.Kind, e.Waited)
+}
+
 // linkError converts an error of quic-go into an error type of this package.
 func linkError(op string, err error) error {
 	var app *quic.ApplicationError
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
 )
@@ -86,27 +88,30 @@
 		if err != nil {
 			return
 		}
+		accepted := time.Now()
 		if !n.beginCall() {
 			cancelStream(stream, streamRefused)
 			continue
 		}
 		n.wg.Go(func() {
 			defer n.endCall()
-			n.serveCall(l, stream)
+			n.serveCall(l, stream, accepted)
 		})
 	}
 }
 
-func (n *Node) serveCall(l *link, stream *quic.Stream) {
+// serveCall handles the call of a stream that was accepted at the given time.
+func (n *Node) serveCall(l *link, stream *quic.Stream, accepted time.Time) {
 	defer stream.CancelRead(streamCanceled) // no effect if everything was read
-	head, run, err := n.readRequest(l, stream)
+	head, run, err := n.readRequest(l, stream, accepted)
 	var frameErr *FrameError
 	if errors.As(err, &frameErr) {
 		n.closeMalformed(l, err)
 		return
 	}
 	var linkErr *LinkError
-	if errors.As(err, &linkErr) || !n.isCurrent(l.peer) {
+	var expiredErr *expiredError
+	if errors.As(err, &linkErr) || errors.As(err, &expiredErr) || !n.isCurrent(l.peer) {
 		cancelStream(stream, streamRefused)
 		return
 	}
@@ -117,11 +122,17 @@
 	n.writeAnswer(stream, answer, err)
 }
 
+// droppedExpiredUndecoded is the reason for which calls are dropped undecoded, as
+// a metric label.
+const droppedExpiredUndecoded = "expired_undecoded"
+
 type handlerFunc func(ctx context.Context, from Identity) ([]byte, error)
 
 // readRequest reads a whole request up to the end of its stream. The kind
-// determines the size limit before the body is read.
-func (n *Node) readRequest(l *link, stream *quic.Stream) (head callHeader, run handlerFunc, err error) {
+// determines the size limit before the body is read. A request whose caller's
+// time has passed since the stream was accepted is not decoded: under overload,
+// requests that no caller waits for would take the time of those in time.
+func (n *Node) readRequest(l *link, stream *quic.Stream, accepted time.Time) (head callHeader, run handlerFunc, err error) {
 	if err := stream.SetReadDeadline(time.Now().Add(requestReadTimeout)); err != nil {
 		return head, nil, linkError("read", err)
 	}
@@ -149,10 +160,26 @@
 	if err := expectEOF(stream); err != nil {
 		return head, nil, err
 	}
+	if waited := time.Since(accepted); head.expired(waited) {
+		countExpired(head.Kind)
+		return head, nil, &expiredError{Kind: head.Kind, Waited: waited}
+	}
 	run, err = h.decodeRequest(body)
 	return head, run, err
 }
 
+// expired reports whether the caller no longer waits. A header without a time
+// does not say.
+func (h callHeader) expired(waited time.Duration) bool {
+	return h.TimeoutMillis > 0 && waited >= time.Duration(h.TimeoutMillis)*time.Millisecond
+}
+
+// countExpired counts a call that was dropped undecoded. Kinds are bounded by
+// the registered handlers.
+func countExpired(kind string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("cyclamen_peer_calls_dropped_total{reason=%q,kind=%q}", droppedExpiredUndecoded, kind)).Inc()
+}
+
 // expectEOF checks that the request ends here. A caller that gave up before the
 // end has reset the stream, and its request is not handled.
 func expectEOF(stream io.Reader) error {
