--- a/internal/shards/runner_submissions_test.go
+++ b/internal/shards/runner_submissions_test.go
@@ -198,3 +198,20 @@
 }
 
 func jobID(i int) string { return fmt.Sprintf("%016x", 0x5000+i) }
+
+// Guards against submissions that wait for the next tick of an idle owner although it could decide
+// them at once.
+func TestRoundsFollowEachOtherWhileSubmissionsWait(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	r, ended := startRunner(ctx, g, &memoryJournal{}, &fakeEndpoint{started: map[string]int{}}, queueTestLimits)
+	var decided atomic.Int64
+	for range maxWaitingSubmissions {
+		_, ok := r.submissions.push(&submission{ctx: ctx, answer: make(chan Result, 1), decide: refuseAfter(0, &decided)})
+		g.Expect(ok).To(BeTrue())
+	}
+	rounds := maxWaitingSubmissions / maxSubmissionsPerRound
+	g.Eventually(decided.Load, time.Duration(rounds/2)*idleTick, time.Millisecond).Should(Equal(int64(maxWaitingSubmissions)))
+	cancel()
+	<-ended
+}
