inflight: the limiter of starts in flight as a package of its own

Submissions to owners are to be bounded by the same limiter as starts, so it moves from the executor to the package inflight, with its tests. What differs between kinds of requests is passed in as Settings; those of starts are the values that were constants. The executor's behavior is unchanged.

--- a/internal/executor/admission.go
+++ b/internal/executor/admission.go
@@ -167,7 +167,7 @@
 			ahead += shares.TotalWithin(c.limitedTo(horizonMs))
 		}
 	}
-	wait = max(c.drainMs(now, ahead, pool), float64(c.startLimiter.startQueueDelay(tasks+len(c.startQueue)).Milliseconds()))
+	wait = max(c.drainMs(now, ahead, pool), float64(c.startLimiter.QueueDelay(tasks+len(c.startQueue)).Milliseconds()))
 	return wait, c.accountWaitMs(now, account, own)
 }
 
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -29,6 +29,7 @@
 	"time"
 
 	"cyclamenwheel/internal/accounts"
+	"cyclamenwheel/internal/inflight"
 	"cyclamenwheel/internal/jobs"
 	"cyclamenwheel/internal/quota"
 	"cyclamenwheel/internal/routing"
@@ -160,7 +161,7 @@
 	decidedStarts    []Order
 	startQueue       []Order
 	startsNotDurable int
-	startLimiter     startLimiter
+	startLimiter     *inflight.Limiter
 	// startLimitLoggedAt is when the reduced limit on starts in flight was last logged.
 	startLimitLoggedAt time.Duration
 	// placementsLeft is how many more starts may be decided in this round.
@@ -197,7 +198,7 @@
 		unsavedAbandoned: map[string]bool{}, savedAbandoned: map[string]bool{}, unreportedLosses: map[string]unreportedLosses{},
 		lengthModels: map[string]*lengthModel{}, allowance: quota.NewAllowance(), atShareSince: map[string]time.Duration{},
 		refusedSince: map[string]time.Duration{}, refusedByAccount: map[string]int{}, dirty: map[*job]bool{}, acks: map[Incarnation]int64{},
-		startLimiter: newStartLimiter(),
+		startLimiter: inflight.New(startLimitSettings),
 	}
 }
 
@@ -495,7 +496,7 @@
 	// sent is when a start order was sent.
 	sent time.Duration
 	// slot is what a start order that was sent occupies of the limit on starts in flight.
-	slot *slot
+	slot *inflight.Slot
 }
 
 // Reply identifies a call of Submit or Cancel, by its token, that is to be answered.
--- a/internal/executor/dump.go
+++ b/internal/executor/dump.go
@@ -76,8 +76,8 @@
 
 // Dump returns the pool's state.
 func (c *Core) Dump(now time.Duration) PoolDump {
-	d := PoolDump{Summary: c.Summary(now), Epoch: c.epoch, Starts: StartsDump{InFlight: c.startLimiter.inFlight,
-		Limit: int(c.startLimiter.limit), Waiting: len(c.startQueue), MedianMs: c.startLimiter.median.Milliseconds()}}
+	d := PoolDump{Summary: c.Summary(now), Epoch: c.epoch, Starts: StartsDump{InFlight: c.startLimiter.InFlight(),
+		Limit: int(c.startLimiter.Limit()), Waiting: len(c.startQueue), MedianMs: c.startLimiter.Median().Milliseconds()}}
 	d.Summary.EndpointLoads = c.EndpointLoads(0, slices.Collect(maps.Keys(c.endpoints)))
 	for _, e := range c.endpoints {
 		d.Endpoints = append(d.Endpoints, EndpointDump{ID: e.id, Addr: e.addr, StartedMs: e.startedMs, Free: e.free(), Tasks: len(e.tasks),
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -63,8 +63,8 @@
 // outcome with OrderDone. ok is false if none is ready or the limit on starts in flight is
 // reached.
 func (c *Core) NextStart(now time.Duration) (o Order, lease time.Duration, ok bool) {
-	c.startLimiter.releaseOverdueSlots(now)
-	for len(c.startQueue) > 0 && c.startLimiter.free() > 0 {
+	c.startLimiter.ReleaseOverdue(now)
+	for len(c.startQueue) > 0 && c.startLimiter.Free() > 0 {
 		o, c.startQueue = c.startQueue[0], c.startQueue[1:]
 		if !o.isCurrent() || o.Fence != c.fence(o.task.endpoint) || o.task.stopping {
 			continue
@@ -78,7 +78,7 @@
 			continue
 		}
 		o.task.orderedAt, o.task.orderAnswered, o.task.resending = now, false, false
-		o.sent, o.slot = now, c.startLimiter.acquireSlot(now)
+		o.sent, o.slot = now, c.startLimiter.Acquire(now)
 		return o, c.grantLease(o.task.endpoint, now), true
 	}
 	return Order{}, 0, false
@@ -98,9 +98,9 @@
 	switch {
 	case o.slot == nil:
 	case result == OrderUnanswered:
-		c.startLimiter.recordTimeout(now, o.slot)
+		c.startLimiter.TimedOut(now, o.slot)
 	default:
-		c.startLimiter.recordAnswer(now, o.slot)
+		c.startLimiter.Answered(now, o.slot)
 	}
 	c.logStartLimit(now)
 	e := c.endpoints[o.Endpoint]
--- a/internal/executor/start_limit_test.go
+++ b/internal/executor/start_limit_test.go
@@ -1,199 +1,26 @@
 package executor
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 )
 
-// serialLink simulates an owner's processor or link, which handles starts one after the other.
-// Each costs work, even if its answer arrives after the timeout.
-type serialLink struct {
-	work    time.Duration
-	timeout time.Duration
-	busy    time.Duration
-	answers []answerDue
-}
-
-type answerDue struct {
-	at     time.Duration
-	slot   *slot
-	inTime bool
-}
-
-func (l *serialLink) send(now time.Duration, s *slot) {
-	l.busy = max(l.busy, now) + l.work
-	at := l.busy + 2*time.Millisecond
-	l.answers = append(l.answers, answerDue{at: min(at, now+l.timeout), slot: s, inTime: at <= now+l.timeout})
-}
-
-// sendUnanswered sends a start that is never answered.
-func (l *serialLink) sendUnanswered(now time.Duration, s *slot) {
-	l.answers = append(l.answers, answerDue{at: now + l.timeout, slot: s})
-}
-
-// deliverDue delivers the answers and timeouts due at now, and returns how many of each there
-// were.
-func (l *serialLink) deliverDue(now time.Duration, limiter *startLimiter) (answered, timedOut int) {
-	for _, a := range l.takeDue(now) {
-		if a.inTime {
-			limiter.recordAnswer(now, a.slot)
-			answered++
-		} else {
-			limiter.recordTimeout(now, a.slot)
-			timedOut++
-		}
-	}
-	limiter.releaseOverdueSlots(now)
-	return answered, timedOut
-}
-
-// takeDue removes and returns the answers and timeouts due at now.
-func (l *serialLink) takeDue(now time.Duration) (out []answerDue) {
-	rest := l.answers[:0]
-	for _, a := range l.answers {
-		if a.at <= now {
-			out = append(out, a)
-		} else {
-			rest = append(rest, a)
-		}
-	}
-	l.answers = rest
-	return out
-}
-
-// goodput simulates ten seconds of starts at a rate, over a link that carries 200 a second, and
-// returns how many per second were answered in time. An unanswered start is sent again, as an
-// owner does.
-func goodput(rate float64, limited bool) float64 {
-	const lasts, tick = 10 * time.Second, time.Millisecond
-	l := &serialLink{work: 5 * time.Millisecond, timeout: 700 * time.Millisecond}
-	limiter := newStartLimiter()
-	waiting, answeredInTime := 0.0, 0
-	for now := time.Duration(0); now < lasts; now += tick {
-		answered, timedOut := l.deliverDue(now, &limiter)
-		answeredInTime += answered
-		waiting += float64(timedOut) + rate*tick.Seconds()
-		for waiting >= 1 && (!limited || limiter.free() > 0) {
-			waiting--
-			l.send(now, limiter.acquireSlot(now))
-		}
-	}
-	return float64(answeredInTime) / lasts.Seconds()
-}
-
-// Guards against throughput that falls as load rises: an owner that sends each start as it is
-// decided gets answers after the timeout once its link is saturated, the starts are sent again,
-// and soon none is answered in time.
-func TestGoodputStaysFlatUnderOverload(t *testing.T) {
-	g := NewWithT(t)
-	const carried = 200.0
-	for _, load := range []float64{0.5, 0.9, 1, 1.5, 2, 3, 5} {
-		limited, unlimited := goodput(load*carried, true), goodput(load*carried, false)
-		t.Logf("load %.1f: %.0f a second with the limit, %.0f without", load, limited, unlimited)
-		g.Expect(limited).To(BeNumerically(">=", 0.9*min(load, 1)*carried), fmt.Sprint("load ", load))
-	}
-	g.Expect(goodput(3*carried, false)).To(BeNumerically("<", 0.5*carried), "without a limit this load must overload the link")
-}
-
-// Guards against a pool that starts almost nothing for seconds although its owner is idle: a
-// rack has failed, its unanswered starts hold all slots until their timeout, and then count as
-// slow answers that cut the limit to its minimum.
-func TestUnresponsiveEndpointsDoNotSlowTheOthers(t *testing.T) {
-	g := NewWithT(t)
-	const rate, unanswered, lasts = 1000.0, 240, 3 * time.Second
-	l := &serialLink{work: 200 * time.Microsecond, timeout: 700 * time.Millisecond}
-	limiter := newStartLimiter()
-	waiting, failed, answeredInTime := 0.0, 0, 0
-	for now := time.Duration(0); now < lasts; now += time.Millisecond {
-		answered, _ := l.deliverDue(now, &limiter)
-		answeredInTime += answered
-		waiting += rate * time.Millisecond.Seconds()
-		for waiting >= 1 && limiter.free() > 0 {
-			waiting--
-			if now > time.Second && failed < unanswered {
-				failed++
-				l.sendUnanswered(now, limiter.acquireSlot(now))
-				continue
-			}
-			l.send(now, limiter.acquireSlot(now))
-		}
-	}
-	g.Expect(failed).To(Equal(unanswered))
-	g.Expect(answeredInTime).To(BeNumerically(">=", 0.95*(rate*lasts.Seconds()-unanswered)))
-}
-
-// Guards against a limit that stays high while an owner's link is saturated: with no answer in
-// time, no answer time shows that too many starts are in flight.
-func TestTimeoutsLowerTheStartLimit(t *testing.T) {
-	g := NewWithT(t)
-	l := &serialLink{timeout: 700 * time.Millisecond}
-	limiter := newStartLimiter()
-	for now := time.Duration(0); now < 5*time.Second; now += time.Millisecond {
-		l.deliverDue(now, &limiter)
-		for limiter.free() > 0 {
-			l.sendUnanswered(now, limiter.acquireSlot(now))
-		}
-	}
-	g.Expect(int(limiter.limit)).To(Equal(minStartLimit))
-	g.Expect(limiter.slow).To(BeTrue(), "the lowered limit must be visible to operators")
-}
-
-// Guards against refusing jobs at the beginning of a demand peak though they could start at
-// once: an idle period must not count as a low start rate.
-func TestIdleTimeDoesNotLowerTheStartRate(t *testing.T) {
-	g := NewWithT(t)
-	limiter := newStartLimiter()
-	l := &serialLink{work: 200 * time.Microsecond, timeout: 700 * time.Millisecond}
-	turn := func(from time.Duration) {
-		for now := from; now < from+100*time.Millisecond; now += time.Millisecond {
-			l.deliverDue(now, &limiter)
-			for limiter.free() > 0 {
-				l.send(now, limiter.acquireSlot(now))
-			}
-		}
-	}
-	turn(0)
-	turn(20 * time.Second)
-	g.Expect(limiter.startQueueDelay(100)).To(BeNumerically("<", time.Second))
-}
-
-// Guards against a limit that stays at its initial value though the owner carries ten times as
-// many starts, which prolongs a demand peak.
-func TestStartLimitGrowsWithFastAnswers(t *testing.T) {
-	g := NewWithT(t)
-	limiter := newStartLimiter()
-	now := time.Duration(0)
-	for range 200 {
-		now += 10 * time.Millisecond
-		var out []*slot
-		for limiter.free() > 0 {
-			out = append(out, limiter.acquireSlot(now))
-		}
-		for _, s := range out {
-			limiter.recordAnswer(now+6*time.Millisecond, s)
-		}
-	}
-	g.Expect(limiter.limit).To(BeNumerically(">", 5*initialStartLimit))
-	g.Expect(limiter.startQueueDelay(100)).To(BeZero(), "nothing waits while the limit is not in the way")
-}
-
 // Guards against a late start that can't be explained from the log and the dump: its task was
 // decided in time and sent late because of the limit.
 func TestStartLimitIsReported(t *testing.T) {
 	g := NewWithT(t)
 	c := New("pool", 1, Limits{}, 0)
 	now := time.Second
-	for range 3 * fullWindowAnswers {
-		s := c.startLimiter.acquireSlot(now)
+	for range 72 {
+		s := c.startLimiter.Acquire(now)
 		now += 10 * time.Millisecond
 		c.OrderDone(now, Order{Kind: OrderStart, slot: s}, OrderDone, Answer{})
 	}
 	g.Expect(c.TakeEvents()).To(BeEmpty(), "answers are fast")
-	for range 3 * fullWindowAnswers {
-		s := c.startLimiter.acquireSlot(now)
+	for range 72 {
+		s := c.startLimiter.Acquire(now)
 		now += 100 * time.Millisecond
 		c.OrderDone(now, Order{Kind: OrderStart, slot: s}, OrderDone, Answer{})
 	}
@@ -201,6 +28,6 @@
 	g.Expect(events).NotTo(BeEmpty())
 	g.Expect(events[0].Kind).To(Equal(EventStartsLimited))
 	starts := c.Dump(now).Starts
-	g.Expect(starts.Limit).To(BeNumerically("<", initialStartLimit))
+	g.Expect(starts.Limit).To(BeNumerically("<", startLimitSettings.InitialLimit))
 	g.Expect(starts.MedianMs).To(BeNumerically("==", 100))
 }
