shards: bound the submissions in flight to each owner under overload control

A node sent every submission to the pool's owner at once, however many the owner had left unanswered: a node that was cut off from an owner held each until its timeout, and an overloaded owner spent its time on calls that it could not answer in time.

Under overload control a node now has one adaptive limit for each owner node. Beyond it a submission is answered with 503 at once; nothing was sent. Answers count as slow from 500 to 600 ms, as an owner may wait 500 ms for the store before it refuses jobs for that reason. Attempts that time out, and answers that the owner's queue is full, count as slow; callers that disconnect or have little time left and links that fail at once do not count. Cancels, states and pending counts are not bounded, nor are submissions to pools that the node owns. Without overload control nothing is bounded.

Counter: cyclamen_gate_refusals_total, reason owner_busy.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -124,7 +124,7 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	boot := uuid.NewString()
-	calls := &shards.Calls{}
+	calls := &shards.Calls{OverloadControl: n.overloadControl()}
 	n.configs = published.New(published.Options{Peers: n.peerNames, Changed: n.onConfigChanged, Logger: n.log,
 		Strict: n.set.Bounds.StrictKeys, Revoke: n.set.Bounds.KeysUnconfirmed,
 		Ask: func(ctx context.Context, name string, have int64) (published.Answer, error) {
--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -225,6 +225,10 @@
 type Calls struct {
 	Manager *Manager
 	Peers   *peer.Node
+	// OverloadControl bounds the submissions in flight to each other owner.
+	OverloadControl bool
+
+	limits ownerLimits
 }
 
 // call makes a call on this process or on the pool's owner, and retries it at the next
@@ -265,7 +269,14 @@
 	if !ok || owner.Node == c.Manager.opts.Node {
 		return resultNotOwner
 	}
+	finish := func(time.Duration, Result, error) {}
+	if c.OverloadControl && kind == kindSubmit {
+		if finish = c.limits.acquire(planlease.Boottime(), owner.Node); finish == nil {
+			return resultOwnerBusy
+		}
+	}
 	result, err := peer.Call[any, Result](ctx, c.Peers, owner.Node, kind, request)
+	finish(planlease.Boottime(), result, err)
 	if err == nil {
 		return result
 	}
