--- a/internal/executor/admission.go
+++ b/internal/executor/admission.go
@@ -209,7 +209,7 @@
 	if c.limits.OverloadControl && !o.returnsOnTime {
 		ahead += c.returns.Due(now, now+time.Duration(horizonMs)*time.Millisecond, o.job.returnKey())
 	}
-	wait = max(c.drainMs(now, ahead, o.pool), float64(c.startLimiter.startQueueDelay(tasks+len(c.startQueue)).Milliseconds()))
+	wait = max(c.drainMs(now, ahead, o.pool), float64(c.startLimiter.QueueDelay(tasks+len(c.startQueue)).Milliseconds()))
 	return wait, c.accountWaitMs(now, account, own)
 }
 
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -30,6 +30,7 @@
 
 	"cyclamenwheel/internal/accounts"
 	"cyclamenwheel/internal/admission"
+	"cyclamenwheel/internal/inflight"
 	"cyclamenwheel/internal/quota"
 	"cyclamenwheel/internal/routing"
 )
@@ -147,7 +148,7 @@
 	decidedStarts    []Order
 	startQueue       []Order
 	startsNotDurable int
-	startLimiter     startLimiter
+	startLimiter     *inflight.Limiter
 	// startLimitLoggedAt is when the reduced limit on starts in flight was last logged.
 	startLimitLoggedAt time.Duration
 	// placementsLeft is how many more starts may be decided in this round.
@@ -184,7 +185,7 @@
 		unsavedAbandoned: map[string]bool{}, savedAbandoned: map[string]bool{}, unreportedLosses: map[string]unreportedLosses{},
 		lengthModels: map[string]*lengthModel{}, allowance: quota.NewAllowance(), atShareSince: map[string]time.Duration{},
 		returns: admission.NewReturns(uint64(epoch)), predictions: admission.NewPredictions(), refusedByAccount: map[string]int{}, dirty: map[*job]bool{}, acks: map[Incarnation]int64{},
-		startLimiter: newStartLimiter(),
+		startLimiter: inflight.New(startLimitSettings),
 	}
 }
 
--- a/internal/executor/order_types.go
+++ b/internal/executor/order_types.go
@@ -1,6 +1,10 @@
 package executor
 
-import "time"
+import (
+	"time"
+
+	"cyclamenwheel/internal/inflight"
+)
 
 // OrderKind is the kind of an order.
 type OrderKind uint8
@@ -27,7 +31,7 @@
 	// sent is when a start order was sent.
 	sent time.Duration
 	// slot is what a start order that was sent occupies of the limit on starts in flight.
-	slot *slot
+	slot *inflight.Slot
 }
 
 // Reply identifies a call of Submit or Cancel, by its token, that is to be answered.
