--- a/internal/shards/runner_submissions_test.go
+++ b/internal/shards/runner_submissions_test.go
@@ -113,7 +113,7 @@
 		_, ok := r.submissions.push(&submission{ctx: ctx, answer: make(chan Result, 1)})
 		g.Expect(ok).To(BeTrue())
 	}
-	answer := r.submit(ctx, jobs.Job{}, executor.Accepting{}) // nothing handles the queue
+	answer := r.submit(ctx, SubmitCall{}) // nothing handles the queue
 	g.Expect(answer).To(Equal(Result{Outcome: OutcomeUnavailable, Reason: "the pool's owner is busy", RetryAfterMs: 1000}))
 }
 
@@ -157,7 +157,7 @@
 	r := idleRunner(ctx)
 	limit, stop := context.WithTimeout(ctx, 20*time.Millisecond)
 	defer stop()
-	g.Expect(r.submit(limit, jobs.Job{}, executor.Accepting{})).To(Equal(resultTooLate))
+	g.Expect(r.submit(limit, SubmitCall{})).To(Equal(resultTooLate))
 	<-limit.Done()
 	late := &submission{ctx: limit, answer: make(chan Result, 1)}
 	_, ok := r.submissions.push(late)
@@ -179,7 +179,7 @@
 	for i := range submitters {
 		go func() {
 			job := jobs.Job{ID: jobID(i), Steps: []jobs.Step{{Count: 1, CPUMilli: 500, EstimateMs: 1}}}
-			result := r.submit(context.Background(), job, under)
+			result := r.submit(context.Background(), SubmitCall{Job: job, Acceptance: under})
 			if result.Outcome == OutcomeUnavailable && journal.count("j"+job.ID) > 0 {
 				result.Reason = "stored"
 			}
@@ -194,7 +194,7 @@
 		g.Eventually(outcomes, 10*time.Second).Should(Receive(&result))
 		g.Expect(result.Reason).NotTo(Equal("stored"))
 	}
-	g.Expect(r.submit(context.Background(), jobs.Job{}, under)).To(Equal(resultOwnerChanging))
+	g.Expect(r.submit(context.Background(), SubmitCall{Acceptance: under})).To(Equal(resultOwnerChanging))
 }
 
 func jobID(i int) string { return fmt.Sprintf("%016x", 0x5000+i) }
