admission: weights of callers in the fair queue

The queue of the product's own interface shared its slots equally, whatever weight a caller's account has.

SetWeight: virtual time advances by cost over weight, the expected wait counts what the others are served meanwhile by weight, and of two callers the one with more waiting requests for its weight is displaced. Only weights other than 1 are kept.

Tried and not kept: the expected wait from the max-min formula of Shares. It leaves out that in a burst the others' later requests go first. The two estimates stay separate because they answer different questions.

--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -20,7 +20,7 @@
 	// than one request in overloadDrainTime: at twice its capacity, one slot with one
 	// waiting request is idle 14% of the time, with four 2%.
 	minOverloadBound = 4
-	// greedyFactor is the ratio of waiting requests between two callers from which a
+	// greedyFactor is the ratio of waiting requests to weight between two callers from which a
 	// request of the larger one may be displaced although it has waited longer than
 	// overloadDrainTime. Callers with equal load differ by chance by a factor of two or
 	// three.
@@ -61,7 +61,8 @@
 type Fair struct {
 	rnd            *rand.Rand
 	slots          int
-	lanes          [2]lane // normal, urgent
+	weights        map[string]float64 // of the callers with a weight other than 1
+	lanes          [2]lane            // normal, urgent
 	flowByID       map[uint64]*flow
 	urgentInRow    int       // urgent requests served in a row
 	refusingSince  time.Time // first refusal of the current series
@@ -78,12 +79,29 @@
 
 // NewFair returns an empty queue. seed makes the jitter of its retry advice reproducible.
 func NewFair(seed uint64) *Fair {
-	return &Fair{
+	q := &Fair{
 		rnd:          rand.New(rand.NewPCG(seed, seed)),
-		lanes:        [2]lane{newLane(), newLane()},
+		weights:      map[string]float64{},
 		flowByID:     map[uint64]*flow{},
 		serviceTimes: newEstimates(),
 	}
+	weightOf := func(caller string) float64 { return Weight(q.weights[caller]) }
+	q.lanes = [2]lane{newLane(weightOf), newLane(weightOf)}
+	return q
+}
+
+// SetWeight sets the weight by which a caller shares the slots, also for its waiting
+// requests. A weight that is not positive and finite counts as 1, the weight of a caller for
+// which none is set. Only weights other than 1 take memory.
+func (q *Fair) SetWeight(caller string, weight float64) {
+	if weight = Weight(weight); weight == 1 {
+		delete(q.weights, caller)
+	} else {
+		q.weights[caller] = weight
+	}
+	for i := range q.lanes {
+		q.lanes[i].reweigh(caller)
+	}
 }
 
 // SetSlots implements Queue.
@@ -113,13 +131,13 @@
 	return q.enforceBound(now, f)
 }
 
-// expectedWait estimates how long r would wait. With fair sharing it waits for the smaller
-// of all requests ahead of it and its own caller's requests times the number of callers.
+// expectedWait estimates how long r would wait for the requests that are served before it
+// with fair sharing.
 func (q *Fair) expectedWait(now time.Time, l *lane, r Request) time.Duration {
 	if q.slots == 0 {
 		return 0
 	}
-	ahead := min(l.len, l.queued(r.Caller)*(len(l.flows)+1))
+	ahead := l.ahead(r.Caller)
 	if l == &q.lanes[normalLane] {
 		ahead += q.lanes[urgentLane].len
 	}
@@ -187,7 +205,7 @@
 
 // refuseOne refuses one request because of the newest one in the flow added: usually that
 // one, as it has not waited yet. The newest request of the caller with the most waiting
-// requests is refused instead if that is fairer and wastes no long wait.
+// requests for its weight is refused instead if that is fairer and wastes no long wait.
 func (q *Fair) refuseOne(now time.Time, added *flow) Refusal {
 	l := &q.lanes[normalLane]
 	if l.len == 0 {
@@ -207,12 +225,12 @@
 }
 
 // mayDisplace reports whether the newest request of f, which has more waiting requests
-// than added, may be displaced for added: if it has only just arrived, or if f holds so
-// much of the queue that it would starve the other caller.
+// for its weight than added, may be displaced for added: if it has only just arrived, or if
+// f holds so much of the queue that it would starve the other caller.
 func mayDisplace(now time.Time, f, added *flow) bool {
 	newest := f.waiting[len(f.waiting)-1]
 	return now.Sub(newest.Arrived) <= overloadDrainTime ||
-		len(f.waiting) >= greedyFactor*len(added.waiting)
+		f.queued() >= greedyFactor*added.queued()
 }
 
 func (q *Fair) refuse(now time.Time, id uint64, reason Reason) Refusal {
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -198,14 +198,6 @@
 	return b.low + (b.capacity-b.served)*(b.high-b.low)/(b.all-b.served)
 }
 
-// reweigh reads the weight of an account again.
-func (s *Shares) reweigh(account string) {
-	if a := s.accounts[account]; a != nil {
-		a.weight = s.weight(account)
-		s.markStale()
-	}
-}
-
 func (s *Shares) weight(account string) float64 { return Weight(s.weightOf(account)) }
 
 func (s *Shares) limit(account string) float64 {
