admission: test that refused callers find capacity after a burst

A model of a pool with 3 times its capacity offered for a second and 0.7 times afterwards: with reservations and spread retries, all refused callers are accepted within 3 s of their first offer; with a retry each second, 0.4 of them.

--- a/internal/admission/returns_test.go
+++ b/internal/admission/returns_test.go
@@ -129,4 +129,59 @@
 		_, known := r.Lookup(now, "9")
 		Expect(known).To(BeFalse())
 	})
+
+	// Guards against retries that find no capacity because newcomers and other retries take it, after a
+	// burst of 3 times the capacity for a second; newcomers ask for 0.7 of it afterwards.
+	It("lets refused callers find capacity within their deadline", func() {
+		Expect(afterBurst(true)).To(BeNumerically(">=", 0.99))
+		Expect(afterBurst(false)).To(BeNumerically("<=", 0.5))
+	})
 })
+
+// afterBurst returns the share of the callers refused in a burst that are accepted within 3 s of their
+// first offer, with Returns or with a retry each second. Accepted jobs wait for up to 750 ms.
+func afterBurst(reserve bool) float64 {
+	const perSlot, queueSlots = 20.0, 3
+	class, r := ReturnKey{Account: "a"}, NewReturns(1)
+	type caller struct {
+		id    string
+		first time.Duration
+	}
+	retries := map[int64][]caller{}
+	refused, served, backlog := map[string]bool{}, 0, 0.0
+	for slot := range int64(30) {
+		now := time.Duration(slot) * reservationSlot
+		rate := 0.7
+		if slot < slotsPerSecond {
+			rate = 3.0
+		}
+		arrivals := make([]caller, 0, 100)
+		for i := range int(rate * perSlot) {
+			arrivals = append(arrivals, caller{fmt.Sprint(slot, "-", i), now})
+		}
+		arrivals = append(arrivals, retries[slot]...) // newcomers come first
+		backlog = max(0, backlog-perSlot)
+		for _, c := range arrivals {
+			known, _ := r.Lookup(now, c.id)
+			left := queueSlots*perSlot - backlog
+			if reserve && !known.OnTime {
+				left -= r.Due(now, now+(queueSlots-1)*reservationSlot, class)
+			}
+			if left >= 1 {
+				backlog++
+				r.Forget(c.id)
+				if refused[c.id] && now < c.first+callerPatience {
+					served++
+				}
+				continue
+			}
+			if reserve {
+				r.SetRate(now, class, perSlot*float64(slotsPerSecond))
+			}
+			refused[c.id] = true
+			at := slotNumber(now + r.Refuse(now, c.id, class, 1, 0))
+			retries[at] = append(retries[at], c)
+		}
+	}
+	return float64(served) / float64(len(refused))
+}
