--- a/internal/standin/trial/cluster.go
+++ b/internal/standin/trial/cluster.go
@@ -27,7 +27,7 @@
 	Platform *wire.Platform
 	program  string
 	dir      string
-	env      []string
+	opts     Options
 	net      *loopback.Network
 	nodes    []*Node
 }
@@ -53,14 +53,26 @@
 // Unwrap returns the cause.
 func (e *StartError) Unwrap() error { return e.Cause }
 
-// Start starts the given number of nodes. Their settings and logs are written to dir, and env is
-// added to their environment.
+// Options configure the nodes of a cluster.
+type Options struct {
+	// Env is added to the environment of the nodes.
+	Env []string
+	// OverloadControl is the value of that setting; empty for the default.
+	OverloadControl string
+}
+
+// Start is StartWith, with env added to the environment of the nodes.
 func Start(program, dir string, platform *wire.Platform, nodes int, env ...string) (*Cluster, error) {
+	return StartWith(program, dir, platform, nodes, Options{Env: env})
+}
+
+// StartWith starts the given number of nodes. Their settings and logs are written to dir.
+func StartWith(program, dir string, platform *wire.Platform, nodes int, opts Options) (*Cluster, error) {
 	network, err := loopback.Claim()
 	if err != nil {
 		return nil, &StartError{What: "network", Cause: err}
 	}
-	c := &Cluster{Platform: platform, program: program, dir: dir, env: env, net: network}
+	c := &Cluster{Platform: platform, program: program, dir: dir, opts: opts, net: network}
 	for i := range nodes {
 		n, err := c.prepare(i)
 		if err == nil {
@@ -98,6 +110,9 @@
 	if c.Platform.HasAccounts() {
 		text = strings.Replace(text, "[store]\n", "[store]\ncontracts = tenants\n", 1)
 	}
+	if c.opts.OverloadControl != "" {
+		text = strings.Replace(text, "[callers]\n", "[callers]\noverload_control = "+c.opts.OverloadControl+"\n", 1)
+	}
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		return nil, &StartError{What: name, Cause: err}
 	}
@@ -112,7 +127,7 @@
 	}
 	n.cmd = exec.Command(c.program)
 	n.cmd.Env = append(os.Environ(), "CYCLAMENWHEEL_NODE_FILE="+n.settings)
-	n.cmd.Env = append(n.cmd.Env, c.env...)
+	n.cmd.Env = append(n.cmd.Env, c.opts.Env...)
 	n.cmd.Stdout, n.cmd.Stderr = log, log
 	if err := n.cmd.Start(); err != nil {
 		return &StartError{What: n.Name, Cause: err}
--- a/internal/standin/wire/platform.go
+++ b/internal/standin/wire/platform.go
@@ -79,6 +79,8 @@
 	accounts    []Account
 	pastLimits  map[string][]pastLimit
 	jobAccounts map[string]string
+	// slack is the slack of the queues that Publish writes.
+	slack time.Duration
 	// keepIDs: endpoints keep their ids through moves and maintenance.
 	keepIDs bool
 
@@ -94,7 +96,7 @@
 	}
 	p := &Platform{rng: rand.New(rand.NewPCG(seed, 1)), topics: map[string]*topic{}, members: map[string]groupMember{},
 		endpoints: map[string]*Endpoint{}, instances: map[string]*instance{}, histories: map[string]*taskHistory{}, budgets: map[string]*budget{}, listener: listener,
-		pastLimits: map[string][]pastLimit{}, jobAccounts: map[string]string{}}
+		slack: defaultSlack, pastLimits: map[string][]pastLimit{}, jobAccounts: map[string]string{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /cyclamenwheel/log-append", p.handleAppend)
 	mux.HandleFunc("GET /cyclamenwheel/log-read", p.handleRead)
@@ -212,17 +214,31 @@
 	return nil
 }
 
+// defaultSlack and stretch make objectives so long that a pool refuses no job of a usual test.
+const (
+	defaultSlack = time.Minute
+	stretch      = 10.0
+)
+
+// SetSlack sets the slack of the queues that the next Publish writes, so that their pools refuse
+// jobs that would be late.
+func (p *Platform) SetSlack(slack time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slack = slack
+}
+
 // Publish stores a configuration with one queue per pool, at path prefix /POOL/ of host.
 func (p *Platform) Publish(version int, host string, pools ...string) error {
 	type object = map[string]any
 	routes, services := []object{}, []object{{"name": SparePool, "spare": true}}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, pool := range pools {
 		routes = append(routes, object{"name": "q-" + pool, "host": host, "prefix": "/" + pool + "/", "service": pool,
-			"timeoutMs": 5000, "sloMs": 60000, "attempts": 3, "stretch": 10.0})
+			"timeoutMs": 5000, "sloMs": p.slack.Milliseconds(), "attempts": 3, "stretch": stretch})
 		services = append(services, object{"name": pool, "maxConns": 64})
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	config := object{"version": version, "routes": routes, "services": services,
 		"limits": object{"maxHeaderBytes": 16384, "maxBodyBytes": 262144}}
 	if tenants := p.tenantConfig(); tenants != nil {
