--- a/internal/inflight/limiter_test.go
+++ b/internal/inflight/limiter_test.go
@@ -182,3 +182,34 @@
 	g.Expect(limiter.limit).To(BeNumerically(">", 5*starts.InitialLimit))
 	g.Expect(limiter.QueueDelay(100)).To(BeZero(), "nothing waits while the limit is not in the way")
 }
+
+// Guards against a limit that stays high while a single receiver leaves most requests unanswered: it
+// answers some, and its best answers were slow, so that timeouts do not exceed four times their
+// median.
+func TestTimeoutsOfASingleReceiverLowerTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	limiter := New(Settings{InitialLimit: 64, MinSlowAnswer: 500 * time.Millisecond, MaxSlowAnswer: 600 * time.Millisecond, SingleReceiver: true})
+	now := time.Duration(0)
+	play := func(rounds int, end func(i int, s *Slot)) {
+		for range rounds {
+			var out []*Slot
+			for limiter.Free() > 0 {
+				out = append(out, limiter.Acquire(now))
+			}
+			now += 700 * time.Millisecond
+			for i, s := range out {
+				end(i, s)
+			}
+		}
+	}
+	play(2, func(_ int, s *Slot) { limiter.Answered(s.sent+400*time.Millisecond, s) })
+	g.Expect(limiter.Limit()).To(BeNumerically(">=", 64))
+	play(40, func(i int, s *Slot) {
+		if i%3 == 0 {
+			limiter.Answered(s.sent+400*time.Millisecond, s)
+			return
+		}
+		limiter.TimedOut(now, s)
+	})
+	g.Expect(limiter.Limit()).To(BeNumerically("==", MinLimit))
+}
