--- a/internal/shards/owner_limits.go
+++ b/internal/shards/owner_limits.go
@@ -1,7 +1,9 @@
 package shards
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +12,7 @@
 
 	"cyclamenwheel/internal/inflight"
 	"cyclamenwheel/internal/peer"
+	"cyclamenwheel/internal/planlease"
 )
 
 // submissionLimitSettings apply to the submissions from this process to one owner. An answer waits
@@ -66,6 +69,33 @@
 	}
 }
 
+// OwnerLimitDump describes the limit of submissions in flight to one owner node, for operators.
+type OwnerLimitDump struct {
+	Node     string `json:"node"`
+	Limit    int    `json:"limit"`
+	InFlight int    `json:"in_flight"`
+	// MedianMs is the median answer time of the last window.
+	MedianMs int64 `json:"median_ms"`
+	// UnusedMs is the time since the last submission to the node.
+	UnusedMs int64 `json:"unused_ms"`
+}
+
+// OwnerLimits returns the limits of submissions in flight by owner node, in the order of the nodes.
+func (c *Calls) OwnerLimits() []OwnerLimitDump { return c.limits.dump(planlease.Boottime()) }
+
+func (o *ownerLimits) dump(now time.Duration) []OwnerLimitDump {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := []OwnerLimitDump{}
+	for node, limit := range o.byNode {
+		l := limit.limiter
+		out = append(out, OwnerLimitDump{Node: node, Limit: int(l.Limit()), InFlight: l.InFlight(), MedianMs: l.Median().Milliseconds(),
+			UnusedMs: (now - limit.usedAt).Milliseconds()})
+	}
+	slices.SortFunc(out, func(a, b OwnerLimitDump) int { return cmp.Compare(a.Node, b.Node) })
+	return out
+}
+
 // dropUnused drops the limits that have not been used for ownerLimitIdle.
 func (o *ownerLimits) dropUnused(now time.Duration) {
 	if now-o.sweptAt < ownerLimitIdle {
--- a/internal/shards/owner_limits_test.go
+++ b/internal/shards/owner_limits_test.go
@@ -13,8 +13,7 @@
 	"cyclamenwheel/internal/peer"
 )
 
-// ownerLink sends 1,000 submissions a second to an owner, and returns how many are in flight at the
-// end. An answer of 0 stands for no answer within the attempt's time.
+// ownerLink simulates a node that sends submissions to one owner.
 type ownerLink struct {
 	limits   ownerLimits
 	now      time.Duration
@@ -23,6 +22,9 @@
 	accepted int
 }
 
+// play submits 1,000 times a second. Each submission gets the result after the given time; a time of
+// 0 stands for no answer within the attempt's time. Unanswered submissions are left in flight at the
+// end.
 func (l *ownerLink) play(lasts, answer time.Duration, result Result) {
 	if l.inFlight == nil {
 		l.inFlight = map[int]func(){}
@@ -51,7 +53,7 @@
 		}
 		dueAt[l.now+took] = append(dueAt[l.now+took], id)
 	}
-	for _, ids := range dueAt { // what is in flight at the end is answered in the next phase
+	for _, ids := range dueAt {
 		for _, id := range ids {
 			if end := l.inFlight[id]; end != nil && answer != 0 {
 				end()
@@ -132,3 +134,16 @@
 	limits.acquire(time.Hour+ownerLimitIdle, "other")
 	g.Expect(limits.byNode).To(HaveLen(1))
 }
+
+// Guards against a lowered limit that operators cannot see.
+func TestLimitsAreReported(t *testing.T) {
+	g := NewWithT(t)
+	l := &ownerLink{}
+	l.play(3*time.Second, 100*time.Millisecond, resultOwnerBusy)
+	l.limits.acquire(l.now, "n-1")
+	dump := l.limits.dump(l.now + time.Second)
+	g.Expect(dump).To(HaveLen(2))
+	g.Expect(dump[0]).To(Equal(OwnerLimitDump{Node: "n-1", Limit: 64, InFlight: 1, UnusedMs: 1000}))
+	g.Expect(dump[1].Limit).To(Equal(inflight.MinLimit))
+	g.Expect(dump[1].MedianMs).To(BeNumerically(">", storeStalledAfter.Milliseconds()))
+}
