--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -117,7 +117,7 @@
 	}
 	var answer []byte
 	if err == nil {
-		answer, err = runHandler(stream, head, l.peer, run)
+		answer, err = runHandler(stream, head, l.peer, accepted, run)
 	}
 	n.writeAnswer(stream, answer, err)
 }
@@ -194,11 +194,12 @@
 	}
 }
 
-// runHandler runs the handler, bounded by the time for which its caller waits,
-// in case the caller's stream reset is lost.
-func runHandler(stream *quic.Stream, head callHeader, from Identity, run handlerFunc) ([]byte, error) {
+// runHandler runs the handler, bounded by the time for which its caller waits
+// since the stream was accepted, in case the caller's stream reset is lost.
+// Handlers rely on the deadline to leave time for their answer.
+func runHandler(stream *quic.Stream, head callHeader, from Identity, accepted time.Time, run handlerFunc) ([]byte, error) {
 	timeout := min(time.Duration(head.TimeoutMillis)*time.Millisecond, defaultCallTimeout)
-	ctx, cancel := context.WithTimeout(stream.Context(), timeout)
+	ctx, cancel := context.WithDeadline(stream.Context(), accepted.Add(timeout))
 	defer cancel()
 	return run(ctx, from)
 }
