standin/disruption: one check of disruption budgets for all simulated endpoints

The simulation in package executor's tests and the wire stand-in each had a check of disruption budgets, with states and exceptions of their own. Both use the package standin/disruption now, which only stand-ins and tests import.

No check is weaker:

The same orders stay exempt. A task counts if it is not at work and an order ended it or it was lost 4.5 s ago, as before. A task whose lease has expired while its run has not been ended counts at once; before, it did unless it had been lost within the 4.5 s before.

The tests of the packages executor, standin/disruption and standin/wire pass.

--- a/internal/executor/disruption_budget_cases_test.go
+++ b/internal/executor/disruption_budget_cases_test.go
@@ -145,7 +145,7 @@
 	for range 10 {
 		o.core.Vacate(w.now, serving[1].id, false)
 		w.run(50 * time.Millisecond)
-		g.Expect(w.tasksAtWork()).To(Equal(2), "at %v", w.now)
+		g.Expect(w.budgets.NotAtWork()).To(HaveLen(1), "at %v", w.now)
 	}
 }
 
@@ -159,8 +159,8 @@
 	g.Expect(serving).To(HaveLen(3))
 	o.core.Vacate(w.now, serving[0].id, false)
 	w.run(200 * time.Millisecond)
-	g.Expect(w.tasksAtWork()).To(Equal(2), "one task moves")
-	for w.tasksAtWork() < 3 {
+	g.Expect(w.budgets.NotAtWork()).To(HaveLen(1), "one task moves")
+	for len(w.budgets.NotAtWork()) > 0 {
 		w.run(step)
 	}
 	moved := w.endpoints["i-03"]
@@ -169,20 +169,7 @@
 	o.core.ObserveEndpoints(w.now, w.discoveryList())
 	o.core.Vacate(w.now, moved.id, false)
 	w.run(2 * step)
-	g.Expect(w.tasksAtWork()).To(Equal(2), "only the draining endpoint's task is stopped")
-}
-
-// tasksAtWork returns how many tasks with a disruption budget are at work.
-func (w *world) tasksAtWork() int {
-	n := 0
-	for _, step := range w.disruptions {
-		for _, t := range step.tasks {
-			if t.atWork {
-				n++
-			}
-		}
-	}
-	return n
+	g.Expect(w.budgets.NotAtWork()).To(HaveLen(1), "only the draining endpoint's task is stopped")
 }
 
 // repeatedStart drives a Core until the start of a service's task is about to be repeated: its order
--- a/internal/executor/disruption_budget_test.go
+++ b/internal/executor/disruption_budget_test.go
@@ -8,85 +8,41 @@
 
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/jobs"
+	"cyclamenwheel/internal/standin/disruption"
 )
 
 const (
 	// serviceStartup is how long a task with a disruption budget takes until it is at work.
 	serviceStartup = 400 * time.Millisecond
-	// noticeTime is how long a task may be away for other reasons than an order before it counts
-	// against its step's disruption budget.
-	noticeTime = 4500 * time.Millisecond
 	// pollTimeout is how long after its wait a poll counts as unanswered.
 	pollTimeout = 700 * time.Millisecond
 )
 
-// budgetedStep is what endpoints show of a long-running step with a disruption budget.
-type budgetedStep struct {
-	mayMiss int
-	tasks   map[string]*budgetedTask
-}
-
-// budgetedTask is a task of such a step. While it is not at work, awayByOrder is set if an order has
-// ended it last.
-type budgetedTask struct {
-	atWork, awayByOrder bool
-	awaySince           time.Duration
-}
-
-// isAway reports whether the task counts against the budget.
-func (t *budgetedTask) isAway(now time.Duration) bool {
-	return t.awayByOrder || !t.atWork && now-t.awaySince >= noticeTime
-}
-
-func stepName(n jobs.TaskName) string { return fmt.Sprint(n.Job, ".", n.Occurrence, ".", n.Step) }
-
 // watchBudgets starts to check the budgets of a job's steps.
 func (w *world) watchBudgets(j jobs.Job) {
 	for i, s := range j.Steps {
-		name := stepName(jobs.TaskName{Job: j.ID, Step: i})
-		if !s.LongRunning || s.MayMiss == 0 || w.disruptions[name] != nil {
+		if !s.LongRunning || s.MayMiss == 0 || w.budgets.Watches(jobs.TaskName{Job: j.ID, Step: i}.String()) {
 			continue
 		}
-		step := &budgetedStep{mayMiss: s.MayMiss, tasks: map[string]*budgetedTask{}}
+		var tasks []string
 		for k := range s.Count {
-			step.tasks[jobs.TaskName{Job: j.ID, Step: i, Index: k}.String()] = &budgetedTask{awaySince: w.now}
-		}
-		if w.disruptions == nil {
-			w.disruptions = map[string]*budgetedStep{}
+			tasks = append(tasks, jobs.TaskName{Job: j.ID, Step: i, Index: k}.String())
 		}
-		w.disruptions[name] = step
+		w.budgets.Watch(w.now, s.MayMiss, tasks)
 	}
 }
 
-// budgetOf returns the step of a task if it has a disruption budget.
-func (w *world) budgetOf(task string) *budgetedStep {
-	if w.disruptions == nil {
-		return nil
-	}
-	n, ok := jobs.ParseTaskName(task)
-	if !ok {
-		return nil
-	}
-	return w.disruptions[stepName(n)]
-}
-
 // observeBudgetedTasks updates which tasks are at work.
 func (w *world) observeBudgetedTasks() {
-	working := map[string]bool{}
+	states := map[string]disruption.State{}
 	for _, h := range w.endpoints {
 		for _, r := range h.running {
-			working[r.task] = working[r.task] || r.isAtWork(w.now)
-		}
-	}
-	for _, step := range w.disruptions {
-		for name, t := range step.tasks {
-			if t.atWork && !working[name] {
-				t.awaySince = w.now
+			if r.isAtWork(w.now) {
+				states[r.task] = disruption.AtWork
 			}
-			t.atWork = working[name]
-			t.awayByOrder = t.awayByOrder && !t.atWork
 		}
 	}
+	w.budgets.Observe(w.now, func(task string) disruption.State { return states[task] })
 }
 
 // isAtWork reports whether a run of a task with a budget has started up and is not being stopped.
@@ -97,29 +53,20 @@
 // checkBudget checks an order that ends a run against its step's disruption budget. Endpoints that
 // drain or fail their runs, and orders that are carried out late, are exempt.
 func (w *world) checkBudget(h *simEndpoint, r *run, late bool) {
-	step := w.budgetOf(r.task)
-	if step == nil || r.outcome == executor.EndedStopped {
+	if r.outcome == executor.EndedStopped {
 		return
 	}
-	away := 0
-	for name, t := range step.tasks {
-		if name != r.task && t.isAway(w.now) {
-			away++
-		}
-	}
 	exempt := late || h.draining || h.failsAll || h.stalls || !r.isAtWork(w.now)
-	if away >= step.mayMiss && !exempt {
-		w.violations = append(w.violations, fmt.Sprintf("%v: %s is ended by an order while %d others of its step are away, allowed are %d\n%s",
-			w.now, r.task, away, step.mayMiss, w.traceOfStep(step)))
+	if violation := w.budgets.Stop(w.now, r.task, exempt); violation != "" {
+		w.violations = append(w.violations, fmt.Sprintf("%v: %s\n%s", w.now, violation, w.traceOfStep(r.task)))
 	}
-	step.tasks[r.task].awayByOrder = true
 }
 
-// traceOfStep returns the trace of a step's tasks as text.
-func (w *world) traceOfStep(step *budgetedStep) string {
+// traceOfStep returns the trace of the tasks of a task's step as text.
+func (w *world) traceOfStep(task string) string {
 	var b strings.Builder
 	for _, t := range w.trace {
-		if step.tasks[t.task] != nil || t.task == "" {
+		if t.task == "" || w.budgets.SameStep(t.task, task) {
 			fmt.Fprintf(&b, "%v %s %s %s run %d epoch %d %v\n", t.at, t.what, t.task, t.endpoint, t.run, t.epoch, t.result)
 		}
 	}
--- a/internal/executor/long_running_crash_test.go
+++ b/internal/executor/long_running_crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,8 +21,7 @@
 
 // isServing reports whether a task is at work.
 func (w *world) isServing(task string) bool {
-	step := w.budgetOf(task)
-	return step != nil && step.tasks[task].atWork
+	return w.budgets.Watches(task) && !slices.Contains(w.budgets.NotAtWork(), task)
 }
 
 // Guards against a long-running step whose tasks are all stopped because one of them, which crashes
--- a/internal/executor/simulated_endpoints_test.go
+++ b/internal/executor/simulated_endpoints_test.go
@@ -310,7 +310,7 @@
 	if w.lengthOf != nil {
 		runLength = w.lengthOf(n)
 	}
-	if w.budgetOf(order.Task) != nil {
+	if w.budgets.Watches(order.Task) {
 		runLength = time.Hour
 	}
 	r := &run{task: order.Task, number: order.Run, began: w.now, ends: w.now + runLength, needs: executor.Resources{CPUMilli: 1000, MemoryMB: 10}}
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -10,6 +10,7 @@
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/jobs"
 	"cyclamenwheel/internal/routing"
+	"cyclamenwheel/internal/standin/disruption"
 )
 
 // world simulates a pool's environment in memory: a journal that rejects older epochs, endpoints
@@ -53,8 +54,8 @@
 	limitMilli int
 	// ownersHandOver makes the owners of random scenarios hand their pool over when they end.
 	ownersHandOver bool
-	// disruptions checks the disruption budgets of long-running steps, by step name.
-	disruptions map[string]*budgetedStep
+	// budgets checks the disruption budgets of long-running steps.
+	budgets disruption.Check
 	// waitingPolls makes polls wait for an end, as endpoints do; openPolls are those that wait.
 	waitingPolls bool
 	openPolls    []openPoll
@@ -416,7 +417,7 @@
 		if !r.stalled {
 			percent = min(99, int(100*(w.now-r.began)/max(step, r.ends-r.began)))
 		}
-		if w.budgetOf(r.task) != nil {
+		if w.budgets.Watches(r.task) {
 			percent = min(100, int(100*(w.now-r.began)/serviceStartup))
 		}
 		if h.percent > 0 {
--- a/internal/standin/wire/platform.go
+++ b/internal/standin/wire/platform.go
@@ -16,6 +16,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"cyclamenwheel/internal/standin/disruption"
 )
 
 // changeDuration is the time that a move or maintenance takes; capacities are in thousandths of
@@ -51,10 +53,6 @@
 	// crashes counts the endpoints that crashed under the task, startsAfterThreshold its starts
 	// after crashThreshold crashes.
 	crashes, startsAfterThreshold int
-	// awayByOrder is set once an order has ended a run of a task with a disruption budget;
-	// lastAtWork is when such a task was last at work, if it was lost for another reason.
-	awayByOrder bool
-	lastAtWork  time.Time
 }
 
 // Platform simulates the outside platform.
@@ -69,8 +67,9 @@
 	incarnations int
 	instances    map[string]*instance
 	histories    map[string]*taskHistory
-	// budgets are the disruption budgets that are checked, by task.
-	budgets    map[string]*budget
+	// startedAt is the start of the platform, and budgets checks disruption budgets.
+	startedAt  time.Time
+	budgets    disruption.Check
 	violations []string
 	storeDown  bool
 	closed     bool
@@ -93,7 +92,7 @@
 		return nil, err
 	}
 	p := &Platform{rng: rand.New(rand.NewPCG(seed, 1)), topics: map[string]*topic{}, members: map[string]groupMember{},
-		endpoints: map[string]*Endpoint{}, instances: map[string]*instance{}, histories: map[string]*taskHistory{}, budgets: map[string]*budget{}, listener: listener,
+		endpoints: map[string]*Endpoint{}, instances: map[string]*instance{}, histories: map[string]*taskHistory{}, startedAt: time.Now(), listener: listener,
 		pastLimits: map[string][]pastLimit{}, jobAccounts: map[string]string{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /cyclamenwheel/log-append", p.handleAppend)
