admission: a gate at the nodes, driven by notices of the owner

Each refusal of an overloaded owner costs a call: at 13 times its capacity the owner receives 13 times its calls.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -5,6 +5,9 @@
 // load model of internal/measure/load for its simulations.
 //
 // A queue does no locking: its owner serializes the calls.
+//
+// Under overload control, a Meter at the owner of a pool counts what is offered to it by class, and a
+// Gate at each node refuses what the owner would refuse, from the notices that the Meter derives.
 package admission
 
 import "time"
