ingress, shards: submissions pass a gate at the node under overload control

Refusals were decided at the owner only, and each cost a call. Under overload control the owner now counts submissions by class and returns a notice with the result of each; a node refuses beyond the fraction that the notice asks for, with 429 and detail "gate", a log line with its inputs and their age, and the counter cyclamen_gate_refusals_total{reason}. The dump of a node gets the section "gate". Without overload control there is no gate and no meter, and messages are as before.

A caller that lost the answer to an accepted submission repeats it at any node, and a 429 from the gate would say that its job never runs. So a node asks the owner (kind job.known) before it refuses: up to 256 ids in one call, one call per pool in flight, 3 ms apart. The owner answers from its jobs and from the submissions that it has received and not answered, however they are queued, if its epoch was proved within 500 ms. Known jobs, and those whose question is not answered within 300 ms, are forwarded.

The call reports the refusals of the node, and its answer carries the notices of the classes.

A count of refusals that no owner has taken is reported with the next call: after an unknown outcome it may count twice, once. Repetitions of known jobs, and refusals that would be given at any load (id taken, account limit, store without answers, change of owner), count neither as accepted nor as refused.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -76,8 +76,11 @@
 	Notice Notice
 	// Age is how long ago the notice arrived.
 	Age time.Duration
-	// RetryAfter is when a refused caller may retry: 1 s to 3 s.
-	RetryAfter time.Duration
+}
+
+// GateRetryAfter returns when a caller that is refused under a notice may retry: 1 s to 3 s.
+func GateRetryAfter(n Notice) time.Duration {
+	return min(max(time.Duration(n.RetryAfterMs)*time.Millisecond, minGateRetryAfter), maxGateRetryAfter)
 }
 
 // GateDump is the state of one class at a gate.
@@ -165,8 +168,6 @@
 		return d, true
 	}
 	class.refused++
-	retry := time.Duration(class.notice.RetryAfterMs) * time.Millisecond
-	d.RetryAfter = min(max(retry, minGateRetryAfter), maxGateRetryAfter)
 	return d, false
 }
 
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -48,7 +48,9 @@
 		g.Observe(0, key, notice(1, 1, 0))
 		d, ok := g.Admit(100*time.Millisecond, key)
 		Expect(ok).To(BeFalse())
-		Expect(d).To(Equal(GateDecision{Reason: GateFraction, Notice: notice(1, 1, 0), Age: 100 * time.Millisecond, RetryAfter: 3 * time.Second}))
+		Expect(d).To(Equal(GateDecision{Reason: GateFraction, Notice: notice(1, 1, 0), Age: 100 * time.Millisecond}))
+		Expect(GateRetryAfter(d.Notice)).To(Equal(3 * time.Second))
+		Expect(GateRetryAfter(Notice{})).To(Equal(time.Second))
 	})
 
 	// Guards against a class that stays closed because one notice was lost.
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -22,8 +22,13 @@
 type Refusal struct {
 	Reason     string
 	RetryAfter time.Duration
+	// Wait is the predicted wait of the job, 0 if there is no prediction.
+	Wait time.Duration
 }
 
+// maxReportedWaitMs bounds Refusal.Wait, which is unbounded where a pool has almost no capacity.
+const maxReportedWaitMs = 3_600_000
+
 // Reasons of refusals.
 const (
 	// RefusedBacklog means that the job could not end within its objective behind the accepted work.
@@ -80,6 +85,7 @@
 		if accepting.Account != "" {
 			c.refusedByAccount[accepting.Account]++
 		}
+		decision.refusal.Wait = time.Duration(min(decision.waitMs, maxReportedWaitMs)) * time.Millisecond
 		return VerdictRefused, decision.refusal
 	}
 	j.offeredAt = firstOffered
@@ -98,6 +104,9 @@
 	return VerdictAccepted, Refusal{}
 }
 
+// Knows reports whether a job is accepted, is being accepted, or has ended and is remembered.
+func (c *Core) Knows(id string) bool { return c.jobs[id] != nil }
+
 // Cancel ends a job. known is false if there is no such job. durable is true if the job's end
 // was durable before; otherwise the reply with the token follows once the cancellation is
 // durable.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -22,6 +23,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
+	"cyclamenwheel/internal/admission"
 	"cyclamenwheel/internal/attempts"
 	"cyclamenwheel/internal/eventlog"
 	"cyclamenwheel/internal/executor"
@@ -86,6 +88,7 @@
 	manager         *shards.Manager
 	configs         *published.Keeper
 	ingress         *ingress.Ingress
+	gate            *admission.Gate // nil without overload control
 	stopping        atomic.Bool
 	requestDeadline requestDeadline
 	endpoints       *endpointTable
@@ -130,7 +133,10 @@
 		Ask: func(ctx context.Context, name string, have int64) (published.Answer, error) {
 			return published.AskPeer(ctx, n.peers, name, have)
 		}})
-	n.ingress = ingress.New(n.configs, calls, n.log)
+	if n.overloadControl() {
+		n.gate = admission.NewGate(rand.Uint64())
+	}
+	n.ingress = ingress.New(n.configs, calls, n.gate, n.log)
 	front, err := n.startServer(n.set.CallersListen.String(), n.requestDeadline.wrap(&platform.Front{Service: n.ingress}))
 	if err != nil {
 		return err
@@ -198,6 +204,7 @@
 	op.RegisterDump("duties", func() any { return n.manager.Status() })
 	op.RegisterDump("pools", func() any { return n.manager.Dump() })
 	op.RegisterDump("configuration", func() any { return n.ingress.Config() })
+	op.RegisterDump("gate", func() any { return n.dumpGate() })
 	op.RegisterDump("peers", func() any { return n.peers.Status() })
 	// Profiles of the running process are safe to serve here, as the operators'
 	// port is on loopback.
@@ -227,6 +234,14 @@
 	}, nil
 }
 
+// dumpGate returns the classes of the gate, none without overload control.
+func (n *Node) dumpGate() []admission.GateDump {
+	if n.gate == nil {
+		return []admission.GateDump{}
+	}
+	return n.gate.Dump(planlease.Boottime())
+}
+
 func (n *Node) notReadyReasons() []string {
 	switch {
 	case n.stopping.Load():
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cyclamenwheel/internal/admission"
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/jobs"
 	"cyclamenwheel/internal/published"
@@ -23,20 +24,24 @@
 // Ingress serves the callers' requests that arrive at one process.
 type Ingress struct {
 	*published.Keeper
-	calls *shards.Calls
+	calls Calls
+	gate  *admission.Gate
 	log   *slog.Logger
 }
 
-// New returns an ingress that serves the configuration in force.
-func New(configs *published.Keeper, calls *shards.Calls, log *slog.Logger) *Ingress {
-	return &Ingress{Keeper: configs, calls: calls, log: log}
+// New returns an ingress that serves the configuration in force. Submissions pass the gate; without one,
+// all of them are sent to the owners of their pools.
+func New(configs *published.Keeper, calls Calls, gate *admission.Gate, log *slog.Logger) *Ingress {
+	return &Ingress{Keeper: configs, calls: calls, gate: gate, log: log}
 }
 
 // Submit submits a job.
 func (i *Ingress) Submit(ctx context.Context, q *routing.Queue, account string, job jobs.Job) platform.Answer {
-	result := i.calls.Submit(ctx, shards.SubmitCall{Pool: q.Service, Job: job,
-		Acceptance: executor.Accepting{Queue: q.Name, Terms: q.Terms, Account: account}})
-	return answerOf(result)
+	in := shards.SubmitCall{Pool: q.Service, Job: job, Acceptance: executor.Accepting{Queue: q.Name, Terms: q.Terms, Account: account}}
+	if i.gate == nil {
+		return answerOf(i.calls.Submit(ctx, in))
+	}
+	return i.submitThroughGate(ctx, in)
 }
 
 // State returns a job's state.
--- a/internal/shards/call_attempts.go
+++ b/internal/shards/call_attempts.go
@@ -33,7 +33,7 @@
 // be told that it never runs.
 func (a *callAttempts) outcome() Result {
 	if a.unknown && (a.last.Outcome == OutcomeRefused || a.last.Outcome == OutcomeUnavailable) {
-		return Result{Outcome: OutcomeUnknown, Reason: "an earlier attempt was not answered; then: " + a.last.Reason}
+		return Result{Outcome: OutcomeUnknown, Reason: "an earlier attempt was not answered; then: " + a.last.Reason, Notice: a.last.Notice}
 	}
 	return a.last
 }
--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -47,6 +47,8 @@
 	Pool       string             `cbor:"1,keyasint"`
 	Job        jobs.Job           `cbor:"2,keyasint"`
 	Acceptance executor.Accepting `cbor:"3,keyasint"`
+	// Refused is how many jobs of the same class this node has refused since its last call.
+	Refused int `cbor:"4,keyasint,omitempty"`
 }
 
 // JobCall identifies a job of a pool.
@@ -155,6 +157,9 @@
 	peer.Handle(n, kindSubmit, func(ctx context.Context, _ peer.Identity, in SubmitCall) (Result, error) {
 		return m.localSubmit(ctx, in), nil
 	})
+	peer.Handle(n, kindKnown, func(ctx context.Context, _ peer.Identity, in KnownCall) (KnownResult, error) {
+		return m.localKnown(ctx, in), nil
+	})
 	peer.Handle(n, kindCancel, func(ctx context.Context, _ peer.Identity, in JobCall) (Result, error) {
 		return m.localCancel(ctx, in), nil
 	})
@@ -198,7 +203,7 @@
 }
 
 func (m *Manager) localSubmit(ctx context.Context, in SubmitCall) Result {
-	return m.localCall(in.Pool, func(r *Runner) Result { return r.submit(ctx, in.Job, in.Acceptance) })
+	return m.localCall(in.Pool, func(r *Runner) Result { return r.submit(ctx, in) })
 }
 
 func (m *Manager) localCancel(ctx context.Context, in JobCall) Result {
@@ -225,6 +230,7 @@
 type Calls struct {
 	Manager *Manager
 	Peers   *peer.Node
+	known   knownQuestions
 }
 
 // call makes a call on this process or on the pool's owner, and retries it at the next
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -21,6 +21,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cyclamenwheel/internal/admission"
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/fleetops"
 	"cyclamenwheel/internal/planlease"
@@ -83,6 +84,11 @@
 
 	waitingCalls map[uint64]chan Result
 	nextToken    uint64
+	// meter counts submissions under overload control, and is nil without. metered are the classes of
+	// the waiting submissions that it has counted.
+	meter    *admission.Meter
+	metered  map[uint64]admission.MeterClass
+	arriving arrivals
 	// batches are in flight to the store, the oldest first; lastFlush is when the newest
 	// was sent.
 	batches   []*batch
@@ -103,7 +109,7 @@
 	return &Runner{
 		pool: pool, topic: TopicOf(pool), owner: m.opts.Member, store: m.opts.Store, endpoints: m.opts.Endpoints,
 		log: m.opts.Logger.With("pool", pool), limits: m.opts.Limits, now: planlease.Boottime, wallClock: time.Now,
-		inbox: make(chan func(time.Duration), inboxSize), appendOutcomes: make(chan appendOutcome, maxInFlightBatches), done: make(chan struct{}), waitingCalls: map[uint64]chan Result{},
+		inbox: make(chan func(time.Duration), inboxSize), appendOutcomes: make(chan appendOutcome, maxInFlightBatches), done: make(chan struct{}), waitingCalls: map[uint64]chan Result{}, metered: map[uint64]admission.MeterClass{},
 	}
 }
 
@@ -123,6 +129,9 @@
 		return err
 	}
 	r.tenure, r.epoch = held, held.Epoch
+	if r.limits.OverloadControl {
+		r.meter = admission.NewMeter(r.epoch)
+	}
 	r.core = executor.New(r.pool, r.epoch, r.limits, r.now())
 	r.core.SetWallClock(r.wallClock().UnixMilli())
 	return r.core.Restore(fleetops.RecordsOf(records), r.now())
--- a/internal/shards/runner_calls.go
+++ b/internal/shards/runner_calls.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"cyclamenwheel/internal/admission"
 	"cyclamenwheel/internal/executor"
-	"cyclamenwheel/internal/jobs"
 )
 
 // Outcome is the result class of a call on a pool.
@@ -38,12 +38,15 @@
 	Reason       string            `cbor:"5,keyasint,omitempty"`
 	// Changing reports that the pool is about to get another owner, which can answer.
 	Changing bool `cbor:"6,keyasint,omitempty"`
+	// Notice is the admission state of the class of a submission that the owner has decided on; nil
+	// without overload control.
+	Notice *admission.Notice `cbor:"7,keyasint,omitempty"`
 }
 
 // reply answers a waiting call. It does nothing if the call was answered before.
 func (r *Runner) reply(token uint64, result Result) {
 	if ch, ok := r.waitingCalls[token]; ok {
-		ch <- result
+		ch <- r.withNotice(token, result)
 		delete(r.waitingCalls, token)
 	}
 }
@@ -74,7 +77,9 @@
 }
 
 // submit submits a job to the pool and waits until its acceptance is stored.
-func (r *Runner) submit(ctx context.Context, job jobs.Job, acceptance executor.Accepting) Result {
+func (r *Runner) submit(ctx context.Context, in SubmitCall) Result {
+	r.arriving.add(in.Job.ID)
+	defer r.arriving.remove(in.Job.ID)
 	return r.request(ctx, func(now time.Duration, token uint64) (Result, bool) {
 		if r.storeStalled(now) {
 			return Result{Outcome: OutcomeUnavailable, Reason: "the store does not answer", RetryAfterMs: storeRetryAfterMs}, true
@@ -82,7 +87,9 @@
 		if ctx.Err() != nil {
 			return Result{Outcome: OutcomeUnavailable, Reason: "came too late"}, true
 		}
-		verdict, refusal := r.core.Submit(now, job, acceptance, token)
+		known := r.core.Knows(in.Job.ID)
+		verdict, refusal := r.core.Submit(now, in.Job, in.Acceptance, token)
+		r.meterSubmission(now, token, in, known, verdict, refusal)
 		switch verdict {
 		case executor.VerdictDuplicate:
 			return Result{Outcome: OutcomeDone}, true
--- a/internal/shards/runner_test.go
+++ b/internal/shards/runner_test.go
@@ -147,7 +147,7 @@
 	journal.setDelay(2 * limits.ProofAge)
 	job := jobs.Job{ID: "00000000000000aa", Steps: []jobs.Step{{Count: 2, CPUMilli: 500, MemoryMB: 10, EstimateMs: 100}}}
 	under := executor.Accepting{Queue: "q", Terms: routing.Terms{Attempts: 3, SlowdownFactor: 2, Slack: 5 * time.Second}}
-	g.Eventually(func() Outcome { return r.submit(ctx, job, under).Outcome }, 10*time.Second).Should(Equal(OutcomeDone))
+	g.Eventually(func() Outcome { return r.submit(ctx, SubmitCall{Job: job, Acceptance: under}).Outcome }, 10*time.Second).Should(Equal(OutcomeDone))
 	// Wait until the starts are durable under an old proof.
 	g.Eventually(func() int { return journal.count("p" + job.ID) }, 10*time.Second).Should(BeNumerically(">", 0))
 	time.Sleep(2 * limits.ProofAge) // the answer to that append
@@ -169,7 +169,7 @@
 	job := jobs.Job{ID: "00000000000000ab", Steps: []jobs.Step{{Count: 1, CPUMilli: 500, MemoryMB: 10, EstimateMs: 100}}}
 	answer := make(chan Result, 1)
 	go func() {
-		answer <- r.submit(context.Background(), job, executor.Accepting{Queue: "q", Terms: routing.Terms{Attempts: 3, SlowdownFactor: 2, Slack: 5 * time.Second}})
+		answer <- r.submit(context.Background(), SubmitCall{Job: job, Acceptance: executor.Accepting{Queue: "q", Terms: routing.Terms{Attempts: 3, SlowdownFactor: 2, Slack: 5 * time.Second}}})
 	}()
 	g.Eventually(func() int { return journal.count("j" + job.ID) }, 10*time.Second).Should(Equal(1))
 	started := endpoint.count()
@@ -208,7 +208,7 @@
 	submit := func(id string) chan struct{} {
 		go func() {
 			job := jobs.Job{ID: id, Steps: []jobs.Step{{Count: 1, CPUMilli: 500, EstimateMs: 100}}}
-			r.submit(context.Background(), job, executor.Accepting{Queue: "q", Terms: routing.Terms{Attempts: 3, SlowdownFactor: 2, Slack: 5 * time.Second}})
+			r.submit(context.Background(), SubmitCall{Job: job, Acceptance: executor.Accepting{Queue: "q", Terms: routing.Terms{Attempts: 3, SlowdownFactor: 2, Slack: 5 * time.Second}}})
 			answers <- id
 		}()
 		var proceed chan struct{}
