admission, shards: notices that forward everything are not shown as stale; tests of jobs in progress

The dump called a class stale when its pool's owner was silent, also where the class is refused nothing.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -225,7 +225,7 @@
 		class, _ := g.classes.Peek(key)
 		age := now - class.observedAt
 		out = append(out, GateDump{Pool: key.Pool, Priority: key.Priority, Account: key.Account, Epoch: class.notice.Epoch,
-			Admit: class.notice.Admit, WaitMs: class.notice.WaitMs, AgeMs: age.Milliseconds(), Stale: now-g.heardAt[key.Pool] > noticeStaleAfter, Unreported: class.refused})
+			Admit: class.notice.Admit, WaitMs: class.notice.WaitMs, AgeMs: age.Milliseconds(), Stale: class.notice.Admit < 1 && now-g.heardAt[key.Pool] > noticeStaleAfter, Unreported: class.refused})
 	}
 	return out
 }
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -60,6 +60,7 @@
 		g.Observe(0, key, notice(1, 3, 1))
 		g.Observe(0, key, notice(1, 2, 0)) // late
 		Expect(forwarded(g, 0, 10, 0)).To(Equal(10))
+		Expect(g.Dump(time.Minute)).To(ConsistOf(GateDump{Pool: "p", Account: "a", Epoch: 1, Admit: 1, AgeMs: 60000}))
 	})
 
 	// Guards against a fenced owner whose late answers close the gate to its successor.
@@ -79,6 +80,7 @@
 		Expect(d.Reason).To(BeEmpty())
 		d, _ = g.Admit(4*time.Second, key)
 		Expect(d.Reason).To(Equal(GateStale))
+		Expect(g.Dump(4 * time.Second)).To(ConsistOf(HaveField("Stale", true)))
 		Expect(forwarded(g, 5*time.Second, 10, 0)).To(Equal(10))
 	})
 
--- a/internal/shards/known_test.go
+++ b/internal/shards/known_test.go
@@ -49,15 +49,11 @@
 	}
 	g.Expect(r.submit(ctx, submissionOf("00000000000000c1", "a", 5*time.Second)).Outcome).To(Equal(OutcomeDone))
 	journal.setDelay(300 * time.Millisecond)
-	answered := make(chan struct{})
-	go func() {
-		defer close(answered)
-		r.submit(ctx, submissionOf("00000000000000c2", "a", 5*time.Second))
-	}()
-	g.Eventually(func() bool { return r.arriving.contains("00000000000000c2") }, 10*time.Second).Should(BeTrue())
+	gaveUp, giveUp := context.WithTimeout(ctx, 100*time.Millisecond)
+	defer giveUp()
+	g.Expect(r.submit(gaveUp, submissionOf("00000000000000c2", "a", 5*time.Second)).Outcome).To(Equal(OutcomeUnknown))
 	r.arriving.add("00000000000000c3")
 	g.Expect(known()).To(ConsistOf("00000000000000c1", "00000000000000c2", "00000000000000c3"))
-	<-answered
 	r.arriving.remove("00000000000000c3")
 	g.Expect(known()).To(ConsistOf("00000000000000c1", "00000000000000c2"))
 
@@ -67,6 +63,29 @@
 	journal.setDelay(0)
 }
 
+// Guards against a refusal of a job whose submission waits in a queue of its owner, behind the question.
+func TestSubmissionsAreArrivingUntilTheyAreAnswered(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	r, ended := startOverloadedRunner(ctx, g, &memoryJournal{}, true)
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	blocked, answered := make(chan struct{}), make(chan struct{})
+	release := sync.OnceFunc(func() { close(blocked) })
+	defer release()
+	g.Expect(r.post(func(time.Duration) { <-blocked })).To(BeTrue())
+	go func() {
+		defer close(answered)
+		r.submit(ctx, submissionOf("00000000000000c1", "a", 5*time.Second))
+	}()
+	g.Eventually(func() bool { return r.arriving.contains("00000000000000c1") }, 10*time.Second).Should(BeTrue())
+	release()
+	<-answered
+	g.Expect(r.arriving.contains("00000000000000c1")).To(BeFalse())
+}
+
 // Guards against notices that count what says nothing about the load: repetitions, and refusals that
 // would be given at any load; and against reports of nodes that are lost or counted twice.
 func TestNoticesFollowFromDecisionsOnNewJobs(t *testing.T) {
