executor: outstanding work is summed at most every 25 ms under overload control

Each round of an owner summed the work of all open jobs and marked those beyond their accounts' shares, up to 250 times a second, which took the processor time that starts needed.

--- a/internal/executor/admission.go
+++ b/internal/executor/admission.go
@@ -312,9 +312,14 @@
 }
 
 // markBeyondShare marks the jobs with which their accounts exceed their shares of a full pool. Jobs
-// that have begun are finished.
+// that have begun are finished. It does so as often as the sums of outstanding work are computed: each
+// visits every open job, and an owner makes up to 250 rounds a second.
 func (c *Core) markBeyondShare(now time.Duration) {
 	if !c.limits.OverloadControl {
+		c.outstanding.valid = false
+		return
+	}
+	if c.outstanding.valid && now-c.outstanding.at < outstandingMaxAge {
 		return
 	}
 	c.updateOutstanding(now)
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -67,7 +67,6 @@
 	c.abandonExpired(now)
 	c.expandDueOccurrences()
 	c.evictEnded()
-	c.outstanding.valid = false
 	c.markBeyondShare(now)
 	c.sortOpen()
 	c.dropIdleAccounts()
