executor, shards: rounds of a busy owner leave time for its starts

With thousands of open jobs a round took milliseconds, at up to 250 rounds a second. A round ends now once it may place no more, and under overload control the rounds that messages trigger take a quarter of the owner's time at most.

--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -83,15 +83,23 @@
 		if j.rec.State.Ended() || !j.waits() {
 			continue
 		}
-		if !isLongRunning(&j.rec.Job) && c.cannotMeetObjective(now, j) {
-			late = append(late, j)
-			continue
+		if !isLongRunning(&j.rec.Job) {
+			if c.placementsLeft <= 0 {
+				continue // nothing of it may be placed in this round
+			}
+			if c.cannotMeetObjective(now, j) {
+				late = append(late, j)
+				continue
+			}
 		}
 		if !anyCPULeft(endpoints) {
 			return
 		}
 		c.placeJob(now, j, endpoints)
 	}
+	if c.placementsLeft <= 0 {
+		return
+	}
 	for _, j := range c.orderLate(now, late) {
 		if !anyCPULeft(endpoints) {
 			return
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -33,6 +33,11 @@
 	// gatherInterval is the least time between rounds that messages trigger, so that one
 	// round handles several; it is a fraction of the duration of an append.
 	gatherInterval = 4 * time.Millisecond
+	// roundShare bounds the part of an owner's time that its rounds take under overload control, as
+	// the inverse of that part: with thousands of open jobs a round takes milliseconds, and starts and
+	// renewals need the rest. maxGatherInterval keeps the delay of decisions below that of an append.
+	roundShare        = 4
+	maxGatherInterval = 24 * time.Millisecond
 	// busyTick and idleTick bound the time between rounds.
 	busyTick = 50 * time.Millisecond
 	idleTick = 300 * time.Millisecond
@@ -103,6 +108,8 @@
 	onProven []func()
 	// done is closed once the runner has ended and answered the waiting calls.
 	done chan struct{}
+	// lastRoundTook is how long the last round took.
+	lastRoundTook time.Duration
 	// lost is set when the pool is fenced or an append has failed for good.
 	lost bool
 }
@@ -173,6 +180,7 @@
 		r.handleSubmissions()
 		last = r.now()
 		r.runRound(last)
+		r.lastRoundTook = r.now() - last
 		tick.Reset(r.nextTick())
 	}
 	r.submissions.close()
@@ -182,11 +190,19 @@
 
 // awaitMessages waits for more messages, so that one round handles all of them.
 func (r *Runner) awaitMessages(last time.Duration) {
-	if gap := gatherInterval - (r.now() - last); gap > 0 {
+	if gap := r.roundInterval() - (r.now() - last); gap > 0 {
 		time.Sleep(gap)
 	}
 }
 
+// roundInterval returns the least time between rounds that messages trigger.
+func (r *Runner) roundInterval() time.Duration {
+	if !r.limits.OverloadControl {
+		return gatherInterval
+	}
+	return min(max(gatherInterval, roundShare*r.lastRoundTook), maxGatherInterval)
+}
+
 // drainInbox handles the outcomes of appends and the messages that have arrived by now. Messages
 // that arrive meanwhile wait for the next round, so that they cannot keep submissions waiting for
 // ever.
