fleetlog: an append is retried while the log is unavailable

The error for a log that is down wraps the rejection with which it answered, and AppendWithRetry looked for a rejection anywhere in the chain, so that it never retried what it exists to retry; a node's own records were given up in the same way.

--- a/internal/fleetlog/writer.go
+++ b/internal/fleetlog/writer.go
@@ -35,8 +35,10 @@
 		}
 		var unknown *platform.OutcomeUnknownError
 		uncertain = uncertain || errors.As(err, &unknown)
+		// A platform that is unavailable rejects the call as well, but only for now.
+		var unavailable *platform.UnavailableError
 		var rejected *platform.RejectedError
-		if errors.As(err, &rejected) {
+		if !errors.As(err, &unavailable) && errors.As(err, &rejected) {
 			return uncertain, err
 		}
 		if !sleepJittered(ctx, retryDelay) {
