Dumps: predictions, refusals at nodes and the limits of calls in flight

The figures of the gate, of the corrections and of the limits were kept and shown nowhere. The log line of a refusal at the gate names the fraction as "admit", as cyclamenctl explain reads it.

--- a/internal/ctl/load_test.go
+++ b/internal/ctl/load_test.go
@@ -56,7 +56,7 @@
 		duties := shards.Status{Duties: []shards.DutyStatus{{Duty: "tabs", Owner: "n-2"}, {Duty: "rooms", Owner: "n-9"}, {Duty: "instances", Owner: "n-9"}}}
 		former = serveDump(map[string]any{"duties": duties, "pools": []executor.PoolDump{poolWith(8, 9000)}})
 		current = serveDump(map[string]any{"duties": duties, "pools": []executor.PoolDump{poolWith(9, 12)},
-			"gate": map[string]any{"classes": []map[string]any{{"pool": "tabs", "priority": 1, "account": "a", "admit": 0.25, "notice_age_ms": 6000}, {"pool": "tabs", "priority": 1, "account": "b", "admit": 1},
+			"gate": map[string]any{"classes": []map[string]any{{"pool": "tabs", "priority": 1, "account": "a", "admit": 0.25, "age_ms": 6000}, {"pool": "tabs", "priority": 1, "account": "b", "admit": 1},
 				{"pool": "tabs", "priority": 0, "account": "b", "admit": 0.1}, {"pool": "rooms", "priority": 1, "account": "a", "admit": 0.1}}}})
 		all = former + "," + current + ",127.0.0.1:1"
 	})
--- a/internal/ctl/pool_views.go
+++ b/internal/ctl/pool_views.go
@@ -84,7 +84,7 @@
 	Account  string `json:"account"`
 	// Admit is the fraction of submissions that the node forwards.
 	Admit       float64 `json:"admit"`
-	NoticeAgeMs int64   `json:"notice_age_ms"`
+	NoticeAgeMs int64   `json:"age_ms"`
 }
 
 // gateClasses returns the classes at the gates of all nodes. A gate that can't be
--- a/internal/executor/admission_dump.go
+++ b/internal/executor/admission_dump.go
@@ -25,6 +25,9 @@
 	UnlistedAccounts int `json:"unlisted_accounts,omitempty"`
 	// Uncounted are the submissions of accounts beyond maxCountedAccounts.
 	Uncounted *AdmissionCounts `json:"uncounted,omitempty"`
+	// Predictions compares predicted with actual times to jobs' ends, by queue and by whether the jobs
+	// were accepted as on time or as late.
+	Predictions []admission.PredictionDump `json:"predictions,omitempty"`
 }
 
 // AdmissionCounts counts submissions. A job that is submitted again after a refusal counts again.
@@ -113,6 +116,7 @@
 		return d
 	}
 	d.AgeMs = c.msSince(now, c.outstanding.at)
+	d.Predictions = c.predictions.Dump()
 	d.WindowMs = min((now - c.claimedAt), (admissionSlots-1)*admissionSlot+now%admissionSlot).Milliseconds()
 	waiting := c.sumWaiting()
 	for _, p := range slices.Sorted(maps.Keys(c.admissionStats.priorities)) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -148,7 +148,7 @@
 	if err := n.startPeers(ctx, boot, calls); err != nil {
 		return err
 	}
-	stopOperatorServer, err := n.startOperatorServer()
+	stopOperatorServer, err := n.startOperatorServer(calls)
 	if err != nil {
 		return err
 	}
@@ -192,7 +192,7 @@
 // startOperatorServer serves operators on loopback (state dumps, profiles,
 // readiness and metrics) and, if configured, metrics for collectors on a port
 // of its own.
-func (n *Node) startOperatorServer() (stop func(), err error) {
+func (n *Node) startOperatorServer(calls *shards.Calls) (stop func(), err error) {
 	op, err := operator.New(operator.Options{
 		Process: operator.Process{ID: n.set.Node, Deployment: n.set.Deployment, Zone: n.set.Zone, Version: version.Version},
 		Listen:  n.set.OperatorListen, Logger: n.log,
@@ -205,6 +205,7 @@
 	op.RegisterDump("pools", func() any { return n.manager.Dump() })
 	op.RegisterDump("configuration", func() any { return n.ingress.Config() })
 	op.RegisterDump("gate", func() any { return n.dumpGate() })
+	op.RegisterDump("owner_limits", func() any { return calls.OwnerLimits() })
 	op.RegisterDump("peers", func() any { return n.peers.Status() })
 	// Profiles of the running process are safe to serve here, as the operators'
 	// port is on loopback.
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -61,7 +61,7 @@
 	retry := admission.GateRetryAfter(confirmed)
 	metrics.GetOrCreateCounter(`cyclamen_gate_refusals_total{reason="` + string(decision.Reason) + `"}`).Inc()
 	i.log.Info("submission refused at the gate", "job", id, "pool", key.Pool, "priority", key.Priority, "account", key.Account,
-		"reason", string(decision.Reason), "fraction", decision.Notice.Admit, "wait_ms", confirmed.WaitMs,
+		"reason", string(decision.Reason), "admit", decision.Notice.Admit, "wait_ms", confirmed.WaitMs,
 		"notice_age_ms", decision.Age.Milliseconds(), "epoch", decision.Notice.Epoch, "retry_after_ms", retry.Milliseconds())
 	return platform.Answer{Status: http.StatusTooManyRequests, RetryAfter: retry, Problem: "not-accepted", Detail: "gate"}
 }
--- a/internal/ingress/gate_test.go
+++ b/internal/ingress/gate_test.go
@@ -73,7 +73,7 @@
 		Expect(calls.questions).To(HaveLen(2))
 		Expect(calls.questions[1]).To(Equal(shards.KnownQuestion{Pool: "p", ID: "1", Class: admission.MeterClass{Priority: 1, Account: "a"}, Refused: 1}))
 		Expect(gate.TakeRefused(key)).To(BeZero())
-		Expect(logs.String()).To(And(ContainSubstring("submission refused at the gate"), ContainSubstring("fraction=0 wait_ms=900 notice_age_ms="), ContainSubstring("epoch=1")))
+		Expect(logs.String()).To(And(ContainSubstring("submission refused at the gate"), ContainSubstring("admit=0 wait_ms=900 notice_age_ms="), ContainSubstring("epoch=1")))
 	})
 
 	// Guards against a caller that is told that a job was not accepted that runs: it lost the first answer.
--- a/internal/shards/known_test.go
+++ b/internal/shards/known_test.go
@@ -90,7 +90,7 @@
 // would be given at any load; and against reports of nodes that are lost or counted twice.
 func TestNoticesFollowFromDecisionsOnNewJobs(t *testing.T) {
 	g := NewWithT(t)
-	r := &Runner{meter: admission.NewMeter(1), metered: map[uint64]admission.MeterClass{}, now: func() time.Duration { return 0 }}
+	r := &Runner{core: executor.New("tabs", 1, executor.Limits{OverloadControl: true}, 0), meter: admission.NewMeter(1), metered: map[uint64]admission.MeterClass{}, now: func() time.Duration { return 0 }}
 	const token = 1
 	admitAfter := func(refusedAtNode int, known bool, verdict executor.Verdict, reason string) float64 {
 		in := submissionOf("00000000000000d0", "a", 0)
--- a/internal/shards/runner_notices.go
+++ b/internal/shards/runner_notices.go
@@ -17,7 +17,7 @@
 		return
 	}
 	class := admission.MeterClass{Priority: in.Acceptance.Terms.Priority, Account: in.Acceptance.Account}
-	r.meter.ObserveRefusedAtNode(now, class, in.Refused)
+	r.countRefusedAtNode(now, class, in.Refused)
 	switch {
 	case known:
 	case verdict == executor.VerdictAccepted:
@@ -28,6 +28,12 @@
 	r.metered[token] = class
 }
 
+// countRefusedAtNode counts submissions that a node refused without sending them.
+func (r *Runner) countRefusedAtNode(now time.Duration, class admission.MeterClass, n int) {
+	r.meter.ObserveRefusedAtNode(now, class, n)
+	r.core.CountRefusedAtNode(now, class.Priority, class.Account, n)
+}
+
 // withNotice adds the notice to the result of a metered submission.
 func (r *Runner) withNotice(token uint64, result Result) Result {
 	class, metered := r.metered[token]
@@ -67,7 +73,7 @@
 		}
 	}
 	for _, report := range in.Classes {
-		r.meter.ObserveRefusedAtNode(now, report.class(), report.Refused)
+		r.countRefusedAtNode(now, report.class(), report.Refused)
 		out.Notices = append(out.Notices, r.meter.Notice(now, report.class()))
 	}
 	return out
