executor: admission predicts a job's end, its work and its class in one place each

A job's remaining time was computed twice for the sums of outstanding work, its work up to three times a decision, and the formula for the work ahead of new jobs and the choice of the class of predictions stood twice. A late decision was made and dropped where the account's own limit refuses the job.

--- a/internal/executor/admission.go
+++ b/internal/executor/admission.go
@@ -66,7 +66,7 @@
 		shares = admission.NewShares(c.weightOf, c.cpuLimitOf)
 		o.onTime[priority] = shares
 	}
-	shares.Add(j.rec.Account, w.ready+w.running+laterStepsShare*w.later)
+	shares.Add(j.rec.Account, w.aheadOfNewJobs())
 	o.startable[priority] += w.tasks
 }
 
@@ -81,8 +81,9 @@
 		if j.rec.State.Ended() || isLongRunning(&j.rec.Job) {
 			continue
 		}
-		late := c.cannotMeetObjective(now, j)
-		if late && (!c.limits.OverloadControl || c.cannotMeetLateLimit(now, j)) {
+		end := c.earliestEnd(now, j)
+		late := end > j.objective
+		if late && (!c.limits.OverloadControl || end > j.lateLimit()) {
 			continue
 		}
 		c.addOutstanding(j, c.remaining(j), late)
@@ -124,6 +125,8 @@
 	pool float64
 	// criticalPathMs is the length of the job's critical path, objectiveMs the time that it may take.
 	criticalPathMs, objectiveMs float64
+	// work is the job's work, in milli-core-ms.
+	work float64
 }
 
 // decideAdmission decides whether a job is accepted, and if not, why.
@@ -135,7 +138,7 @@
 	if isLongRunning(&j.rec.Job) || j.rec.Job.Occurrences > 0 {
 		return admissionDecision{}
 	}
-	o := offer{job: j, pool: c.achievableCPU(), criticalPathMs: c.criticalPathMs(j)}
+	o := offer{job: j, pool: c.achievableCPU(), criticalPathMs: c.criticalPathMs(j), work: c.jobWork(j)}
 	if o.pool <= 0 {
 		return admissionDecision{}
 	}
@@ -148,8 +151,10 @@
 	if reason == "" {
 		return d
 	}
-	if late, accepted := c.decideLate(now, o); accepted && reason == RefusedBacklog {
-		return late
+	if reason == RefusedBacklog {
+		if late, accepted := c.decideLate(now, o); accepted {
+			return late
+		}
 	}
 	d.refusal = Refusal{Reason: reason, RetryAfter: c.retryAfter(now, o, d)}
 	return d
@@ -161,7 +166,7 @@
 	d.slackMs = o.objectiveMs - o.criticalPathMs - float64(o.waited.Milliseconds())
 	wait, accountWait := c.predictWait(now, o)
 	d.waitMs = max(wait, accountWait)
-	if c.correctedWaitMs(d, o.job, onTimeClass) <= d.slackMs {
+	if c.correctedWaitMs(d, o.job) <= d.slackMs {
 		return d, ""
 	}
 	if accountWait > wait {
@@ -177,7 +182,7 @@
 		return d, false
 	}
 	allowedMs := lateFactor*o.objectiveMs - o.criticalPathMs - float64(o.waited.Milliseconds())
-	ahead := c.outstanding.late.WorkAhead(o.job.rec.Account, c.jobWork(o.job), allowedMs)
+	ahead := c.outstanding.late.WorkAhead(o.job.rec.Account, o.work, allowedMs)
 	for _, shares := range c.outstanding.onTime {
 		ahead += shares.TotalWithin(allowedMs)
 	}
@@ -185,7 +190,7 @@
 	if !o.returnsOnTime {
 		allowedMs *= lateWaitShare
 	}
-	return d, c.correctedWaitMs(d, o.job, lateClass) <= allowedMs
+	return d, c.correctedWaitMs(d, o.job) <= allowedMs
 }
 
 // predictWait predicts how many ms a job waits for the work ahead of it, and how many for the work
@@ -201,7 +206,7 @@
 		tasks += c.outstanding.startable[p]
 		own += shares.Of(account)
 		if p == priority && c.limits.OverloadControl {
-			ahead += shares.WorkAhead(account, c.jobWork(o.job), horizonMs)
+			ahead += shares.WorkAhead(account, o.work, horizonMs)
 			continue
 		}
 		ahead += shares.TotalWithin(horizonMs)
@@ -213,19 +218,21 @@
 	return wait, c.accountWaitMs(now, account, own)
 }
 
-// Classes of predictions of a queue: jobs that are accepted as on time and as late.
-const (
-	onTimeClass = " on time"
-	lateClass   = " late"
-)
+// predictionClass names the class of predictions that a decision on a job of the queue belongs to.
+func (d admissionDecision) predictionClass(queue string) string {
+	if d.late {
+		return queue + " late"
+	}
+	return queue + " on time"
+}
 
 // correctedWaitMs returns a predicted wait, corrected by how wrong the predictions of the queue's
 // jobs have been.
-func (c *Core) correctedWaitMs(d admissionDecision, j *job, class string) float64 {
+func (c *Core) correctedWaitMs(d admissionDecision, j *job) float64 {
 	if !c.limits.OverloadControl {
 		return d.waitMs
 	}
-	end := c.predictions.Correct(j.rec.Queue+class, d.predictedEnd())
+	end := c.predictions.Correct(d.predictionClass(j.rec.Queue), d.predictedEnd())
 	return float64(end.Milliseconds()) - d.criticalPathMs
 }
 
@@ -236,7 +243,7 @@
 		const msPerSecond = 1000
 		c.returns.SetRate(now, o.job.returnKey(), o.pool*msPerSecond)
 	}
-	scheduled := c.returns.Refuse(now, o.job.rec.Job.ID, o.job.returnKey(), c.jobWork(o.job), drain)
+	scheduled := c.returns.Refuse(now, o.job.rec.Job.ID, o.job.returnKey(), o.work, drain)
 	if c.limits.OverloadControl {
 		return scheduled
 	}
@@ -259,7 +266,7 @@
 
 // recordAdmission records an accepted job in the sums of outstanding work, and what was predicted
 // for it.
-func (c *Core) recordAdmission(now time.Duration, j *job, d admissionDecision) {
+func (c *Core) recordAdmission(j *job, d admissionDecision) {
 	if !d.predicted {
 		return
 	}
@@ -277,22 +284,13 @@
 	if actual <= 0 || actual > maxRestoredWait {
 		return // the wall clock has jumped
 	}
-	class := onTimeClass
-	if j.admission.late {
-		class = lateClass
-	}
-	c.predictions.Observe(j.rec.Queue+class, j.admission.predictedEnd(), actual)
+	c.predictions.Observe(j.admission.predictionClass(j.rec.Queue), j.admission.predictedEnd(), actual)
 	e.PredictedMs, e.ActualMs = j.admission.predictedEnd().Milliseconds(), actual.Milliseconds()
 }
 
 // lateLimit is the time by which the result of a job must be there to be of use.
 func (j *job) lateLimit() time.Duration { return j.offeredAt + lateFactor*(j.objective-j.offeredAt) }
 
-// cannotMeetLateLimit reports whether a job can no longer end before its late limit.
-func (c *Core) cannotMeetLateLimit(now time.Duration, j *job) bool {
-	return now+time.Duration(c.remainingMs(now, j)*float64(time.Millisecond)) > j.lateLimit()
-}
-
 // orderLate orders late jobs: those that can still end before their late limit come first, the
 // earliest limit first.
 func (c *Core) orderLate(now time.Duration, late []*job) []*job {
@@ -301,7 +299,7 @@
 	}
 	var useful, useless []*job
 	for _, j := range late {
-		if c.cannotMeetLateLimit(now, j) {
+		if c.earliestEnd(now, j) > j.lateLimit() {
 			useless = append(useless, j)
 		} else {
 			useful = append(useful, j)
@@ -340,8 +338,7 @@
 			cumulative[p] = map[string]float64{}
 		}
 		before := cumulative[p][j.rec.Account]
-		w := c.remaining(j)
-		cumulative[p][j.rec.Account] = before + w.ready + w.running + laterStepsShare*w.later
+		cumulative[p][j.rec.Account] = before + c.remaining(j).aheadOfNewJobs()
 		beyond := !j.startDecided && before > 0 && before >= level[p]*admission.Weight(c.weightOf(j.rec.Account))
 		c.unsorted = c.unsorted || beyond != j.beyondShare
 		j.beyondShare = beyond
--- a/internal/executor/length_model.go
+++ b/internal/executor/length_model.go
@@ -195,7 +195,12 @@
 // cannotMeetObjective reports whether a job can no longer end within its objective, even if all of
 // its tasks started at once.
 func (c *Core) cannotMeetObjective(now time.Duration, j *job) bool {
-	return now+time.Duration(c.remainingMs(now, j)*float64(time.Millisecond)) > j.objective
+	return c.earliestEnd(now, j) > j.objective
+}
+
+// earliestEnd returns when a job ends if all of its tasks start at once.
+func (c *Core) earliestEnd(now time.Duration, j *job) time.Duration {
+	return now + time.Duration(c.remainingMs(now, j)*float64(time.Millisecond))
 }
 
 // setObjective sets the time from which a job is late, by the current prediction of its length.
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -101,7 +101,7 @@
 		c.expandNextOccurrence(j)
 	}
 	c.setObjective(j)
-	c.recordAdmission(now, j, decision)
+	c.recordAdmission(j, decision)
 	return VerdictAccepted, Refusal{}
 }
 
@@ -318,6 +318,9 @@
 	tasks int
 }
 
+// aheadOfNewJobs is the part of the work that runs before the steps of a new job.
+func (w work) aheadOfNewJobs() float64 { return w.ready + w.running + laterStepsShare*w.later }
+
 func (c *Core) remaining(j *job) work {
 	var w work
 	for _, o := range j.current {
