--- a/internal/standin/trial/cluster.go
+++ b/internal/standin/trial/cluster.go
@@ -18,10 +18,21 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cyclamenwheel/internal/standin/loopback"
 	"cyclamenwheel/internal/standin/wire"
 )
 
+// BuildNode builds cyclamen-node in a directory and returns the path of the program.
+func BuildNode(dir string) (string, error) {
+	program := filepath.Join(dir, "cyclamen-node")
+	if out, err := exec.Command("go", "build", "-o", program, "cyclamenwheel/cmd/cyclamen-node").CombinedOutput(); err != nil {
+		return "", errors.Wrapf(err, "build cyclamen-node: %s", out)
+	}
+	return program, nil
+}
+
 // Cluster is a platform and the nodes that run against it.
 type Cluster struct {
 	Platform *wire.Platform
--- a/test/overload/suite_test.go
+++ b/test/overload/suite_test.go
@@ -5,8 +5,6 @@
 
 import (
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -36,9 +34,9 @@
 var program string
 
 var _ = BeforeSuite(func() {
-	program = filepath.Join(GinkgoT().TempDir(), "cyclamen-node")
-	out, err := exec.Command("go", "build", "-o", program, "cyclamenwheel/cmd/cyclamen-node").CombinedOutput()
-	Expect(err).NotTo(HaveOccurred(), string(out))
+	var err error
+	program, err = trial.BuildNode(GinkgoT().TempDir())
+	Expect(err).NotTo(HaveOccurred())
 })
 
 // settleTime is how long no pool may have been claimed before the flood begins. The second node's
--- a/test/platform/suite_test.go
+++ b/test/platform/suite_test.go
@@ -9,8 +9,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -38,9 +36,9 @@
 var program string
 
 var _ = BeforeSuite(func() {
-	program = filepath.Join(GinkgoT().TempDir(), "cyclamen-node")
-	out, err := exec.Command("go", "build", "-o", program, "cyclamenwheel/cmd/cyclamen-node").CombinedOutput()
-	Expect(err).NotTo(HaveOccurred(), string(out))
+	var err error
+	program, err = trial.BuildNode(GinkgoT().TempDir())
+	Expect(err).NotTo(HaveOccurred())
 })
 
 // start runs a platform with two pools of four instances and three spares, and nodes, and waits
--- a/test/restarts/restarts_test.go
+++ b/test/restarts/restarts_test.go
@@ -6,8 +6,6 @@
 
 import (
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -33,9 +31,8 @@
 // pool is served.
 func start(t *testing.T) (*trial.Cluster, *trial.Caller) {
 	g := NewWithT(t)
-	program := filepath.Join(t.TempDir(), "cyclamen-node")
-	out, err := exec.Command("go", "build", "-o", program, "cyclamenwheel/cmd/cyclamen-node").CombinedOutput()
-	g.Expect(err).NotTo(HaveOccurred(), string(out))
+	program, err := trial.BuildNode(t.TempDir())
+	g.Expect(err).NotTo(HaveOccurred())
 	platform, err := wire.New(map[string]int{pool: 3, wire.SparePool: 1}, 1)
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(platform.Close)
