Review, case 2: a task that crashes its workers late is started without end

Cause: the evidence against a task is forgotten once its endpoint has reported for 2 s since it confirmed the run, and a later crash counts nothing; a task that crashes its workers after that is never given up. Nothing outside review/.

--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -24,6 +24,9 @@
 	upkeepTime      = 2 * time.Second
 	moveTime        = 1500 * time.Millisecond
 	maxListedEnds   = 500
+	crashTime       = 3 * time.Second
+	// crashesBeforeGivenUp is how many workers a task may crash before the starts that follow count.
+	crashesBeforeGivenUp = 3
 )
 
 // Work is what the spec of a task says: the stand-in's clients put it there.
@@ -38,6 +41,8 @@
 	Step int `json:"step,omitempty"`
 	// CPU and MemMB are the task's request.
 	CPU int `json:"cpu"`
+	// CrashMs is when the task crashes its worker, counted from its start; 0 for never.
+	CrashMs int `json:"crashMs,omitempty"`
 	// Pad makes the spec longer.
 	Pad string `json:"pad,omitempty"`
 }
@@ -119,6 +124,8 @@
 	runs    map[string]*Machine
 	doneAck bool
 	starts  int
+	// crashes counts the workers that the task has crashed, startsAfter its starts after the third.
+	crashes, startsAfter int
 }
 
 // SparePool is the pool of the machines that are off.
@@ -145,12 +152,17 @@
 }
 
 func (m *Machine) startWorkerLocked() error {
+	m.p.nextID++
+	m.id = fmt.Sprintf("i-%04x%06x", m.p.nextID, rand.IntN(1<<24))
+	return m.startIncarnationLocked()
+}
+
+// startIncarnationLocked starts a worker under the machine's present id.
+func (m *Machine) startIncarnationLocked() error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	m.p.nextID++
-	m.id = fmt.Sprintf("i-%04x%06x", m.p.nextID, rand.IntN(1<<24))
 	m.listener, m.addr, m.born, m.clock0 = listener, listener.Addr().String(), time.Now(), time.Duration(rand.IntN(3600_000))*time.Millisecond
 	m.gone, m.fence, m.lease, m.running, m.highest, m.ended, m.lastEnd, m.seq = false, 0, 0, map[string]*run{}, map[string]int{}, nil, 0, 0
 	mux := http.NewServeMux()
@@ -163,7 +175,7 @@
 	m.p.servers = append(m.p.servers, m.server)
 	go func(s *http.Server) { _ = s.Serve(listener) }(m.server)
 	m.registerLocked()
-	go m.beat(id)
+	go m.beat(id, m.born)
 	return nil
 }
 
@@ -177,11 +189,11 @@
 	m.p.putLocked("keyed.servers", m.id, entry)
 }
 
-func (m *Machine) beat(id string) {
+func (m *Machine) beat(id string, born time.Time) {
 	for {
 		time.Sleep(heartbeat)
 		m.p.mu.Lock()
-		if m.p.closed || m.id != id || m.gone {
+		if m.p.closed || m.id != id || m.born != born || m.gone {
 			m.p.mu.Unlock()
 			return
 		}
@@ -203,21 +215,25 @@
 	go func(s *http.Server) { _ = s.Close() }(m.server)
 }
 
-// Crash ends the worker at once; another starts on the machine after a while.
-func (p *Platform) Crash(name string, back time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	m := p.machines[name]
-	p.Rec.Printf("DISRUPTION: worker %s on %s crashes, with %d runs; the machine is back after %s", m.id, name, len(m.running), back)
-	m.endWorkerLocked("crash")
-	m.state = "down"
+// crashLocked ends the worker without a word. It is back after a while, under the id that it had and with
+// nothing of before. Until then its entry stays in service discovery.
+func (m *Machine) crashLocked(back time.Duration) {
+	m.p.Rec.Printf("DISRUPTION: worker %s on %s crashes, with %d runs; it is back after %s", m.id, m.Name, len(m.running), back)
+	m.gone, m.state = true, "down"
+	for name, r := range m.running {
+		delete(m.p.history(name).runs, fmt.Sprint(r.number))
+		if r.gang != nil {
+			r.gang.end("broken")
+		}
+	}
+	m.running = map[string]*run{}
+	go func(s *http.Server) { _ = s.Close() }(m.server)
 	time.AfterFunc(back, func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		if !p.closed {
+		m.p.mu.Lock()
+		defer m.p.mu.Unlock()
+		if !m.p.closed {
 			m.state = "up"
-			_ = m.startWorkerLocked()
-			p.Rec.Printf("worker %s is up on %s", m.id, name)
+			_ = m.startIncarnationLocked()
 		}
 	})
 }
@@ -244,7 +260,10 @@
 
 func (m *Machine) checkLocked(id string, r *http.Request, in order) (int, string) {
 	want := r.Header.Get("Cyclamenwheel-Expect-Instance")
-	if m.gone || m.id != id || want != "" && want != id {
+	if m.gone && m.id == id {
+		return noAnswer, ""
+	}
+	if m.id != id || want != "" && want != id {
 		return http.StatusMisdirectedRequest, ""
 	}
 	if in.Fence < m.fence {
@@ -252,9 +271,15 @@
 	}
 	m.fence = in.Fence
 	m.advanceLocked()
+	if m.gone {
+		return noAnswer, ""
+	}
 	return http.StatusOK, ""
 }
 
+// noAnswer stands for a connection that breaks without an answer.
+const noAnswer = 0
+
 func (m *Machine) handle(id string, f func(order) (int, string)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var in order
@@ -269,6 +294,9 @@
 		}
 		body := map[string]any{"clockMs": m.clock().Milliseconds(), "born": m.born.UnixMilli()}
 		m.p.mu.Unlock()
+		if status == noAnswer {
+			panic(http.ErrAbortHandler)
+		}
 		if reason != "" {
 			body["reason"] = reason
 		}
@@ -302,6 +330,9 @@
 	}
 	h := m.p.history(in.Task)
 	h.starts++
+	if h.crashes >= crashesBeforeGivenUp {
+		h.startsAfter++
+	}
 	for number, other := range h.runs {
 		other.advanceLocked()
 		if h.runs[number] != nil {
@@ -435,6 +466,11 @@
 	for _, name := range names {
 		r := m.running[name]
 		switch {
+		case r.work.CrashMs > 0 && time.Since(r.placedAt) >= time.Duration(r.work.CrashMs)*time.Millisecond:
+			m.p.history(name).crashes++
+			m.p.Rec.Printf("worker %s: %s run %d crashes it, %d ms after its start", m.id, name, r.number, time.Since(r.placedAt).Milliseconds())
+			m.crashLocked(crashTime)
+			return
 		case lapsed:
 			m.endRunLocked(name, r, "lapsed")
 		case !r.stopAt.IsZero() && !time.Now().Before(r.stopAt):
@@ -467,6 +503,9 @@
 		if status != http.StatusOK {
 			body := map[string]any{"clockMs": m.clock().Milliseconds(), "born": m.born.UnixMilli(), "reason": reason}
 			m.p.mu.Unlock()
+			if status == noAnswer {
+				panic(http.ErrAbortHandler)
+			}
 			reply(w, status, body)
 			return
 		}
@@ -612,19 +651,6 @@
 	}
 }
 
-// Busiest returns the machine of a pool with the most runs.
-func (p *Platform) Busiest(pool string) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	name, most := "", -1
-	for _, m := range p.machines {
-		if m.Pool == pool && !m.gone && len(m.running) > most {
-			name, most = m.Name, len(m.running)
-		}
-	}
-	return name
-}
-
 // UpkeepBegun reports whether a machine has begun its upkeep of a wave.
 func (p *Platform) UpkeepBegun(machine string, wave int) bool {
 	p.mu.Lock()
@@ -702,3 +728,11 @@
 	slices.Sort(lines)
 	return strings.Join(lines, "; ")
 }
+
+// Crashes returns how many workers a task has crashed, and its starts after the third.
+func (p *Platform) Crashes(task string) (crashes, startsAfter int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.history(task)
+	return h.crashes, h.startsAfter
+}
