Review, case 7: the check takes LOST whole, and the record holds the runs

Cause: the check of case 7 left out two conditions of LOST, that there is capacity for the task twice over and that under half is in use, and its record listed no runs, so that neither could be read from it.

Change: review/7/main.go judges a task lost only while both conditions hold, by the free cores of the workers that are sound and in touch, and writes every run into the record. The claim says what is by reading and not by a run.

--- a/review/7/main.go
+++ b/review/7/main.go
@@ -22,6 +22,9 @@
 	lastingCPU = 8000
 	shortCPU   = 2000
 	largeCPU   = 30000
+	shortMem   = 1000
+	largeMem   = 30000
+	workerCPU  = 64000
 	shortWork  = 1500 * time.Millisecond
 	largeWork  = 2 * time.Second
 	every      = 400 * time.Millisecond
@@ -77,7 +80,7 @@
 		}
 	}
 	accepted := <-traffic
-	big := rig2.Job{Spec: "(text)", Steps: []rig2.Step{rig2.Step{Count: 4, CPU: largeCPU, MemMb: 30000, EstMs: int(largeWork.Milliseconds())}.Lasting(largeWork)}}
+	big := rig2.Job{Spec: "(text)", Steps: []rig2.Step{rig2.Step{Count: 4, CPU: largeCPU, MemMb: largeMem, EstMs: int(largeWork.Milliseconds())}.Lasting(largeWork)}}
 	if a := c.Submit(c.Nodes[1], route, large, big); a.Status != http.StatusOK {
 		return rig2.Fail(record, "the large job is not accepted: %d", a.Status)
 	}
@@ -89,7 +92,7 @@
 
 // handIn hands a short job in now and then.
 func handIn(c *rig2.Cluster, route rig2.Route, until time.Time) []string {
-	job := rig2.Job{Spec: "(text)", Steps: []rig2.Step{rig2.Step{Count: 2, CPU: shortCPU, MemMb: 1000, EstMs: int(shortWork.Milliseconds())}.Lasting(shortWork)}}
+	job := rig2.Job{Spec: "(text)", Steps: []rig2.Step{rig2.Step{Count: 2, CPU: shortCPU, MemMb: shortMem, EstMs: int(shortWork.Milliseconds())}.Lasting(shortWork)}}
 	var accepted []string
 	for n := 1; time.Now().Before(until); n++ {
 		id := fmt.Sprintf("5c0e7a21d94b%04x", n)
@@ -113,7 +116,9 @@
 	return best
 }
 
-// judge looks for jobs that have nothing running for 3 s although a task's turn has come.
+// judge looks for jobs that, as LOST says, have nothing running for 3 s although a task's turn has
+// come, there is capacity for it twice over, and under half of the service's capacity is in use. Each
+// job has one step, so that a task's turn has come once it is accepted.
 func judge(c *rig2.Cluster, route rig2.Route, accepted []string) int {
 	waiting := map[string]string{}
 	for _, id := range accepted {
@@ -123,19 +128,19 @@
 	}
 	for until := time.Now().Add(still); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
 		for id := range waiting {
-			for _, r := range c.Runs(id) {
-				if r.How == "" || time.Since(r.Ended) < still {
-					delete(waiting, id)
-				}
+			if !stands(c, id) {
+				delete(waiting, id)
 			}
 		}
 	}
+	writeRuns(c, accepted)
 	for _, w := range c.Workers(pool) {
-		c.Record.Line("worker %s of 64 cores is up and has %d runs", w.ID(), w.Load())
+		cpu, memMb := w.Free()
+		c.Record.Line("worker %s is up and has %d runs; free: %d of 64000 thousandths of a core, %d MB", w.ID(), w.Load(), cpu, memMb)
 	}
 	for _, id := range accepted {
 		if state, lost := waiting[id]; lost {
-			c.Record.Line("LOST: job %s, accepted, is %s and has nothing running for %v", id, state, still)
+			c.Record.Line("LOST: job %s, accepted, is %s and has nothing running for %v, with capacity for a task of it twice over and under half of all in use", id, state, still)
 		}
 	}
 	if len(waiting) > 0 {
@@ -145,3 +150,37 @@
 	c.Record.Line("held: none of %d jobs stands still", len(accepted))
 	return rig2.Held
 }
+
+// stands reports whether a job has nothing running, and has not had for 3 s, with room as LOST says.
+func stands(c *rig2.Cluster, id string) bool {
+	for _, r := range c.Runs(id) {
+		if r.How == "" || time.Since(r.Ended) < still {
+			return false
+		}
+	}
+	needCPU, needMem := shortCPU, shortMem
+	if id == large {
+		needCPU, needMem = largeCPU, largeMem
+	}
+	fits, free, all := 0, 0, 0
+	for _, w := range c.Workers(pool) {
+		cpu, memMb := w.Free()
+		fits += max(0, min(cpu/needCPU, memMb/needMem))
+		free += cpu
+		all += workerCPU
+	}
+	return fits >= 2 && 2*(all-free) < all
+}
+
+// writeRuns writes what was run to the record.
+func writeRuns(c *rig2.Cluster, accepted []string) {
+	for _, id := range append([]string{lasting}, accepted...) {
+		for _, r := range c.Runs(id) {
+			end := "going on"
+			if r.How != "" {
+				end = c.Record.At(r.Ended) + ": " + r.How
+			}
+			c.Record.Line("run %d of %s on %s from %s to %s", r.Number, r.Task, r.Worker, c.Record.At(r.Began), end)
+		}
+	}
+}
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -485,3 +485,17 @@
 	defer w.p.mu.Unlock()
 	return len(w.running)
 }
+
+// Free returns what the worker's runs leave of its capacity.
+func (w *Worker) Free() (cpu, memMb int) {
+	w.p.mu.Lock()
+	defer w.p.mu.Unlock()
+	cpu, memMb = capacity()["cpu"], capacity()["memMb"]
+	for task := range w.running {
+		if job, step, known := w.p.stepOf(task); known {
+			cpu -= job.Steps[step].CPU
+			memMb -= job.Steps[step].MemMb
+		}
+	}
+	return cpu, memMb
+}
