executor: an answer to a stop tells which incarnation it is from

What callers saw: nothing yet.

Cause: an answer without a start time is attributed to an incarnation by its clock, compared with the last reading and the time since the order was sent. Stops carried no such time. Any answer to a stop whose clock was not far ahead then passed for one of the present incarnation, also that of the next one: the reading moved the time of the last report forward, and the run seemed to have been reported over all the time that the endpoint was down. Its crash did not count as evidence against the task, which was started a third time after three crashes.

Ruled out: a restart that goes unnoticed, as it was noticed at the next listing.

TestAnAnswerToAStopTellsItsIncarnation fails before. Now every stop has the time at which it was issued, and the clock of an incarnation that has just started is too low for it.

--- a/internal/executor/crash_test.go
+++ b/internal/executor/crash_test.go
@@ -403,3 +403,27 @@
 	c.OrderDone(now, start, executor.OrderOtherIncarnation, executor.Answer{Clock: now})
 	g.Expect(c.TakeEvents()).To(ContainElement(HaveField("Kind", executor.EventCrashed)))
 }
+
+// Guards against a crash that does not count: the next incarnation answers a stop, its clock starts anew
+// as the former one's did, and the endpoint seems to have reported with the run for all the time between.
+func TestAnAnswerToAStopTellsItsIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	w, o, h := withAcknowledgedEnds(g, 2)
+	w.restart(h)
+	h.bootClock = step
+	w.run(300 * time.Millisecond)
+	w.lengthOf = func(jobs.TaskName) time.Duration { return 15 * time.Second }
+	j := jobOf(3, smallStep(1))
+	w.startOn(g, o, h, j)
+	former := h.describe()
+	h.entry, h.entryUntil = &former, w.now+5*time.Second
+	h.losesPollAnswers, w.downFor = true, 2500*time.Millisecond
+	w.crash(h)
+	o.core.Vacate(w.now, h.id, true)
+	w.run(w.downFor + step)
+	h.bootClock = time.Second     // ahead of the last reading of the former clock
+	w.run(400 * time.Millisecond) // a stop is repeated, and answered
+	h.losesPollAnswers = false
+	w.run(300 * time.Millisecond)
+	g.Expect(w.traceOf(j.ID + ".0.0.0")).To(ContainSubstring("1 endpoints have crashed under it"))
+}
--- a/internal/executor/order_types.go
+++ b/internal/executor/order_types.go
@@ -28,7 +28,7 @@
 	Checkpoint string
 	Ticket     string
 	task       *task
-	// sent is when a start order was sent.
+	// sent is when a start was sent or a stop was issued.
 	sent time.Duration
 	// slot is what a start order that was sent occupies of the limit on starts in flight.
 	slot *inflight.Slot
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -215,7 +215,7 @@
 		return
 	}
 	t.stopSentAt = now
-	c.stops = append(c.stops, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Fence: c.fence(e), Task: t.name(), Run: t.run, task: t})
+	c.stops = append(c.stops, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Fence: c.fence(e), Task: t.name(), Run: t.run, task: t, sent: now})
 }
 
 // gangStartTimeout is how long the other members of a gang wait for one whose run is not
--- a/internal/executor/polls.go
+++ b/internal/executor/polls.go
@@ -286,7 +286,7 @@
 		t := c.placedTask(e, r.Task, r.Run)
 		if t == nil {
 			unknownRuns++
-			c.stopUnknownRun(e, r)
+			c.stopUnknownRun(now, e, r)
 			continue
 		}
 		running[t] = true
@@ -333,9 +333,9 @@
 // stopUnknownRun stops a run that this owner does not have. Every start is recorded before it is
 // ordered, so the run was abandoned while its endpoint was still up; it must not go on beside the
 // run that replaces it.
-func (c *Core) stopUnknownRun(e *endpoint, r ListedRun) {
+func (c *Core) stopUnknownRun(now time.Duration, e *endpoint, r ListedRun) {
 	c.event(Event{Kind: EventUnknownRun, Task: r.Task, Run: r.Run, Endpoint: e.id})
-	c.stops = append(c.stops, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Fence: c.fence(e), Task: r.Task, Run: r.Run})
+	c.stops = append(c.stops, Order{Kind: OrderStop, Endpoint: e.id, Addr: e.addr, Fence: c.fence(e), Task: r.Task, Run: r.Run, sent: now})
 }
 
 func (c *Core) applyRunning(now, clock time.Duration, t *task, r ListedRun) {
--- a/internal/executor/restart_test.go
+++ b/internal/executor/restart_test.go
@@ -36,6 +36,16 @@
 	return w, o, h
 }
 
+// startOn submits a job and runs it on one endpoint of two.
+func (w *world) startOn(g Gomega, o *owner, h *simEndpoint, j jobs.Job) {
+	other := w.endpoints["i-01"]
+	other.draining = true
+	w.submit(o, j)
+	w.run(200 * time.Millisecond)
+	g.Expect(h.running).To(HaveKey(j.ID + ".0.0.0"))
+	other.draining = false
+}
+
 // Guards against tasks that run again after they have ended on a restarted endpoint. An endpoint that
 // restarts under its id numbers the ends of its runs from 1 again. An owner that keeps the number of
 // the last end by id skips the new ends as applied, acknowledges them unread, finds the runs neither
--- a/internal/executor/simulated_endpoints_test.go
+++ b/internal/executor/simulated_endpoints_test.go
@@ -104,6 +104,8 @@
 	// backAt.
 	crashAt, downAt, backAt time.Duration
 	down                    bool
+	// losesPollAnswers is set while polls take effect and their answers are lost.
+	losesPollAnswers bool
 	// hiddenFrom is the lowest epoch whose owner can't reach it; 0 if all owners can.
 	hiddenFrom int64
 	// rejectsStarts is set while it rejects about half of the starts.
@@ -160,7 +162,7 @@
 }
 
 func (w *world) addEndpoint(id string) *simEndpoint {
-	h := &simEndpoint{id: id, rack: "r1", startedMs: w.wall(), capacity: executor.Resources{CPUMilli: 4000, MemoryMB: 4000}, running: map[string]*run{},
+	h := &simEndpoint{id: id, rack: "r1", startedMs: w.wall(), bootedAt: w.now, bootClock: step, capacity: executor.Resources{CPUMilli: 4000, MemoryMB: 4000}, running: map[string]*run{},
 		highest: map[string]int{}, endedAt: map[int64]time.Duration{}, past: map[int64]*pastEnd{}, skew: 1, runLength: 300 * time.Millisecond}
 	h.entryWritten, h.entryWrittenAt = h.describe(), w.now
 	h.entryWritten.Clock = h.clock(w.now)
@@ -196,7 +198,7 @@
 	h.down, h.crashAt = false, 0
 	h.startedMs = max(h.startedMs+1, w.wall())
 	h.entryWritten, h.entryWrittenAt = executor.EndpointInfo{}, 0
-	h.bootedAt, h.bootClock = w.now, time.Duration(w.chance("clock", h.id)*float64(time.Hour))
+	h.bootedAt, h.bootClock = w.now, time.Duration(w.chance("clock", h.id)*float64(time.Second))
 }
 
 // dropRuns ends all runs of an endpoint with its incarnation, and loses answers in flight.
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -170,11 +170,15 @@
 		CapacityMaxAge: 4500 * time.Millisecond}
 }
 
+// establishedClock is the clock at the world's start of endpoints that have run for long. The clock of an
+// incarnation that starts later starts anew.
+const establishedClock = time.Hour
+
 func newWorld(seed uint64, endpoints int) *world {
 	w := &world{now: time.Second, seed: seed, limits: testLimits(), crashAfter: step, downFor: 2 * time.Second,
 		journal: &journal{newest: map[string][]byte{}}, endpoints: map[string]*simEndpoint{}, runs: map[string]*history{}}
 	for i := range endpoints {
-		w.addEndpoint(fmt.Sprintf("i-%02d", i))
+		w.addEndpoint(fmt.Sprintf("i-%02d", i)).bootClock = establishedClock
 	}
 	return w
 }
@@ -398,7 +402,7 @@
 	h.fence = p.Fence
 	h.extendLease(w.now, p.LeaseUntil)
 	w.acknowledge(h, p.Acknowledged)
-	if w.chance("look", p.Endpoint, o.epoch) < w.loseAnswers {
+	if h.losesPollAnswers || w.chance("look", p.Endpoint, o.epoch) < w.loseAnswers {
 		w.failPoll(o, p)
 		return
 	}
