executor: a new owner's renewals count before the first that is answered

What callers saw: nothing yet.

Cause: until an endpoint has answered a poll, a new owner goes by its predecessor's leases alone. But the answer to a stop tells it the endpoint's clock, and from then on its polls renew leases, also those whose answers are lost. After a hand-over, what the predecessor's leases have left may be less.

What the owner has granted itself now counts from the first reading of the endpoint's clock.

--- a/internal/executor/leases.go
+++ b/internal/executor/leases.go
@@ -25,10 +25,14 @@
 // second on it may last longer here. On an endpoint that has not answered this owner, a predecessor
 // may have renewed leases until its proof of ownership expired.
 func (c *Core) leaseExpiry(e *endpoint) time.Duration {
+	expiry := e.earlierRunsUntil
 	if !e.hasReported && e.term == 0 {
-		return max(e.earlierRunsUntil, c.predecessorExpiry(e))
+		expiry = max(expiry, c.predecessorExpiry(e))
 	}
-	return max(e.earlierRunsUntil, e.clockAt+maxElapsed(e.grantedUntil-e.clock))
+	if e.clockAt > 0 {
+		expiry = max(expiry, e.clockAt+maxElapsed(e.grantedUntil-e.clock))
+	}
+	return expiry
 }
 
 // maxElapsed is the longest time that may pass here while d passes on an endpoint's clock.
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -56,6 +56,8 @@
 	ownersHandOver bool
 	// budgets checks the disruption budgets of long-running steps.
 	budgets disruption.Check
+	// answersNameIncarnation makes answers to orders name the incarnation that they are from.
+	answersNameIncarnation bool
 	// waitingPolls makes polls wait for an end, as endpoints do; openPolls are those that wait.
 	waitingPolls bool
 	openPolls    []openPoll
@@ -383,7 +385,11 @@
 		o.core.OrderDone(w.now, order, executor.OrderUnanswered, executor.Answer{})
 		return
 	}
-	o.core.OrderDone(w.now, order, result, executor.Answer{Clock: h.clock(w.now)})
+	answer := executor.Answer{Clock: h.clock(w.now)}
+	if w.answersNameIncarnation {
+		answer.StartedMs = h.startedMs
+	}
+	o.core.OrderDone(w.now, order, result, answer)
 }
 
 func (w *world) poll(o *owner, p executor.Poll) {
