executor: leases by an earlier incarnation's clock are neither sent nor forgotten

Four tasks run twice at once for some 2 s.

Cause: the owner repeats a renewal that gets no answer with the end of the last lease, a time of the former incarnation's clock. The new incarnation, whose clock starts anew, is the first to receive it and grants the longest lease, 10 s. The owner that sees the restart counts 10 s; its successor knows nothing of it and counts 3.5 s from the endpoint's first report.

Ruled out: a start by the former clock, as the first start after the restart is ordered by the new one.

What changes: a renewal that follows an unanswered one carries no lease, and a start whose endpoint has stopped answering is not sent; its task starts elsewhere. Where such a lease may have been granted (an endpoint that has restarted, or may have before the owner's claim) it counts as the longest, by the endpoint's clock, and is on record before anything is placed there. With that record a successor waits as long as its predecessor would have.

unsavedAbandoned, savedAbandoned and abandonedRunsRecord become unsavedEndpoints, savedEndpoints and endpointRecord, as the record now says more of an endpoint.

--- a/internal/executor/abandoned.go
+++ b/internal/executor/abandoned.go
@@ -13,16 +13,20 @@
 // owner sees the endpoint list a successful end, finds no task for it, and would acknowledge an end
 // that its predecessor withheld or would have withheld.
 
-// keyAbandonedRuns, followed by an endpoint's id, is the key of the record of its abandoned runs.
-const keyAbandonedRuns = "g"
+// keyEndpoint, followed by an endpoint's id, is the key of its endpointRecord.
+const keyEndpoint = "g"
 
-// abandonedRunsRecord lists the runs that were abandoned on an incarnation.
-type abandonedRunsRecord struct {
-	StartedMs int64          `cbor:"1,keyasint,omitempty"`
-	Runs      map[string]int `cbor:"2,keyasint"`
+// endpointRecord is what later owners have to know of an endpoint's incarnation.
+type endpointRecord struct {
+	StartedMs int64 `cbor:"1,keyasint,omitempty"`
+	// Runs are the abandoned runs, by task.
+	Runs map[string]int `cbor:"2,keyasint"`
 	// UnreportedMs has those after which the endpoint has not reported, with how long it had
 	// reported since it confirmed them; below 0 if it had not.
 	UnreportedMs map[string]int64 `cbor:"3,keyasint,omitempty"`
+	// EarlierClockLeaseMs is the latest end, in ms of the endpoint's clock, of leases to times of an
+	// earlier incarnation's clock; 0 if there are none.
+	EarlierClockLeaseMs int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // abandonedRunsTTL is how long an endpoint that service discovery does not list is kept for its
@@ -45,7 +49,7 @@
 	t.leaseExpired = true
 	c.markCautious(t)
 	e.abandonedAt = now
-	c.unsavedAbandoned[e.id] = true
+	c.unsavedEndpoints[e.id] = true
 }
 
 // unreportedRun is an abandoned run on an endpoint that has not reported since.
@@ -67,7 +71,7 @@
 func (c *Core) clearUnreported(e *endpoint) {
 	if len(e.unreportedRuns) > 0 {
 		e.unreportedRuns = nil
-		c.unsavedAbandoned[e.id] = true
+		c.unsavedEndpoints[e.id] = true
 	}
 }
 
@@ -75,7 +79,7 @@
 func (c *Core) dropAbandoned(e *endpoint, task string) {
 	if _, known := e.abandonedRuns[task]; known {
 		delete(e.abandonedRuns, task)
-		c.unsavedAbandoned[e.id] = true
+		c.unsavedEndpoints[e.id] = true
 	}
 }
 
@@ -83,27 +87,27 @@
 	return len(e.abandonedRuns) > 0 && now-e.abandonedAt < abandonedRunsTTL
 }
 
-// abandonedRunRecords returns the changed records of endpoints with abandoned runs, and deletions of
-// those that are no longer needed.
-func (c *Core) abandonedRunRecords() []Record {
+// endpointRecords returns the changed records of endpoints, and deletions of those that are no longer
+// needed.
+func (c *Core) endpointRecords() []Record {
 	var out []Record
-	for _, id := range slices.Sorted(maps.Keys(c.unsavedAbandoned)) {
-		delete(c.unsavedAbandoned, id)
+	for _, id := range slices.Sorted(maps.Keys(c.unsavedEndpoints)) {
+		delete(c.unsavedEndpoints, id)
 		e := c.endpoints[id]
 		switch {
-		case e != nil && len(e.abandonedRuns) > 0:
-			c.savedAbandoned[id] = true
-			out = append(out, Record{Key: keyAbandonedRuns + id, Value: Encode(e.abandonedRunsRecord())})
-		case c.savedAbandoned[id]:
-			delete(c.savedAbandoned, id)
-			out = append(out, Record{Key: keyAbandonedRuns + id})
+		case e != nil && (len(e.abandonedRuns) > 0 || e.earlierClockLeaseUntil > 0):
+			c.savedEndpoints[id] = true
+			out = append(out, Record{Key: keyEndpoint + id, Value: Encode(e.endpointRecord())})
+		case c.savedEndpoints[id]:
+			delete(c.savedEndpoints, id)
+			out = append(out, Record{Key: keyEndpoint + id})
 		}
 	}
 	return out
 }
 
-func (e *endpoint) abandonedRunsRecord() abandonedRunsRecord {
-	r := abandonedRunsRecord{StartedMs: e.startedMs, Runs: e.abandonedRuns}
+func (e *endpoint) endpointRecord() endpointRecord {
+	r := endpointRecord{StartedMs: e.startedMs, Runs: e.abandonedRuns, EarlierClockLeaseMs: e.earlierClockLeaseUntil.Milliseconds()}
 	for task, run := range e.unreportedRuns {
 		if r.UnreportedMs == nil {
 			r.UnreportedMs = map[string]int64{}
@@ -113,19 +117,20 @@
 	return r
 }
 
-func (c *Core) restoreAbandonedRuns(r Record, now time.Duration) error {
-	var in abandonedRunsRecord
+func (c *Core) restoreEndpoint(r Record, now time.Duration) error {
+	var in endpointRecord
 	if err := cbor.Unmarshal(r.Value, &in); err != nil {
 		return &MalformedRecordError{Key: r.Key, Cause: err}
 	}
-	e := c.endpoint(r.Key[len(keyAbandonedRuns):])
-	c.savedAbandoned[e.id] = true
+	e := c.endpoint(r.Key[len(keyEndpoint):])
+	c.savedEndpoints[e.id] = true
 	c.restoreIncarnationStart(e, in.StartedMs)
 	if e.startedMs != in.StartedMs {
-		c.unsavedAbandoned[e.id] = true
+		c.unsavedEndpoints[e.id] = true
 		return nil
 	}
 	e.abandonedRuns, e.abandonedAt = in.Runs, now
+	e.earlierClockLeaseUntil = time.Duration(in.EarlierClockLeaseMs) * time.Millisecond
 	for task, ms := range in.UnreportedMs {
 		if e.unreportedRuns == nil {
 			e.unreportedRuns = map[string]unreportedRun{}
--- a/internal/executor/capacity.go
+++ b/internal/executor/capacity.go
@@ -34,8 +34,8 @@
 
 // cancelStart cancels a start that may not be sent. If it was sent before, it may have been carried
 // out, or may be carried out later, until a stop closes its run number.
-func (c *Core) cancelStart(t *task) {
-	c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: t.endpoint.id, Reason: "the endpoint's capacity may have shrunk"})
+func (c *Core) cancelStart(t *task, reason string) {
+	c.event(Event{Kind: EventLost, Job: t.step.job.rec.Job.ID, Task: t.name(), Run: t.run, Endpoint: t.endpoint.id, Reason: reason})
 	if t.orderedAt == 0 {
 		c.requeue(t)
 		return
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -133,9 +133,9 @@
 	// expired there.
 	unreportedLosses map[string]unreportedLosses
 
-	// unsavedAbandoned are endpoints whose abandoned runs have changed since they were written;
-	// savedAbandoned are those that have a record of them.
-	unsavedAbandoned, savedAbandoned map[string]bool
+	// unsavedEndpoints are endpoints whose endpointRecord has changed since it was written;
+	// savedEndpoints are those that have one.
+	unsavedEndpoints, savedEndpoints map[string]bool
 
 	// dirty are the jobs whose records are to be written with the next Ready, and dirtyOrder has
 	// them in the order of their changes. removedKeys are those of records to be deleted.
@@ -182,7 +182,7 @@
 	return &Core{
 		pool: pool, epoch: epoch, limits: limits, claimedAt: now,
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, terms: map[string]pastTerm{}, endedIncarnations: map[Incarnation]time.Duration{},
-		unsavedAbandoned: map[string]bool{}, savedAbandoned: map[string]bool{}, unreportedLosses: map[string]unreportedLosses{},
+		unsavedEndpoints: map[string]bool{}, savedEndpoints: map[string]bool{}, unreportedLosses: map[string]unreportedLosses{},
 		lengthModels: map[string]*lengthModel{}, allowance: quota.NewAllowance(), atShareSince: map[string]time.Duration{},
 		returns: admission.NewReturns(uint64(epoch)), predictions: admission.NewPredictions(), refusedByAccount: map[string]int{}, dirty: map[*job]bool{}, acks: map[Incarnation]int64{},
 		startLimiter: inflight.New(startLimitSettings),
--- a/internal/executor/endpoint.go
+++ b/internal/executor/endpoint.go
@@ -55,6 +55,11 @@
 	// earlierRunsUntil is the latest time until which runs may go on whose orders were sent to an
 	// earlier incarnation: the ends of their leases are times on a different clock.
 	earlierRunsUntil time.Duration
+	// restarted is set if the incarnation is not the first that this owner has seen under the id.
+	restarted bool
+	// earlierClockLeaseUntil is the latest end, on the endpoint's clock, of leases that it may have
+	// granted to a time of an earlier incarnation's clock; 0 if there are none.
+	earlierClockLeaseUntil time.Duration
 	// appliedEnd is the number of the newest end that was applied, and acknowledgedEnd that of the
 	// newest end whose effect is durable, which polls acknowledge.
 	appliedEnd      int64
--- a/internal/executor/events.go
+++ b/internal/executor/events.go
@@ -53,6 +53,9 @@
 	EventPoisonTask EventKind = "task given up"
 	// EventRestarted: another incarnation answers under an endpoint's id.
 	EventRestarted EventKind = "endpoint restarted"
+	// EventEarlierClockLease: an endpoint may have granted the longest lease to a time of an earlier
+	// incarnation's clock.
+	EventEarlierClockLease EventKind = "lease by an earlier clock"
 )
 
 func (c *Core) event(e Event) { c.events = append(c.events, e) }
--- a/internal/executor/incarnation.go
+++ b/internal/executor/incarnation.go
@@ -24,17 +24,20 @@
 func (c *Core) fence(e *endpoint) int64 { return c.epoch<<termBits | int64(e.term) }
 
 // forgetEndpoint drops an endpoint. Should its id be listed again, the next term keeps earlier orders
-// from taking effect.
-func (c *Core) forgetEndpoint(e *endpoint) {
+// from taking effect; if the incarnation has ended, the id then belongs to another one.
+func (c *Core) forgetEndpoint(e *endpoint, incarnationEnded bool) {
 	delete(c.endpoints, e.id)
-	c.terms[e.id] = pastTerm{next: e.term + 1}
-	c.unsavedAbandoned[e.id] = true
+	c.terms[e.id] = pastTerm{next: e.term + 1, incarnationEnded: incarnationEnded || e.restarted}
+	c.unsavedEndpoints[e.id] = true
 }
 
-// pastTerm is the next term of an endpoint that is no longer known, and when service discovery was
-// first seen not to list it, 0 while it may.
+// pastTerm is what is kept of an endpoint that is no longer known.
 type pastTerm struct {
-	next         int
+	// next is its next term.
+	next int
+	// incarnationEnded is set if an incarnation under its id is known to have ended.
+	incarnationEnded bool
+	// missingSince is when service discovery was first seen not to list it, 0 while it may.
 	missingSince time.Duration
 }
 
@@ -66,7 +69,8 @@
 		if forget && t.next <= 1 {
 			delete(c.terms, id)
 		} else {
-			c.terms[id] = pastTerm{next: t.next, missingSince: since}
+			t.missingSince = since
+			c.terms[id] = t
 		}
 	}
 }
@@ -100,8 +104,8 @@
 // incarnation wins, and the state of earlier ones is dropped.
 func (c *Core) restoreIncarnationStart(e *endpoint, startedMs int64) {
 	if startedMs > e.startedMs {
-		e.startedMs, e.abandonedRuns, e.unreportedRuns = startedMs, nil, nil
-		c.unsavedAbandoned[e.id] = true
+		e.startedMs, e.abandonedRuns, e.unreportedRuns, e.earlierClockLeaseUntil = startedMs, nil, nil, 0
+		c.unsavedEndpoints[e.id] = true
 	}
 }
 
@@ -133,12 +137,12 @@
 		Reason: fmt.Sprintf("the previous incarnation's ends were acknowledged up to %d", e.acknowledgedEnd)})
 	c.recordCrashes(attributeCrash(e, c.unreportedRuns(e)))
 	crashes := attributeCrash(e, e.orderedRuns())
-	c.unsavedAbandoned[e.id] = true
+	c.unsavedEndpoints[e.id] = true
 	*e = endpoint{
 		id: e.id, addr: e.addr, zone: e.zone, kind: e.kind, rack: e.rack, startedMs: startedMs, term: e.term + 1,
 		capacity: e.capacity, used: e.used, tasks: e.tasks,
 		vacating: e.vacating, vacateUntil: e.vacateUntil, vacatingSoonUntil: e.vacatingSoonUntil,
-		nextPoll: now, earlierRunsUntil: now + maxElapsed(c.limits.LongestLease), isolatedFor: e.isolatedFor,
+		nextPoll: now, restarted: true, earlierRunsUntil: now + maxElapsed(c.limits.LongestLease), isolatedFor: e.isolatedFor,
 	}
 	for _, x := range crashes {
 		x.task.possibleCrash = &x
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -200,7 +200,7 @@
 		r.Records = append(r.Records, Record{Key: key})
 	}
 	c.removedKeys = nil
-	r.Records = append(r.Records, c.abandonedRunRecords()...)
+	r.Records = append(r.Records, c.endpointRecords()...)
 	if len(r.Records) > 0 {
 		r.Records = append(r.Records, c.lengthRecords()...)
 	}
@@ -269,8 +269,8 @@
 			progress[r.Key[1:]] = p
 		case keyLengths:
 			c.restoreLengths(r)
-		case keyAbandonedRuns:
-			if err := c.restoreAbandonedRuns(r, now); err != nil {
+		case keyEndpoint:
+			if err := c.restoreEndpoint(r, now); err != nil {
 				return err
 			}
 		case keyHandover:
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -48,8 +48,12 @@
 			o.task.resending = false
 			continue
 		}
+		if o.task.endpoint.mayHaveRestarted() {
+			c.holdStart(o.task)
+			continue
+		}
 		if !c.maySendStart(now, o.task.endpoint) {
-			c.cancelStart(o.task)
+			c.cancelStart(o.task, "the endpoint's capacity may have shrunk")
 			continue
 		}
 		o.task.orderedAt, o.task.orderAnswered, o.task.resending = now, false, false
@@ -59,6 +63,16 @@
 	return Order{}, 0, false
 }
 
+// holdStart keeps a start from an endpoint that may have restarted. One that has not been sent yet is
+// cancelled, as its task can start elsewhere; one that is repeated is still due when the endpoint answers.
+func (c *Core) holdStart(t *task) {
+	if t.orderedAt == 0 {
+		c.cancelStart(t, "the endpoint does not answer")
+		return
+	}
+	t.resending = false
+}
+
 // isCurrent reports whether the order belongs to the newest run of its task.
 func (o *Order) isCurrent() bool {
 	return o.task != nil && o.task.endpoint != nil && o.task.endpoint.id == o.Endpoint && o.task.run == o.Run
--- a/internal/executor/polls.go
+++ b/internal/executor/polls.go
@@ -42,7 +42,7 @@
 func (c *Core) endpoint(id string) *endpoint {
 	e := c.endpoints[id]
 	if e == nil {
-		e = &endpoint{id: id, term: c.terms[id].next, tasks: map[*task]bool{}}
+		e = &endpoint{id: id, term: c.terms[id].next, restarted: c.terms[id].incarnationEnded, tasks: map[*task]bool{}}
 		c.endpoints[id] = e
 	}
 	return e
@@ -76,8 +76,9 @@
 	}
 	c.forgetPastIncarnations(now, shown, endedShown)
 	for id, e := range c.endpoints {
-		if !shown[id] && len(e.tasks) == 0 && !(e.vacating && now < e.vacateUntil) && !e.hasRecentAbandonedRuns(now) {
-			c.forgetEndpoint(e)
+		if !shown[id] && len(e.tasks) == 0 && !(e.vacating && now < e.vacateUntil) && !e.hasRecentAbandonedRuns(now) &&
+			now >= max(e.earlierRunsUntil, c.earlierClockLeaseExpiry(e)) {
+			c.forgetEndpoint(e, false)
 		}
 	}
 }
@@ -100,7 +101,7 @@
 	c.endedIncarnations[e.incarnation()] = 0
 	c.event(Event{Kind: EventIncarnationEnded, Endpoint: e.id, StartedMs: e.startedMs, Run: len(e.tasks)})
 	c.requeueAll(e, "incarnation ended")
-	c.forgetEndpoint(e)
+	c.forgetEndpoint(e, true)
 }
 
 // incarnationCrashed records that an incarnation has ended for an unknown reason.
@@ -130,7 +131,7 @@
 		}
 		e.pollInFlight = true
 		due = append(due, Poll{Endpoint: e.id, Addr: e.addr, Fence: c.fence(e), Acknowledged: e.safeAcknowledgement(),
-			LeaseUntil: c.grantLease(e, now), Wait: c.pollWait(now, e), sent: now})
+			LeaseUntil: c.renewedLease(e, now), Wait: c.pollWait(now, e), sent: now})
 	}
 	return due
 }
@@ -268,12 +269,10 @@
 func (c *Core) applyListing(now, sent time.Duration, e *endpoint, in Listed) {
 	e.recordClock(now, in.Clock)
 	if !e.hasReported {
-		// Leases that a predecessor granted last for one more lease duration at most: it can't
-		// renew them now that the fence is raised. If they counted as expired, the tasks would
-		// be started elsewhere before this owner's first renewal, beside runs that go on here.
-		e.grantedUntil = max(e.grantedUntil, e.clock+c.limits.Lease)
+		c.expectEarlierLeases(now, e, in.Clock)
 		e.firstReportClock = in.Clock
 	}
+	c.forgetEarlierClockLease(e)
 	e.nextPoll = now + e.pollInterval()
 	if !e.hasReported || e.failedPolls > 0 {
 		e.nextPoll = now // this poll renewed nothing
--- a/internal/executor/property_test.go
+++ b/internal/executor/property_test.go
@@ -61,6 +61,8 @@
 	resizing bool
 	// limited: the jobs belong to an account with a low limit.
 	limited bool
+	// longTasks: every third job has tasks that take longer than most leases last.
+	longTasks bool
 }
 
 const maxStaleEntry = 1500 * time.Millisecond
@@ -86,6 +88,14 @@
 	if v.limited {
 		w.account, w.limitMilli = "alpha", 1000*(2+rng.IntN(5))
 	}
+	if v.longTasks {
+		w.lengthOf = func(n jobs.TaskName) time.Duration {
+			if jobNumber(n.Job)%3 == 0 {
+				return 8 * time.Second
+			}
+			return 300 * time.Millisecond
+		}
+	}
 	o := w.takeOver()
 	var submitted []jobs.Job
 	for round := range 40 {
@@ -106,7 +116,7 @@
 	w.clearFaults()
 	o = w.takeOver()
 	w.run(25 * time.Second)
-	if v.crashing || v.limited {
+	if v.crashing || v.limited || v.longTasks {
 		w.runUntilEnded(o, submitted, time.Minute)
 	}
 	g.Expect(w.violations).To(BeEmpty())
--- a/internal/executor/restart_test.go
+++ b/internal/executor/restart_test.go
@@ -365,5 +365,11 @@
 			t.Parallel()
 			randomScenario(NewWithT(t), seed, late)
 		})
+		long := late
+		long.longTasks = true
+		t.Run(fmt.Sprint("unseen, long tasks, seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			randomScenario(NewWithT(t), seed, long)
+		})
 	}
 }
