executor: a crash counts where the next incarnation is not heard

What callers saw: nothing yet.

Cause: when an endpoint is seen to have restarted, the crash is kept with the task until a listing shows whether its run began on the next incarnation. If the leases there expire first, or the instance is maintained, the task is requeued and what was kept is dropped.

The kept crash now counts as the task is requeued for either reason, and the run for one crash at most. TestACrashCountsWhereTheNextIncarnationIsNotHeard fails before.

--- a/internal/executor/abandoned.go
+++ b/internal/executor/abandoned.go
@@ -42,10 +42,12 @@
 		e.abandonedRuns = map[string]int{}
 	}
 	e.abandonedRuns[t.name()] = t.run
-	if e.unreportedRuns == nil {
-		e.unreportedRuns = map[string]unreportedRun{}
+	if t.possibleCrash == nil { // else the crash before counts, and the run counts for one crash at most
+		if e.unreportedRuns == nil {
+			e.unreportedRuns = map[string]unreportedRun{}
+		}
+		e.unreportedRuns[t.name()] = unreportedRun{t.confirmedAt > 0, t.confirmedFor()}
 	}
-	e.unreportedRuns[t.name()] = unreportedRun{t.confirmedAt > 0, t.confirmedFor()}
 	t.leaseExpired = true
 	c.markCautious(t)
 	e.abandonedAt = now
--- a/internal/executor/crash_test.go
+++ b/internal/executor/crash_test.go
@@ -427,3 +427,29 @@
 	w.run(300 * time.Millisecond)
 	g.Expect(w.traceOf(j.ID + ".0.0.0")).To(ContainSubstring("1 endpoints have crashed under it"))
 }
+
+// Guards against a crash that does not count: the endpoint is known to have restarted, and its leases
+// expire, or its instance is maintained, before it shows that the run did not begin on the next
+// incarnation.
+func TestACrashCountsWhereTheNextIncarnationIsNotHeard(t *testing.T) {
+	for _, operated := range []bool{false, true} {
+		g := NewWithT(t)
+		w, o, h := withAcknowledgedEnds(g, 2)
+		w.lengthOf = func(jobs.TaskName) time.Duration { return 15 * time.Second }
+		j := jobOf(3, smallStep(1))
+		w.startOn(g, o, h, j)
+		w.restart(h)
+		h.unresponsive = true // service discovery alone shows the restart
+		w.run(time.Second)
+		if operated {
+			w.kill(h)
+			o.core.IncarnationEnded(executor.Incarnation{ID: h.id, StartedMs: h.startedMs})
+		} else {
+			w.run(longestLease)
+			h.unresponsive = false
+		}
+		w.run(time.Second)
+		g.Expect(w.traceOf(j.ID + ".0.0.0")).To(ContainSubstring("1 endpoints have crashed under it"))
+		g.Expect(w.traceOf(j.ID + ".0.0.0")).NotTo(ContainSubstring("2 endpoints have crashed under it"))
+	}
+}
--- a/internal/executor/crashes.go
+++ b/internal/executor/crashes.go
@@ -174,6 +174,18 @@
 	return out
 }
 
+// possibleCrashes returns the crashes of earlier incarnations that may have taken the runs of an
+// endpoint's tasks. They count if the endpoint will not show whether the runs began on its present one.
+func (e *endpoint) possibleCrashes() []crash {
+	var out []crash
+	for t := range e.tasks {
+		if t.possibleCrash != nil {
+			out = append(out, *t.possibleCrash)
+		}
+	}
+	return out
+}
+
 // recordCrash adds the evidence of a crash to its task, and fails the job if the task is a poison
 // task.
 func (c *Core) recordCrash(x crash) {
--- a/internal/executor/leases.go
+++ b/internal/executor/leases.go
@@ -105,10 +105,12 @@
 func (c *Core) abandonExpired(now time.Duration) {
 	for _, e := range c.endpoints {
 		if len(e.tasks) > 0 && now >= c.leaseExpiry(e) {
+			possible := e.possibleCrashes()
 			for t := range e.tasks {
 				c.abandon(now, e, t)
 			}
 			c.requeueAll(e, "lease expired")
+			c.recordCrashes(possible)
 		}
 	}
 }
--- a/internal/executor/polls.go
+++ b/internal/executor/polls.go
@@ -92,9 +92,9 @@
 	if e == nil || e.incarnation() != in {
 		return
 	}
-	presumed := c.presumedCrashes(e)
+	crashes := append(c.presumedCrashes(e), e.possibleCrashes()...)
 	c.endIncarnation(e)
-	c.recordCrashes(presumed)
+	c.recordCrashes(crashes)
 }
 
 func (c *Core) endIncarnation(e *endpoint) {
