executor: a late end does not take its endpoint out of use

Cause: an end that is heard after its task has been started again must not be acknowledged. Its endpoint then got no task until its next incarnation, which nothing brought about, and went on counting as capacity.

The claim names the capacity that isn't any; to count it right would only have refused the job.

What changes: an end is not withheld if a later one on its endpoint shows that the lease has lapsed. An endpoint with withheld ends is the last choice and not closed, as long as it can list another end; beyond that it is no capacity, and its idle instance is switched off.

--- a/internal/executor/abandoned.go
+++ b/internal/executor/abandoned.go
@@ -19,8 +19,9 @@
 // endpointRecord is what later owners have to know of an endpoint's incarnation.
 type endpointRecord struct {
 	StartedMs int64 `cbor:"1,keyasint,omitempty"`
-	// Runs are the abandoned runs, by task.
-	Runs map[string]int `cbor:"2,keyasint"`
+	// Runs are the newest abandoned runs, by task; EarlierRuns are the others.
+	Runs        map[string]int   `cbor:"2,keyasint"`
+	EarlierRuns map[string][]int `cbor:"5,keyasint,omitempty"`
 	// UnreportedMs has those after which the endpoint has not reported, with how long it had
 	// reported since it confirmed them; below 0 if it had not.
 	UnreportedMs map[string]int64 `cbor:"3,keyasint,omitempty"`
@@ -39,14 +40,14 @@
 		return // its order was never sent
 	}
 	if e.abandonedRuns == nil {
-		e.abandonedRuns = map[string]int{}
+		e.abandonedRuns = map[runID]bool{}
 	}
-	e.abandonedRuns[t.name()] = t.run
+	e.abandonedRuns[runID{t.name(), t.run}] = true
 	if t.possibleCrash == nil { // else the crash before counts, and the run counts for one crash at most
 		if e.unreportedRuns == nil {
 			e.unreportedRuns = map[string]unreportedRun{}
 		}
-		e.unreportedRuns[t.name()] = unreportedRun{t.confirmedAt > 0, t.confirmedFor()}
+		e.unreportedRuns[t.name()] = unreportedRun{t.run, t.confirmedAt > 0, t.confirmedFor()}
 	}
 	t.leaseExpired = true
 	c.markCautious(t)
@@ -56,6 +57,7 @@
 
 // unreportedRun is an abandoned run on an endpoint that has not reported since.
 type unreportedRun struct {
+	run int
 	// confirmed reports whether the endpoint had confirmed it; confirmedFor is how long it reported
 	// after that.
 	confirmed    bool
@@ -78,9 +80,9 @@
 }
 
 // dropAbandoned removes an abandoned run whose end is known.
-func (c *Core) dropAbandoned(e *endpoint, task string) {
-	if _, known := e.abandonedRuns[task]; known {
-		delete(e.abandonedRuns, task)
+func (c *Core) dropAbandoned(e *endpoint, id runID) {
+	if e.abandonedRuns[id] {
+		delete(e.abandonedRuns, id)
 		c.unsavedEndpoints[e.id] = true
 	}
 }
@@ -109,7 +111,19 @@
 }
 
 func (e *endpoint) endpointRecord() endpointRecord {
-	r := endpointRecord{StartedMs: e.startedMs, Runs: e.abandonedRuns, EarlierClockLeaseMs: e.earlierClockLeaseUntil.Milliseconds()}
+	r := endpointRecord{StartedMs: e.startedMs, Runs: map[string]int{}, EarlierClockLeaseMs: e.earlierClockLeaseUntil.Milliseconds()}
+	for id := range e.abandonedRuns {
+		r.Runs[id.task] = max(r.Runs[id.task], id.run)
+	}
+	for id := range e.abandonedRuns {
+		if id.run == r.Runs[id.task] {
+			continue
+		}
+		if r.EarlierRuns == nil {
+			r.EarlierRuns = map[string][]int{}
+		}
+		r.EarlierRuns[id.task] = append(r.EarlierRuns[id.task], id.run)
+	}
 	for task, run := range e.unreportedRuns {
 		if r.UnreportedMs == nil {
 			r.UnreportedMs = map[string]int64{}
@@ -119,6 +133,19 @@
 	return r
 }
 
+func (r *endpointRecord) abandonedRuns() map[runID]bool {
+	out := map[runID]bool{}
+	for task, run := range r.Runs {
+		out[runID{task, run}] = true
+	}
+	for task, runs := range r.EarlierRuns {
+		for _, run := range runs {
+			out[runID{task, run}] = true
+		}
+	}
+	return out
+}
+
 func (c *Core) restoreEndpoint(r Record, now time.Duration) error {
 	var in endpointRecord
 	if err := cbor.Unmarshal(r.Value, &in); err != nil {
@@ -131,13 +158,13 @@
 		c.unsavedEndpoints[e.id] = true
 		return nil
 	}
-	e.abandonedRuns, e.abandonedAt = in.Runs, now
+	e.abandonedRuns, e.abandonedAt = in.abandonedRuns(), now
 	e.earlierClockLeaseUntil = time.Duration(in.EarlierClockLeaseMs) * time.Millisecond
 	for task, ms := range in.UnreportedMs {
 		if e.unreportedRuns == nil {
 			e.unreportedRuns = map[string]unreportedRun{}
 		}
-		e.unreportedRuns[task] = unreportedRun{ms >= 0, time.Duration(max(0, ms)) * time.Millisecond}
+		e.unreportedRuns[task] = unreportedRun{in.Runs[task], ms >= 0, time.Duration(max(0, ms)) * time.Millisecond}
 	}
 	return nil
 }
--- a/internal/executor/crashes.go
+++ b/internal/executor/crashes.go
@@ -146,7 +146,7 @@
 	var out []endedRun
 	for name, r := range e.unreportedRuns {
 		if t := c.taskByName(name); t != nil {
-			out = append(out, endedRun{t, e.abandonedRuns[name], r.confirmed, r.confirmedFor})
+			out = append(out, endedRun{t, r.run, r.confirmed, r.confirmedFor})
 		}
 	}
 	return out
--- a/internal/executor/dump.go
+++ b/internal/executor/dump.go
@@ -45,17 +45,19 @@
 
 // EndpointDump is an endpoint's state.
 type EndpointDump struct {
-	ID            string    `json:"id"`
-	Addr          string    `json:"addr"`
-	StartedMs     int64     `json:"started_ms,omitempty"`
-	Free          Resources `json:"free"`
-	Tasks         int       `json:"tasks"`
-	Draining      bool      `json:"draining,omitempty"`
-	Vacating      bool      `json:"vacating,omitempty"`
-	FailedPolls   int       `json:"unanswered,omitempty"`
-	QuarantineMs  int64     `json:"quarantine_ms,omitempty"`
-	LastPollAgoMs int64     `json:"looked_ago_ms"`
-	LeaseEndsMs   int64     `json:"lease_ends_in_ms"`
+	ID           string    `json:"id"`
+	Addr         string    `json:"addr"`
+	StartedMs    int64     `json:"started_ms,omitempty"`
+	Free         Resources `json:"free"`
+	Tasks        int       `json:"tasks"`
+	Draining     bool      `json:"draining,omitempty"`
+	Vacating     bool      `json:"vacating,omitempty"`
+	FailedPolls  int       `json:"unanswered,omitempty"`
+	QuarantineMs int64     `json:"quarantine_ms,omitempty"`
+	// UnacknowledgedEnds counts the ends that are withheld, and those after them.
+	UnacknowledgedEnds int   `json:"unacknowledged_ends,omitempty"`
+	LastPollAgoMs      int64 `json:"looked_ago_ms"`
+	LeaseEndsMs        int64 `json:"lease_ends_in_ms"`
 }
 
 // JobDump is an open job's state.
@@ -85,7 +87,7 @@
 		d.Endpoints = append(d.Endpoints, EndpointDump{ID: e.id, Addr: e.addr, StartedMs: e.startedMs, Free: e.free(), Tasks: len(e.tasks),
 			Draining: e.draining, Vacating: e.vacating, FailedPolls: e.failedPolls,
 			QuarantineMs: max(0, e.quarantinedUntil-now).Milliseconds(), LastPollAgoMs: (now - e.lastPollAnswer).Milliseconds(),
-			LeaseEndsMs: (c.leaseExpiry(e) - now).Milliseconds()})
+			UnacknowledgedEnds: int(e.appliedEnd - e.lastAcknowledgeable()), LeaseEndsMs: (c.leaseExpiry(e) - now).Milliseconds()})
 	}
 	slices.SortFunc(d.Endpoints, func(a, b EndpointDump) int { return cmp.Compare(a.ID, b.ID) })
 	for _, j := range c.open[:min(maxDumpEntries, len(c.open))] {
--- a/internal/executor/endpoint.go
+++ b/internal/executor/endpoint.go
@@ -64,15 +64,18 @@
 	// newest end whose effect is durable, which polls acknowledge.
 	appliedEnd      int64
 	acknowledgedEnd int64
-	// abandonedRuns are the runs, by task, that were abandoned because their lease expired.
-	abandonedRuns map[string]int
+	// abandonedRuns are the runs that were abandoned because their lease expired and whose ends are not
+	// known, or withheld.
+	abandonedRuns map[runID]bool
 	// unreportedRuns are those abandoned runs, by task, after which the endpoint has not reported,
 	// with how long it had reported them before.
 	unreportedRuns map[string]unreportedRun
 	// abandonedAt is when a run was last abandoned, or such runs were restored from the journal.
 	abandonedAt time.Duration
-	// withheldEnd is the number of the first end that must not be acknowledged, 0 for none.
-	withheldEnd int64
+	// withheldEnds must not be acknowledged; the lowest number comes first.
+	withheldEnds []withheldEnd
+	// leaseExpiredEnd is the number of the newest listed end of a run whose lease expired, 0 for none.
+	leaseExpiredEnd int64
 
 	// isolatedFor is the job of the suspect task that has an isolated run here, nil for none.
 	isolatedFor *job
@@ -90,6 +93,12 @@
 	reservedUntil time.Duration
 }
 
+// runID identifies a run of a task.
+type runID struct {
+	task string
+	run  int
+}
+
 // Resources is an amount of an endpoint's resources.
 type Resources = quota.Amount
 
--- a/internal/executor/events.go
+++ b/internal/executor/events.go
@@ -46,6 +46,7 @@
 	EventSlow             EventKind = "endpoint slow"
 	EventSpeedRecovered   EventKind = "endpoint no longer slow"
 	EventWithheld         EventKind = "end not acknowledged"
+	EventVoid             EventKind = "end void"
 	EventStartsLimited    EventKind = "starts paced"
 	// EventCrashed: an incarnation ended while a task's run was on it, which had run for AgeMs.
 	EventCrashed EventKind = "endpoint ended under task"
--- a/internal/executor/explain.go
+++ b/internal/executor/explain.go
@@ -105,9 +105,9 @@
 	obstacleQuarantined  = "quarantined"
 	obstacleReserved     = "reserved for another task"
 	obstacleSlow         = "slow"
-	// obstacleLateEnd: the endpoint lists the end of an abandoned run that must not be
-	// acknowledged, as its task has started again elsewhere.
-	obstacleLateEnd        = "with the end of an abandoned run"
+	// obstacleEndsFull: the endpoint lists ends that must not be acknowledged, and could not list
+	// another one.
+	obstacleEndsFull       = "with as many unacknowledged ends as it can list"
 	obstacleOutdatedEntry  = "with an outdated service discovery entry"
 	obstacleIsolated       = "where a suspect task of another job has just started"
 	obstacleOutdatedReport = "not heard of late"
@@ -115,7 +115,7 @@
 )
 
 var obstacles = []string{obstacleAccount, obstacleNone, obstacleFull, obstacleRequirement, obstacleSpread, obstacleSharing, obstacleTicket, obstacleUnlisted,
-	obstacleDraining, obstacleVacating, obstacleNotReported, obstacleUnresponsive, obstacleUnknownRuns, obstacleQuarantined, obstacleReserved, obstacleSlow, obstacleLateEnd,
+	obstacleDraining, obstacleVacating, obstacleNotReported, obstacleUnresponsive, obstacleUnknownRuns, obstacleQuarantined, obstacleReserved, obstacleSlow, obstacleEndsFull,
 	obstacleOutdatedEntry, obstacleIsolated, obstacleOutdatedReport, obstacleNewRuns}
 
 // unblockedBy maps an obstacle to the event that removes it, where there is one.
@@ -132,7 +132,7 @@
 	obstacleUnknownRuns:    "the end of the runs unknown to this owner",
 	obstacleQuarantined:    "the end of the quarantine",
 	obstacleReserved:       "the start of the task that the endpoint is reserved for, or the end of the reservation",
-	obstacleLateEnd:        "a move or the maintenance of the endpoint's instance",
+	obstacleEndsFull:       "a move or the maintenance of the endpoint's instance",
 	obstacleOutdatedEntry:  "the endpoint's next entry in service discovery",
 	obstacleIsolated:       "the endpoint's next reports, or its crash",
 	obstacleOutdatedReport: "the endpoint's next report",
@@ -183,8 +183,8 @@
 		return obstacleUnknownRuns
 	case now < e.quarantinedUntil:
 		return obstacleQuarantined
-	case e.withheldEnd > 0:
-		return obstacleLateEnd
+	case e.endsFull():
+		return obstacleEndsFull
 	case !c.hasCurrentCapacity(now, e):
 		return obstacleOutdatedEntry
 	}
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -11,12 +11,16 @@
 // fullyStarted is the progress, in percent, that a long-running task reports once it has started up.
 const fullyStarted = 100
 
-// usable reports whether tasks may be placed on the endpoint at all: service discovery lists it,
-// it is neither draining nor being vacated, and its state under this epoch has been read.
-func (e *endpoint) usable() bool {
+// inService reports whether the endpoint is listed by service discovery, is neither draining nor being
+// vacated, and its state under this epoch has been read.
+func (e *endpoint) inService() bool {
 	return e.listed && !e.draining && !e.vacating && e.hasReported
 }
 
+// usable reports whether tasks may be placed on the endpoint at all, now or after a short time: it counts
+// as capacity.
+func (e *endpoint) usable() bool { return e.inService() && !e.endsFull() }
+
 // isOpen reports whether a task may be placed on the endpoint now. An endpoint that has not
 // answered its last poll gets none: a start sent there would block its task until the
 // lease has expired.
@@ -339,6 +343,9 @@
 	// has yet to vacate. There they would be stopped and moved a second time, and the disruption
 	// budget for that is what makes waves late.
 	vacatedSoonPenalty = 3.0
+	// withheldEndsPenalty keeps tasks off endpoints whose ends are not acknowledged, as long as others
+	// have capacity.
+	withheldEndsPenalty = 4.0
 	// failurePenalty, per consecutive failure, makes endpoints whose runs fail the last choice.
 	failurePenalty = 0.5
 )
@@ -366,5 +373,8 @@
 	if t.avoidIncarnation == e.incarnation() {
 		score -= failedEndpointPenalty
 	}
+	if len(e.withheldEnds) > 0 {
+		score -= withheldEndsPenalty
+	}
 	return score - failurePenalty*float64(e.consecutiveFailures)
 }
--- a/internal/executor/polls.go
+++ b/internal/executor/polls.go
@@ -292,6 +292,7 @@
 		c.applyRunning(now, in.Clock, t, r)
 	}
 	e.unknownRuns = unknownRuns
+	c.voidWithheldEnds(e, in.Ended)
 	for _, end := range in.Ended {
 		c.applyEnd(now, e, end)
 	}
--- a/internal/executor/simulated_endpoints_test.go
+++ b/internal/executor/simulated_endpoints_test.go
@@ -11,6 +11,9 @@
 
 // Simulated endpoints of a world, and the invariants that they check on a Core.
 
+// maxListedEnds is how many ends an endpoint lists in one answer.
+const maxListedEnds = 500
+
 // longestLease is the length to which an endpoint shortens longer leases.
 const longestLease = 10 * time.Second
 
@@ -104,6 +107,8 @@
 	// backAt.
 	crashAt, downAt, backAt time.Duration
 	down                    bool
+	// polls counts those that took effect.
+	polls int
 	// losesPollAnswers is set while polls take effect and their answers are lost.
 	losesPollAnswers bool
 	// hiddenFrom is the lowest epoch whose owner can't reach it; 0 if all owners can.
--- a/internal/executor/summary.go
+++ b/internal/executor/summary.go
@@ -33,17 +33,22 @@
 	Starved int `json:"starved" cbor:"13,keyasint"`
 }
 
-// EndpointLoad is the load of an endpoint that may get tasks.
+// EndpointLoad is the load of an endpoint that is in service.
 type EndpointLoad struct {
 	Endpoint  string `json:"endpoint" cbor:"1,keyasint"`
 	UsedMilli int    `json:"used_milli" cbor:"2,keyasint"`
 	Tasks     int    `json:"tasks" cbor:"3,keyasint"`
 	// HasLongRunning reports whether the endpoint has long-running tasks.
 	HasLongRunning bool `json:"lasting" cbor:"4,keyasint"`
+	// Renew is set if the endpoint's next incarnation would serve better; Unusable, if it can't get
+	// tasks before and does not count as capacity.
+	Renew    bool `json:"renew,omitempty" cbor:"5,keyasint,omitempty"`
+	Unusable bool `json:"unusable,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
 func (e *endpoint) load() EndpointLoad {
-	return EndpointLoad{Endpoint: e.id, UsedMilli: e.used.CPUMilli, Tasks: len(e.tasks), HasLongRunning: e.hasLongRunning()}
+	return EndpointLoad{Endpoint: e.id, UsedMilli: e.used.CPUMilli, Tasks: len(e.tasks), HasLongRunning: e.hasLongRunning(),
+		Renew: len(e.withheldEnds) > 0, Unusable: e.endsFull()}
 }
 
 // lateJobShare is how much of the ready work of jobs that will be late anyway counts as demand
@@ -51,11 +56,11 @@
 const lateJobShare = 0.3
 
 // EndpointLoads returns the loads of the named endpoints, and of the given number of others that
-// have the least load and no long-running tasks, of those that may get tasks.
+// have the least load and no long-running tasks, of those in service.
 func (c *Core) EndpointLoads(least int, named []string) []EndpointLoad {
 	var out, others []EndpointLoad
 	for _, id := range named {
-		if e := c.endpoints[id]; e != nil && e.usable() {
+		if e := c.endpoints[id]; e != nil && e.inService() {
 			out = append(out, e.load())
 		}
 	}
@@ -79,21 +84,32 @@
 	return out
 }
 
-// leastLoaded returns the loads of the endpoints that may get tasks and have no long-running
-// ones, the least first.
+// leastLoaded returns the loads of the endpoints in service that have no long-running tasks, the least
+// first, and of those with the same load the ones to renew.
 func (c *Core) leastLoaded() []EndpointLoad {
 	var out []EndpointLoad
 	for _, e := range c.endpoints {
-		if e.usable() && !e.hasLongRunning() {
+		if e.inService() && !e.hasLongRunning() {
 			out = append(out, e.load())
 		}
 	}
 	slices.SortFunc(out, func(a, b EndpointLoad) int {
-		return cmp.Or(cmp.Compare(a.UsedMilli, b.UsedMilli), cmp.Compare(a.Endpoint, b.Endpoint))
+		return cmp.Or(cmp.Compare(a.UsedMilli, b.UsedMilli), compareRenewal(a, b), cmp.Compare(a.Endpoint, b.Endpoint))
 	})
 	return out
 }
 
+// compareRenewal orders endpoints to renew before others.
+func compareRenewal(a, b EndpointLoad) int {
+	switch {
+	case a.Renew == b.Renew:
+		return 0
+	case a.Renew:
+		return -1
+	}
+	return 1
+}
+
 // Summary returns the pool's state in figures, without EndpointLoads.
 func (c *Core) Summary(now time.Duration) Summary {
 	s := Summary{Pool: c.pool, Jobs: len(c.open)}
--- a/internal/executor/world_test.go
+++ b/internal/executor/world_test.go
@@ -406,6 +406,7 @@
 		return
 	}
 	h.fence = p.Fence
+	h.polls++
 	h.extendLease(w.now, p.LeaseUntil)
 	w.acknowledge(h, p.Acknowledged)
 	if h.losesPollAnswers || w.chance("look", p.Endpoint, o.epoch) < w.loseAnswers {
@@ -421,7 +422,7 @@
 
 // answerPoll answers a poll with what the endpoint has now.
 func (w *world) answerPoll(o *owner, p executor.Poll, h *simEndpoint) {
-	listed := executor.Listed{Clock: h.clock(w.now), StartedMs: h.startedMs, Ended: slices.Clone(h.ended)}
+	listed := executor.Listed{Clock: h.clock(w.now), StartedMs: h.startedMs, Ended: slices.Clone(h.ended[:min(maxListedEnds, len(h.ended))])}
 	for _, r := range h.running {
 		percent := 50
 		if !r.stalled {
--- a/internal/fleetops/balance.go
+++ b/internal/fleetops/balance.go
@@ -68,7 +68,7 @@
 	sums := map[string]float64{}
 	for _, op := range s.ops {
 		view := s.pools[op.From]
-		if op.Phase == PhaseVacating && view != nil && (op.firstAskedAt == 0 || op.firstAskedAt > view.AskedAt) {
+		if op.Phase == PhaseVacating && view != nil && !view.endpointLoads[op.Endpoint].Unusable && (op.firstAskedAt == 0 || op.firstAskedAt > view.AskedAt) {
 			sums[op.From] += float64(s.instances[op.Instance].CPUMilli)
 		}
 	}
--- a/internal/fleetops/candidates.go
+++ b/internal/fleetops/candidates.go
@@ -31,6 +31,8 @@
 type loadedInstance struct {
 	name string
 	used int
+	// renew and unusable are as in executor.EndpointLoad.
+	renew, unusable bool
 }
 
 // route is a move's source and destination pool; switchingOff is read with an empty source.
@@ -144,16 +146,27 @@
 		}
 		load, known := c.s.pools[pool].endpointLoads[c.s.instances[name].Endpoint]
 		if known && !load.HasLongRunning {
-			out = append(out, loadedInstance{name: name, used: load.UsedMilli})
+			out = append(out, loadedInstance{name: name, used: load.UsedMilli, renew: load.Renew, unusable: load.Unusable})
 		}
 	}
 	slices.SortFunc(out, func(x, y loadedInstance) int {
-		return cmp.Or(cmp.Compare(x.used, y.used), cmp.Compare(x.name, y.name))
+		return cmp.Or(cmp.Compare(x.used, y.used), compareRenewal(x, y), cmp.Compare(x.name, y.name))
 	})
 	c.byPool[pool] = out
 	return out
 }
 
+// compareRenewal orders instances to renew before others.
+func compareRenewal(x, y loadedInstance) int {
+	switch {
+	case x.renew == y.renew:
+		return 0
+	case x.renew:
+		return -1
+	}
+	return 1
+}
+
 // movable reports whether no operation is in progress on an instance, it may get orders, and the
 // platform has not rejected its kind for the pool.
 func (s *State) movable(now time.Duration, i Instance, to string) bool {
--- a/internal/fleetops/fleet_test.go
+++ b/internal/fleetops/fleet_test.go
@@ -59,6 +59,8 @@
 	// capacity if leaveOutVacating is set.
 	vacating         map[string]bool
 	leaveOutVacating bool
+	// unusable are the endpoints that can't get tasks before their next incarnation.
+	unusable map[string]bool
 	// ordersPerSecond is the platform's limit for a successor, 0 for none.
 	ordersPerSecond int
 	// proofAge is how old the owners' proofs are.
@@ -164,9 +166,13 @@
 		MinEndpoints: f.minEndpoints[pool], Starved: f.starved[pool]}
 	for _, i := range f.instances {
 		if i.Pool == pool && i.Up && !(f.leaveOutVacating && f.vacating[i.Endpoint]) {
-			s.Endpoints++
-			s.CapacityMilli += instanceCPU
-			s.EndpointLoads = append(s.EndpointLoads, executor.EndpointLoad{Endpoint: i.Endpoint, Tasks: f.tasks[i.Endpoint], HasLongRunning: f.longRunning[i.Endpoint]})
+			load := executor.EndpointLoad{Endpoint: i.Endpoint, Tasks: f.tasks[i.Endpoint], HasLongRunning: f.longRunning[i.Endpoint],
+				Renew: f.unusable[i.Endpoint], Unusable: f.unusable[i.Endpoint]}
+			s.EndpointLoads = append(s.EndpointLoads, load)
+			if !load.Unusable {
+				s.Endpoints++
+				s.CapacityMilli += instanceCPU
+			}
 		}
 	}
 	return s
--- a/internal/fleetops/fleetops_test.go
+++ b/internal/fleetops/fleetops_test.go
@@ -475,3 +475,28 @@
 		Expect(moves).To(BeNumerically("<", 260))
 	})
 })
+
+// Guards against instances that stay in a pool for good although their endpoints can't get tasks, while the
+// pool is given others.
+func TestInstancesOfUnusableEndpointsAreSwitchedOff(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(map[string]int{"a": 4, "b": 4, sparePool: 4})
+	f.running["a"], f.running["b"] = 4*instanceCPU, 4*instanceCPU // no pool has a surplus
+	unusable := f.names("a")[1]
+	for _, i := range f.instances {
+		if i.Name == unusable {
+			f.unusable = map[string]bool{i.Endpoint: true}
+		}
+	}
+	for range 60 {
+		f.round("a", "b")
+	}
+	var moved []string
+	for _, op := range f.ordered {
+		if op.To == sparePool {
+			moved = append(moved, op.Instance)
+		}
+	}
+	g.Expect(moved).To(HaveExactElements(unusable))
+	g.Expect(f.count("a")).To(BeNumerically(">=", 4))
+}
--- a/internal/fleetops/moves.go
+++ b/internal/fleetops/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -93,6 +94,7 @@
 			}
 		}
 	}
+	switchOff -= s.renewUnusable(now, c, switchOff, a)
 	s.switchOff(now, unit, balances, c, switchOff, a)
 	s.updateLoadsWanted(balances, unit)
 	s.fleetSurplus = s.idleSpareCPU()
@@ -146,6 +148,31 @@
 	a.Events = append(a.Events, Event{What: "move begun", Instance: i.Name, Reason: reason, Pool: to})
 }
 
+// renewUnusable switches off idle instances whose endpoints can't get tasks before their next incarnation,
+// at most limit of them, and returns how many. Load: endpoints that were cut off list ends that must not
+// be acknowledged, and more with each task. Their pools don't count them as capacity any more and get
+// others, while these would stay there for good.
+func (s *State) renewUnusable(now time.Duration, c *candidates, limit int, a *Actions) int {
+	begun := 0
+	if s.spare == "" {
+		return begun
+	}
+	for _, pool := range slices.Sorted(maps.Keys(s.pools)) {
+		if !s.pools[pool].hasUnusable {
+			continue
+		}
+		for _, l := range c.list(pool) {
+			i := s.instances[l.name]
+			if !l.unusable || l.used > 0 || begun >= limit || !s.movable(now, i, s.spare) {
+				continue
+			}
+			s.beginMove(now, &i, s.spare, "unusable", a)
+			begun++
+		}
+	}
+	return begun
+}
+
 // switchOff moves instances that their pools have not needed for a while to the spare pool, at most
 // limit of them.
 func (s *State) switchOff(now time.Duration, unit float64, balances []balance, c *candidates, limit int, a *Actions) {
--- a/internal/fleetops/state.go
+++ b/internal/fleetops/state.go
@@ -133,6 +133,8 @@
 	AskedAt, At time.Duration
 	// endpointLoads are those of Summary by endpoint.
 	endpointLoads map[string]executor.EndpointLoad
+	// hasUnusable is set if one of them is unusable.
+	hasUnusable bool
 }
 
 // State is what the fleet duty has observed and decided. It is not safe for concurrent use.
@@ -244,10 +246,12 @@
 // ObservePool applies a summary from a pool's owner, requested at asked.
 func (s *State) ObservePool(asked, now time.Duration, pool string, sum executor.Summary) {
 	loads := make(map[string]executor.EndpointLoad, len(sum.EndpointLoads))
+	view := &PoolView{Summary: sum, AskedAt: asked, At: now, endpointLoads: loads}
 	for _, l := range sum.EndpointLoads {
 		loads[l.Endpoint] = l
+		view.hasUnusable = view.hasUnusable || l.Unusable
 	}
-	s.pools[pool] = &PoolView{Summary: sum, AskedAt: asked, At: now, endpointLoads: loads}
+	s.pools[pool] = view
 	s.observeDemand(now, pool, sum)
 }
 
