ingress, shards, published: a job is found in the pool that an earlier version led to

A submission that comes again is accepted by the new pool and runs a second time beside the first, a GET for a running job is answered 410 by every node, and a DELETE is answered 410 while the tasks run on.

Cause: a node chooses the pool by the route in force alone, and only the pool that accepted a job knows it.

Ruled out: nodes that still have the former version, as the second runs are in the new pool.

What changes: nodes remember the route tables of earlier versions, and learn those from before their start from the store's history and a peer. For a queue whose address has led elsewhere, the earlier pools are asked about jobs that the present one does not know, and for two minutes before a submission is sent. An earlier pool denies a job only with an append that was sent after the question, and by a version under which it takes no new job of these callers: otherwise a first submission that is under way, or is sent by a node with the former version, would be accepted after the denial. A pool that can't be asked makes 503 of a denial, and 504 of a submission. Queues that keep their pool cost no call more; what other versions cost is a pass over the routes.

--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -103,6 +104,26 @@
 	n.applyOperatorRecords(records)
 }
 
+// rememberEarlierConfigs reads the versions before the one in force that the store still has: the jobs of a
+// queue may be in the pool that they led it to.
+func (n *Node) rememberEarlierConfigs(ctx context.Context) {
+	records, err := feed.History(ctx, n.client, platform.TopicOperator)
+	if err != nil {
+		n.log.Warn("cannot read topic history", "topic", platform.TopicOperator, operator.Err(err))
+	}
+	for _, r := range records {
+		if r.Key != platform.KeyConfig || len(r.Value) == 0 {
+			continue
+		}
+		c, err := platform.DecodeConfig(r, platform.AccountsInForce(n.set.Contracts))
+		if err != nil {
+			n.reportUnusableEntry(platform.TopicOperator, err)
+			continue
+		}
+		n.configs.PutEarlier(c)
+	}
+}
+
 func (n *Node) applyWave(r platform.Record) error {
 	w, err := platform.DecodeWave(r)
 	if err != nil {
@@ -158,12 +179,17 @@
 // and hears of newer ones from a peer once a second.
 func (n *Node) followOperator(ctx context.Context) {
 	var version atomic.Int64 // of the configuration that this feed or a peer had brought before the read
+	var earlierConfigs sync.Once
 	watched := func() bool {
 		return !n.manager.InGroup() && n.configs.ConfirmedByPeers() && n.configs.Digest().Version == version.Load()
 	}
 	feed.Follow(ctx, n.client, feed.Topic{Name: platform.TopicOperator, Watched: watched, Handle: func(reset bool, records []platform.Record) {
-		if !n.applyOperatorRecords(records) && reset {
+		allReadable := n.applyOperatorRecords(records)
+		switch {
+		case !allReadable && reset:
 			n.applyOperatorHistory(ctx)
+		case reset && n.configs.Config() != nil:
+			earlierConfigs.Do(func() { n.rememberEarlierConfigs(ctx) })
 		}
 	}, OnAnswer: func() {
 		version.Store(n.configs.Digest().Version)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -132,6 +132,9 @@
 		Strict: n.set.Bounds.StrictKeys, Revoke: n.set.Bounds.KeysUnconfirmed,
 		Ask: func(ctx context.Context, name string, have int64) (published.Answer, error) {
 			return published.AskPeer(ctx, n.peers, name, have)
+		},
+		AskEarlier: func(ctx context.Context, name string) ([]published.PastTable, error) {
+			return published.AskPeerEarlier(ctx, n.peers, name)
 		}})
 	if n.overloadControl() {
 		n.gate = admission.NewGate(rand.Uint64())
@@ -295,6 +298,7 @@
 			return shards.AskMembers(ctx, n.peers, node, in)
 		},
 		Config:        n.configs.Digest,
+		Routes:        n.configs.Config,
 		ObserveConfig: n.configs.ObserveDigest,
 		NotifyLeaving: func(ctx context.Context, node string) { shards.NotifyLeaving(ctx, n.peers, node, member) },
 		OnPeers:       n.updatePeers,
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -17,6 +17,7 @@
 	Submit(ctx context.Context, in shards.SubmitCall) shards.Result
 	State(ctx context.Context, in shards.JobCall) shards.Result
 	Cancel(ctx context.Context, in shards.JobCall) shards.Result
+	Find(ctx context.Context, in shards.FindCall) shards.Result
 	Pending(ctx context.Context, in shards.QueueCall) shards.Result
 	Known(ctx context.Context, q shards.KnownQuestion) shards.KnownAnswer
 }
--- a/internal/ingress/gate_test.go
+++ b/internal/ingress/gate_test.go
@@ -14,6 +14,7 @@
 	"cyclamenwheel/internal/admission"
 	"cyclamenwheel/internal/jobs"
 	"cyclamenwheel/internal/planlease"
+	"cyclamenwheel/internal/published"
 	"cyclamenwheel/internal/routing"
 	"cyclamenwheel/internal/shards"
 	"cyclamenwheel/platform"
@@ -60,7 +61,7 @@
 
 	BeforeEach(func() {
 		calls, gate, logs = &fakeCalls{known: shards.KnownAnswer{Answered: true, Notice: closed(2)}}, admission.NewGate(1), &bytes.Buffer{}
-		i = New(nil, calls, gate, slog.New(slog.NewTextHandler(logs, nil)))
+		i = New(published.New(published.Options{}), calls, gate, slog.New(slog.NewTextHandler(logs, nil)))
 		gate.Observe(planlease.Boottime(), key, closed(1))
 	})
 
@@ -109,7 +110,7 @@
 
 	// Guards against decisions at nodes whose deployment has not enabled overload control.
 	It("sends everything without a gate", func() {
-		i = New(nil, calls, nil, slog.New(slog.DiscardHandler))
+		i = New(published.New(published.Options{}), calls, nil, slog.New(slog.DiscardHandler))
 		Expect(submit().Status).To(Equal(http.StatusOK))
 		Expect(calls.submitted).To(HaveLen(1))
 		Expect(calls.questions).To(BeEmpty())
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -37,7 +37,10 @@
 
 // Submit submits a job.
 func (i *Ingress) Submit(ctx context.Context, q *routing.Queue, account string, job jobs.Job) platform.Answer {
-	in := shards.SubmitCall{Pool: q.Service, Job: job, Acceptance: executor.Accepting{Queue: q.Name, Terms: q.Terms, Account: account}}
+	if result, decided := i.acceptedEarlier(ctx, q, account, job.ID); decided {
+		return answerOf(result)
+	}
+	in := shards.SubmitCall{Pool: q.Service, Job: job, Address: q.Address(), Acceptance: executor.Accepting{Queue: q.Name, Terms: q.Terms, Account: account}}
 	if i.gate == nil {
 		return answerOf(i.calls.Submit(ctx, in))
 	}
@@ -46,7 +49,7 @@
 
 // State returns a job's state.
 func (i *Ingress) State(ctx context.Context, q *routing.Queue, account, id string) platform.Answer {
-	result := i.calls.State(ctx, jobCall(q, account, id))
+	result := i.callOnJob(ctx, q, account, id, i.calls.State)
 	a := answerOf(result)
 	if result.Outcome == shards.OutcomeDone {
 		a.State = result.State.String()
@@ -56,16 +59,20 @@
 
 // Cancel cancels a job.
 func (i *Ingress) Cancel(ctx context.Context, q *routing.Queue, account, id string) platform.Answer {
-	return answerOf(i.calls.Cancel(ctx, jobCall(q, account, id)))
-}
-
-func jobCall(q *routing.Queue, account, id string) shards.JobCall {
-	return shards.JobCall{Pool: q.Service, ID: id, By: executor.Caller{Queue: q.Name, Account: account}}
+	return answerOf(i.callOnJob(ctx, q, account, id, i.calls.Cancel))
 }
 
 // Pending returns how many of a queue's jobs have not started.
 func (i *Ingress) Pending(ctx context.Context, q *routing.Queue) platform.Answer {
 	result := i.calls.Pending(ctx, shards.QueueCall{Pool: q.Service, Queue: q.Name})
+	for _, e := range i.Earlier(q) {
+		if result.Outcome != shards.OutcomeDone {
+			break
+		}
+		sum := result.Pending
+		result = i.calls.Pending(ctx, shards.QueueCall{Pool: e.Service, Queue: e.Queue})
+		result.Pending += sum
+	}
 	a := answerOf(result)
 	if result.Outcome == shards.OutcomeDone {
 		a.Pending = &result.Pending
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -21,7 +21,8 @@
 )
 
 const (
-	kindNewer = "config.newer"
+	kindNewer   = "config.newer"
+	kindEarlier = "config.earlier"
 	// askPeersAfter is how long ago the store may last have confirmed the configuration
 	// before peers are asked. It is above the time between two answers of a healthy store.
 	askPeersAfter = 1300 * time.Millisecond
@@ -37,6 +38,8 @@
 	askInterval = 400 * time.Millisecond
 	// askTimeout bounds one request: a peer that does not answer may be cut off as well.
 	askTimeout = 300 * time.Millisecond
+	// maxEarlierTries is how many peers are asked for the routes of earlier versions until one answers.
+	maxEarlierTries = 8
 )
 
 // Options configure a Keeper.
@@ -45,6 +48,8 @@
 	Peers func() []string
 	// Ask sends a request to one of them.
 	Ask func(ctx context.Context, peer string, have int64) (Answer, error)
+	// AskEarlier asks one of them for the routes of earlier versions; nil if nobody is asked.
+	AskEarlier func(ctx context.Context, peer string) ([]PastTable, error)
 	// Changed is called with each configuration that takes effect.
 	Changed func(*routing.Config)
 	// Strict makes a process that has had no confirmation of its configuration for Revoke
@@ -69,6 +74,7 @@
 	// digestAt is when a peer last confirmed the configuration.
 	digestAt atomic.Int64
 	nextPeer atomic.Int64
+	earlier  earlierRoutes
 	// newer receives the peer that has a newer configuration.
 	newer chan string
 }
@@ -87,6 +93,9 @@
 	if have := k.config.Load(); have != nil && have.Version >= c.Version {
 		return false
 	}
+	if have := k.config.Load(); have != nil {
+		k.earlier.add(tableOf(have, planlease.Boottime()), c) // before a request is led by c
+	}
 	k.config.Store(c)
 	k.opts.Changed(c)
 	return true
@@ -115,6 +124,10 @@
 func (k *Keeper) Follow(ctx context.Context) {
 	tick := time.NewTicker(askInterval)
 	defer tick.Stop()
+	earlierTries := maxEarlierTries
+	if k.opts.AskEarlier == nil {
+		earlierTries = 0
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -125,6 +138,12 @@
 			if k.Age() > k.maxAge() {
 				k.askPeer(ctx)
 			}
+			if earlierTries > 0 && k.Config() != nil {
+				earlierTries--
+				if k.askEarlier(ctx) {
+					earlierTries = 0
+				}
+			}
 		}
 	}
 }
@@ -257,6 +276,23 @@
 	peer.Handle(n, kindNewer, func(_ context.Context, _ peer.Identity, q Question) (Answer, error) {
 		return k.answer(q), nil
 	}, peer.MaxBytes(peer.MaxTransfer))
+	peer.Handle(n, kindEarlier, func(context.Context, peer.Identity, earlierQuestion) (earlierAnswer, error) {
+		return earlierAnswer{Past: k.pastTables()}, nil
+	}, peer.MaxBytes(peer.MaxTransfer))
+}
+
+// earlierQuestion asks a peer for the routes of earlier versions.
+type earlierQuestion struct{}
+
+// earlierAnswer has the routes of earlier versions that the peer knows.
+type earlierAnswer struct {
+	Past []PastTable `cbor:"1,keyasint,omitempty"`
+}
+
+// AskPeerEarlier asks a peer for the routes of earlier versions that it knows.
+func AskPeerEarlier(ctx context.Context, peers *peer.Node, name string) ([]PastTable, error) {
+	out, err := peer.Call[earlierQuestion, earlierAnswer](ctx, peers, name, kindEarlier, earlierQuestion{}, peer.MaxBytes(peer.MaxTransfer))
+	return out.Past, err
 }
 
 // AskPeer asks a peer for a configuration newer than have.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -32,6 +32,21 @@
 	Terms  Terms
 }
 
+// Address is where callers reach a queue: the host, and the prefix of the path.
+type Address struct {
+	Host   string `cbor:"1,keyasint,omitempty"`
+	Prefix string `cbor:"2,keyasint,omitempty"`
+}
+
+// Address returns the queue's address.
+func (q *Queue) Address() Address { return Address{Host: q.Host, Prefix: q.Prefix} }
+
+// Contains reports whether requests to the other address may have been led to this one, under a version
+// that had no longer prefix.
+func (a Address) Contains(other Address) bool {
+	return a.Host == other.Host && strings.HasPrefix(other.Prefix, a.Prefix)
+}
+
 // Terms are the guarantees and limits of a queue's jobs. A job keeps the terms under which
 // it was accepted.
 type Terms struct {
@@ -75,6 +90,16 @@
 	IdleTimeout    time.Duration
 }
 
+// ServiceAt returns the service that requests to an address are led to; known is false if there is no
+// queue for it.
+func (c *Config) ServiceAt(a Address) (service string, known bool) {
+	q, _ := c.Match(a.Host, a.Prefix)
+	if q == nil {
+		return "", false
+	}
+	return q.Service, true
+}
+
 // Match returns the queue of that host with the longest prefix of path, and the rest of
 // the path; nil if there is none.
 func (c *Config) Match(host, path string) (q *Queue, rest string) {
--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -14,6 +14,7 @@
 	"cyclamenwheel/internal/planlease"
 	"cyclamenwheel/internal/published"
 	"cyclamenwheel/internal/quota"
+	"cyclamenwheel/internal/routing"
 )
 
 // Kinds of calls between peers.
@@ -21,6 +22,7 @@
 	kindSubmit  = "job.submit"
 	kindCancel  = "job.cancel"
 	kindState   = "job.state"
+	kindFind    = "job.find"
 	kindPending = "queue.pending"
 	kindVacate  = "pool.vacate"
 	kindMembers = "group.members"
@@ -49,6 +51,8 @@
 	Acceptance executor.Accepting `cbor:"3,keyasint"`
 	// Refused is how many jobs of the same class this node has refused since its last call.
 	Refused int `cbor:"4,keyasint,omitempty"`
+	// Address is the one that led to this pool.
+	Address routing.Address `cbor:"5,keyasint,omitempty"`
 }
 
 // JobCall identifies a job of a pool.
@@ -57,6 +61,15 @@
 	ID   string `cbor:"2,keyasint"`
 	// By is the caller that asks.
 	By executor.Caller `cbor:"3,keyasint,omitempty"`
+	// Address is the one that led to this pool; empty if an earlier version did.
+	Address routing.Address `cbor:"4,keyasint,omitempty"`
+}
+
+// FindCall asks a pool to which an earlier version led whether it has accepted a job.
+type FindCall struct {
+	JobCall
+	// Version is that of the configuration by which the job would be accepted in another pool.
+	Version int64 `cbor:"5,keyasint"`
 }
 
 // QueueCall identifies a queue of a pool.
@@ -166,6 +179,9 @@
 	peer.Handle(n, kindState, func(ctx context.Context, _ peer.Identity, in JobCall) (Result, error) {
 		return m.localState(ctx, in), nil
 	})
+	peer.Handle(n, kindFind, func(ctx context.Context, _ peer.Identity, in FindCall) (Result, error) {
+		return m.localFind(ctx, in), nil
+	})
 	peer.Handle(n, kindPending, func(ctx context.Context, _ peer.Identity, in QueueCall) (Result, error) {
 		return m.localPending(ctx, in), nil
 	})
@@ -207,11 +223,15 @@
 }
 
 func (m *Manager) localCancel(ctx context.Context, in JobCall) Result {
-	return m.localCall(in.Pool, func(r *Runner) Result { return r.cancelJob(ctx, in.ID, in.By) })
+	return m.localCall(in.Pool, func(r *Runner) Result { return r.cancelJob(ctx, in) })
 }
 
 func (m *Manager) localState(ctx context.Context, in JobCall) Result {
-	return m.localCall(in.Pool, func(r *Runner) Result { return r.state(ctx, in.ID, in.By) })
+	return m.localCall(in.Pool, func(r *Runner) Result { return r.state(ctx, in) })
+}
+
+func (m *Manager) localFind(ctx context.Context, in FindCall) Result {
+	return m.localCall(in.Pool, func(r *Runner) Result { return r.find(ctx, in) })
 }
 
 func (m *Manager) localPending(ctx context.Context, in QueueCall) Result {
@@ -308,6 +328,12 @@
 	return c.call(ctx, in.Pool, kindState, func(ctx context.Context) Result { return c.Manager.localState(ctx, in) }, in)
 }
 
+// Find asks a pool to which an earlier version led whether it has accepted a job. If there is none, the
+// pool will accept none under that id any more, as long as the configuration leads its callers elsewhere.
+func (c *Calls) Find(ctx context.Context, in FindCall) Result {
+	return c.call(ctx, in.Pool, kindFind, func(ctx context.Context) Result { return c.Manager.localFind(ctx, in) }, in)
+}
+
 // Pending returns how many jobs of a queue have not started.
 func (c *Calls) Pending(ctx context.Context, in QueueCall) Result {
 	return c.call(ctx, in.Pool, kindPending, func(ctx context.Context) Result { return c.Manager.localPending(ctx, in) }, in)
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -15,6 +15,7 @@
 	"cyclamenwheel/internal/pause"
 	"cyclamenwheel/internal/planlease"
 	"cyclamenwheel/internal/published"
+	"cyclamenwheel/internal/routing"
 	"cyclamenwheel/internal/tenure"
 	"cyclamenwheel/platform"
 )
@@ -80,6 +81,8 @@
 	// ObserveConfig receives that of a peer, which was asked at the given time.
 	Config        func() published.Digest
 	ObserveConfig func(peer string, asked time.Duration, d published.Digest)
+	// Routes returns the configuration in force, nil before the first.
+	Routes func() *routing.Config
 	// NotifyLeaving notifies a peer that this member leaves; the notification may get lost.
 	NotifyLeaving func(ctx context.Context, node string)
 	// OnPeers receives the addresses of all members by node.
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -25,6 +25,7 @@
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/fleetops"
 	"cyclamenwheel/internal/planlease"
+	"cyclamenwheel/internal/routing"
 	"cyclamenwheel/internal/tenure"
 	"cyclamenwheel/platform"
 )
@@ -108,6 +109,8 @@
 	onProven []func()
 	// done is closed once the runner has ended and answered the waiting calls.
 	done chan struct{}
+	// config returns the configuration in force, nil before the first.
+	config func() *routing.Config
 	// lastRoundTook is how long the last round took.
 	lastRoundTook time.Duration
 	// lost is set when the pool is fenced or an append has failed for good.
@@ -118,7 +121,7 @@
 	return &Runner{
 		pool: pool, topic: TopicOf(pool), owner: m.opts.Member, store: m.opts.Store, endpoints: m.opts.Endpoints,
 		log: m.opts.Logger.With("pool", pool), limits: m.opts.Limits, now: planlease.Boottime, wallClock: time.Now,
-		inbox: make(chan func(time.Duration), inboxSize), submissions: newSubmissionQueue(), appendOutcomes: make(chan appendOutcome, maxInFlightBatches), done: make(chan struct{}), waitingCalls: map[uint64]chan Result{}, metered: map[uint64]admission.MeterClass{},
+		inbox: make(chan func(time.Duration), inboxSize), submissions: newSubmissionQueue(), appendOutcomes: make(chan appendOutcome, maxInFlightBatches), done: make(chan struct{}), config: m.opts.Routes, waitingCalls: map[uint64]chan Result{}, metered: map[uint64]admission.MeterClass{},
 	}
 }
 
--- a/internal/shards/runner_calls.go
+++ b/internal/shards/runner_calls.go
@@ -6,6 +6,7 @@
 
 	"cyclamenwheel/internal/admission"
 	"cyclamenwheel/internal/executor"
+	"cyclamenwheel/internal/routing"
 )
 
 // Outcome is the result class of a call on a pool.
@@ -88,6 +89,9 @@
 			return Result{Outcome: OutcomeUnavailable, Reason: "the store does not answer", RetryAfterMs: storeRetryAfterMs}, true
 		}
 		known := r.core.Knows(in.Job.ID)
+		if !known && r.ledElsewhere(in.Address) {
+			return resultLedElsewhere, true
+		}
 		verdict, refusal := r.core.Submit(now, in.Job, in.Acceptance, token)
 		r.meterSubmission(now, token, in, known, verdict, refusal)
 		switch verdict {
@@ -116,32 +120,97 @@
 	return waited > appendStalledAfter || waited > storeStalledAfter && r.store.Attempts.SilentFor(now) > storeStalledAfter
 }
 
-func (r *Runner) cancelJob(ctx context.Context, id string, caller executor.Caller) Result {
+func (r *Runner) cancelJob(ctx context.Context, in JobCall) Result {
 	return r.request(ctx, func(now time.Duration, token uint64) (Result, bool) {
-		if !r.core.VisibleTo(id, caller) {
+		if !r.core.VisibleTo(in.ID, in.By) {
 			return Result{Outcome: OutcomeNotFound}, true
 		}
-		found, durable := r.core.Cancel(now, id, token)
+		found, durable := r.core.Cancel(now, in.ID, token)
 		if !found {
-			return Result{Outcome: OutcomeNotFound}, true
+			return r.notFound(in), true
 		}
 		return Result{Outcome: OutcomeDone}, durable
 	})
 }
 
-func (r *Runner) state(ctx context.Context, id string, caller executor.Caller) Result {
+func (r *Runner) state(ctx context.Context, in JobCall) Result {
 	return r.request(ctx, func(now time.Duration, _ uint64) (Result, bool) {
 		if !r.hasFreshProof() {
 			return Result{Outcome: OutcomeUnavailable, Reason: "the store does not answer", RetryAfterMs: storeRetryAfterMs}, true
 		}
-		state, found := r.core.State(id)
-		if !found || !r.core.VisibleTo(id, caller) {
+		state, found := r.core.State(in.ID)
+		switch {
+		case !found:
+			return r.notFound(in), true
+		case !r.core.VisibleTo(in.ID, in.By):
 			return Result{Outcome: OutcomeNotFound}, true
 		}
 		return Result{Outcome: OutcomeDone, State: state}, true
 	})
 }
 
+var (
+	// resultLedElsewhere answers a call of a node whose configuration is older than this one's: the
+	// pool that its caller is led to now may have the job, or accept it.
+	resultLedElsewhere = Result{Outcome: OutcomeUnavailable, Reason: "the queue leads to another pool", RetryAfterMs: ownerRetryAfterMs}
+	// resultOlderConfig answers a FindCall of a node whose configuration is newer than this one's: a
+	// submission by the older one could still be accepted here.
+	resultOlderConfig = Result{Outcome: OutcomeUnavailable, Reason: "the owner has an older configuration", RetryAfterMs: ownerRetryAfterMs, Changing: true}
+	// resultArriving answers a FindCall on a job that is being submitted here.
+	resultArriving = Result{Outcome: OutcomeUnknown, Reason: "the job is being submitted"}
+)
+
+func (r *Runner) notFound(in JobCall) Result {
+	if r.ledElsewhere(in.Address) {
+		return resultLedElsewhere
+	}
+	return Result{Outcome: OutcomeNotFound}
+}
+
+// routes returns the configuration in force, nil before the first.
+func (r *Runner) routes() *routing.Config {
+	if r.config == nil {
+		return nil
+	}
+	return r.config()
+}
+
+// ledElsewhere reports whether the configuration in force leads callers of an address to another pool.
+func (r *Runner) ledElsewhere(a routing.Address) bool {
+	if a == (routing.Address{}) {
+		return false
+	}
+	c := r.routes()
+	if c == nil {
+		return false
+	}
+	service, known := c.ServiceAt(a)
+	return known && service != r.pool
+}
+
+// find reports whether the pool has accepted a job. That it has not is told only once an append that was
+// sent later has succeeded, so that no other owner can have accepted the job, and by a configuration by
+// which none is accepted here later.
+func (r *Runner) find(ctx context.Context, in FindCall) Result {
+	return r.request(ctx, func(_ time.Duration, token uint64) (Result, bool) {
+		if c := r.routes(); c == nil || c.Version < in.Version {
+			return resultOlderConfig, true
+		}
+		result := Result{Outcome: OutcomeDone}
+		switch {
+		case r.core.Knows(in.ID) && !r.core.VisibleTo(in.ID, in.By):
+			result = Result{Outcome: OutcomeRefused, Reason: executor.RefusedIDTaken}
+		case r.core.Knows(in.ID):
+		case r.arriving.contains(in.ID):
+			return resultArriving, true
+		default:
+			result.Outcome = OutcomeNotFound
+		}
+		r.onProven = append(r.onProven, func() { r.reply(token, result) })
+		return Result{}, false
+	})
+}
+
 func (r *Runner) pending(ctx context.Context, queue string) Result {
 	return r.request(ctx, func(time.Duration, uint64) (Result, bool) {
 		return Result{Outcome: OutcomeDone, Pending: r.core.Pending(queue)}, true
