executor: a run of a gang counts as failed once

A gang of three tasks on a queue with two attempts is shown as `failed` after its first run.

Cause: the members of a gang share the counter of failed runs, and each member's failed end raised it, whatever its run.

Ruled out: further runs on the same endpoint.

A failed end of a step that another member has completed counts nowhere.

--- a/internal/executor/job.go
+++ b/internal/executor/job.go
@@ -77,8 +77,10 @@
 	waitsFor int
 	// waiting counts the tasks that are neither placed nor done.
 	waiting int
-	// failures counts the failures of a gang as a whole.
-	failures int
+	// failures counts the failed runs of a gang, and failedRuns are their numbers: the members share them,
+	// and each may end as failed.
+	failures   int
+	failedRuns []int
 	// gangDone is set when one member has completed, which counts for all members.
 	gangDone bool
 	// measuredRuns counts the tasks whose run time has been measured, and measuredRunMs is the sum
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -42,9 +42,10 @@
 // progressRecord is the stored part of those tasks of a job that have been started.
 type progressRecord struct {
 	// FirstOpen is the lowest occurrence that has not ended.
-	FirstOpen int            `cbor:"1,keyasint,omitempty"`
-	Tasks     []taskRecord   `cbor:"2,keyasint,omitempty"`
-	Gangs     map[string]int `cbor:"3,keyasint,omitempty"`
+	FirstOpen int          `cbor:"1,keyasint,omitempty"`
+	Tasks     []taskRecord `cbor:"2,keyasint,omitempty"`
+	// Gangs counts the failed runs of gangs, by gangKey.
+	Gangs map[string]int `cbor:"3,keyasint,omitempty"`
 	// RunConfirmed reports that an endpoint has confirmed a run of some task.
 	RunConfirmed bool `cbor:"5,keyasint,omitempty"`
 	// Ended lists the occurrences above FirstOpen that have ended.
@@ -54,6 +55,8 @@
 	Started map[string]int64 `cbor:"6,keyasint,omitempty"`
 	// Crashes is the evidence that tasks crash their endpoints, by taskKey.
 	Crashes map[string]evidence `cbor:"7,keyasint,omitempty"`
+	// GangRuns are the numbers of the failed runs that Gangs counts.
+	GangRuns map[string][]int `cbor:"8,keyasint,omitempty"`
 }
 
 // taskRecord is encoded as an array to keep it short: a journal holds many of them.
@@ -101,9 +104,9 @@
 		for _, s := range o.steps {
 			if s.failures > 0 {
 				if p.Gangs == nil {
-					p.Gangs = map[string]int{}
+					p.Gangs, p.GangRuns = map[string]int{}, map[string][]int{}
 				}
-				p.Gangs[gangKey(o.number, s.index)] = s.failures
+				p.Gangs[gangKey(o.number, s.index)], p.GangRuns[gangKey(o.number, s.index)] = s.failures, s.failedRuns
 			}
 			for _, t := range s.tasks {
 				if t.run == 0 && t.phase == taskWaiting {
@@ -323,7 +326,7 @@
 	}
 	for _, o := range j.current {
 		for _, s := range o.steps {
-			s.failures = p.Gangs[gangKey(o.number, s.index)]
+			s.failures, s.failedRuns = p.Gangs[gangKey(o.number, s.index)], p.GangRuns[gangKey(o.number, s.index)]
 			c.recountTasks(s)
 		}
 	}
--- a/internal/executor/late_ends.go
+++ b/internal/executor/late_ends.go
@@ -69,12 +69,12 @@
 // applyLateFailure applies the late failed end of an abandoned run. It counts, unless a run has started
 // since that would exceed the allowed attempts: then it must not.
 func (c *Core) applyLateFailure(now time.Duration, e *endpoint, end ListedEnd, t *task) {
-	if t == nil || t.run > end.Run && *t.failureCount()+1 >= t.step.job.rec.Terms.Attempts {
+	if t == nil || t.run > end.Run && t.failureCountWith(end.Run) >= t.step.job.rec.Terms.Attempts {
 		c.withhold(e, end)
 		return
 	}
 	c.event(Event{Kind: EventTaskEnd, Job: t.step.job.rec.Job.ID, Task: end.Task, Run: end.Run, Endpoint: e.id, Reason: "failed, heard late"})
-	c.countFailure(now, t, e)
+	c.countFailure(now, t, end.Run, e)
 	c.endIfFailed(t)
 }
 
--- a/internal/executor/run_ends.go
+++ b/internal/executor/run_ends.go
@@ -146,7 +146,7 @@
 // handleFailure requeues a task whose run has failed, and fails the job after as many failures
 // as its queue allows. Long-running tasks have no such limit.
 func (c *Core) handleFailure(now time.Duration, t *task, e *endpoint) {
-	c.countFailure(now, t, e)
+	c.countFailure(now, t, t.run, e)
 	c.requeue(t)
 	c.endIfFailed(t)
 }
@@ -159,10 +159,25 @@
 	return &t.failures
 }
 
+// failureCountWith is what the counter of failed runs becomes if a run has failed: a run of a gang counts
+// once.
+func (t *task) failureCountWith(run int) int {
+	if t.step.spec.Gang && slices.Contains(t.step.failedRuns, run) {
+		return t.step.failures
+	}
+	return *t.failureCount() + 1
+}
+
 // countFailure counts a failed run and delays the next one, preferably on another endpoint.
-func (c *Core) countFailure(now time.Duration, t *task, e *endpoint) {
+func (c *Core) countFailure(now time.Duration, t *task, run int, e *endpoint) {
+	if t.step.gangDone {
+		return
+	}
 	count := t.failureCount()
-	*count++
+	*count = t.failureCountWith(run)
+	if t.step.spec.Gang && !slices.Contains(t.step.failedRuns, run) {
+		t.step.failedRuns = append(t.step.failedRuns, run)
+	}
 	t.avoidIncarnation = e.incarnation()
 	t.notBefore = now + min(failureBackoff<<min(*count-1, 8), maxFailureBackoff)
 	c.markDirty(t.step.job)
@@ -171,7 +186,7 @@
 // endIfFailed fails the job if the task has failed as often as its queue allows.
 func (c *Core) endIfFailed(t *task) {
 	j := t.step.job
-	if !t.step.spec.LongRunning && *t.failureCount() >= j.rec.Terms.Attempts && !j.rec.State.Ended() {
+	if !t.step.spec.LongRunning && !t.step.gangDone && *t.failureCount() >= j.rec.Terms.Attempts && !j.rec.State.Ended() {
 		c.endJob(j, JobFailed, "a task has failed as often as allowed")
 	}
 }
