shards: an owner denies a job only with a proof from after the question

As the former owner wakes it answers 410 to the job's DELETE, and the job goes on: its next step starts 7 s later.

Cause: that a job is not known was answered from memory, to a DELETE without a proof of the epoch and to a GET with one of up to 5 s, though a successor may have accepted jobs a second after the last proof.

What changes: a denial is answered once an append that was sent after the question has succeeded, as the question whether an earlier pool has accepted a job is already. A displaced owner fails in that append, and the call is repeated at its successor.

TestThatAJobIsNotFoundNeedsAProof (state, cancel) and TestACountOfWaitingJobsNeedsARecentProof fail before.

--- a/internal/shards/find_test.go
+++ b/internal/shards/find_test.go
@@ -59,8 +59,8 @@
 	g.Expect(r.state(ctx, JobCall{ID: "00000000000000d2"}).Outcome).To(Equal(OutcomeNotFound))
 }
 
-// Guards against a former owner that denies a job which its successor has accepted: no append of its own
-// has succeeded since the question.
+// Guards against a former owner that denies a job which its successor has accepted, as it wakes: no append of
+// its own has succeeded since the question. A DELETE that it denies leaves the job running.
 func TestThatAJobIsNotFoundNeedsAProof(t *testing.T) {
 	g := NewWithT(t)
 	journal := &memoryJournal{}
@@ -72,9 +72,34 @@
 	}()
 	r.config = func() *routing.Config { return configLeading(9, "another") }
 	in := FindCall{JobCall: JobCall{Pool: "pool", ID: "00000000000000d1"}, Version: 9}
-	g.Expect(r.find(ctx, in).Outcome).To(Equal(OutcomeNotFound))
-	journal.setDelay(time.Second)
-	short, stop := context.WithTimeout(ctx, 200*time.Millisecond)
+	for name, ask := range map[string]func(context.Context) Result{
+		"find":   func(ctx context.Context) Result { return r.find(ctx, in) },
+		"state":  func(ctx context.Context) Result { return r.state(ctx, in.JobCall) },
+		"cancel": func(ctx context.Context) Result { return r.cancelJob(ctx, in.JobCall) },
+	} {
+		journal.setDelay(0)
+		g.Expect(ask(ctx).Outcome).To(Equal(OutcomeNotFound), name)
+		journal.setDelay(time.Second)
+		short, stop := context.WithTimeout(ctx, 200*time.Millisecond)
+		g.Expect(ask(short).Outcome).To(Equal(OutcomeUnknown), name)
+		stop()
+	}
+}
+
+// Guards against a former owner that denies, as it wakes, that jobs wait which its successor has accepted.
+func TestACountOfWaitingJobsNeedsARecentProof(t *testing.T) {
+	g := NewWithT(t)
+	journal := &memoryJournal{}
+	ctx, cancel := context.WithCancel(context.Background())
+	r, ended := startOverloadedRunner(ctx, g, journal, false)
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	g.Expect(r.pending(ctx, "q").Outcome).To(Equal(OutcomeDone))
+	journal.setDelay(4 * knownProofAge)
+	g.Eventually(r.tenure.ProofAge, 10*time.Second).Should(BeNumerically(">", knownProofAge))
+	short, stop := context.WithTimeout(ctx, knownProofAge/2)
 	defer stop()
-	g.Expect(r.find(short, in).Outcome).To(Equal(OutcomeUnknown))
+	g.Expect(r.pending(short, "q").Outcome).To(Equal(OutcomeUnknown))
 }
--- a/internal/shards/runner_calls.go
+++ b/internal/shards/runner_calls.go
@@ -127,21 +127,21 @@
 		}
 		found, durable := r.core.Cancel(now, in.ID, token)
 		if !found {
-			return r.notFound(in), true
+			return r.notFound(token, in)
 		}
 		return Result{Outcome: OutcomeDone}, durable
 	})
 }
 
 func (r *Runner) state(ctx context.Context, in JobCall) Result {
-	return r.request(ctx, func(now time.Duration, _ uint64) (Result, bool) {
+	return r.request(ctx, func(now time.Duration, token uint64) (Result, bool) {
 		if !r.hasFreshProof() {
 			return Result{Outcome: OutcomeUnavailable, Reason: "the store does not answer", RetryAfterMs: storeRetryAfterMs}, true
 		}
 		state, found := r.core.State(in.ID)
 		switch {
 		case !found:
-			return r.notFound(in), true
+			return r.notFound(token, in)
 		case !r.core.VisibleTo(in.ID, in.By):
 			return Result{Outcome: OutcomeNotFound}, true
 		}
@@ -160,11 +160,20 @@
 	resultArriving = Result{Outcome: OutcomeUnknown, Reason: "the job is being submitted"}
 )
 
-func (r *Runner) notFound(in JobCall) Result {
+// notFound answers a call on a job that this owner does not know.
+func (r *Runner) notFound(token uint64, in JobCall) (Result, bool) {
 	if r.ledElsewhere(in.Address) {
-		return resultLedElsewhere
+		return resultLedElsewhere, true
 	}
-	return Result{Outcome: OutcomeNotFound}
+	return r.replyOnceProven(token, Result{Outcome: OutcomeNotFound})
+}
+
+// replyOnceProven answers a call once an append that is sent from now on has succeeded. An owner that was
+// displaced without noticing, as it was suspended, would otherwise deny jobs that its successor has
+// accepted.
+func (r *Runner) replyOnceProven(token uint64, result Result) (Result, bool) {
+	r.onProven = append(r.onProven, func() { r.reply(token, result) })
+	return Result{}, false
 }
 
 // routes returns the configuration in force, nil before the first.
@@ -188,9 +197,8 @@
 	return known && service != r.pool
 }
 
-// find reports whether the pool has accepted a job. That it has not is told only once an append that was
-// sent later has succeeded, so that no other owner can have accepted the job, and by a configuration by
-// which none is accepted here later.
+// find reports whether the pool has accepted a job. That it has not is told with a proof, and by a
+// configuration by which none is accepted here later.
 func (r *Runner) find(ctx context.Context, in FindCall) Result {
 	return r.request(ctx, func(_ time.Duration, token uint64) (Result, bool) {
 		if c := r.routes(); c == nil || c.Version < in.Version {
@@ -206,14 +214,17 @@
 		default:
 			result.Outcome = OutcomeNotFound
 		}
-		r.onProven = append(r.onProven, func() { r.reply(token, result) })
-		return Result{}, false
+		return r.replyOnceProven(token, result)
 	})
 }
 
 func (r *Runner) pending(ctx context.Context, queue string) Result {
-	return r.request(ctx, func(time.Duration, uint64) (Result, bool) {
-		return Result{Outcome: OutcomeDone, Pending: r.core.Pending(queue)}, true
+	return r.request(ctx, func(_ time.Duration, token uint64) (Result, bool) {
+		result := Result{Outcome: OutcomeDone, Pending: r.core.Pending(queue)}
+		if r.tenure.ProofAge() >= knownProofAge {
+			return r.replyOnceProven(token, result)
+		}
+		return result, true
 	})
 }
 
