--- a/internal/executor/incarnation.go
+++ b/internal/executor/incarnation.go
@@ -218,3 +218,31 @@
 	e.nextPoll = now
 	e.earlierRunsUntil = now + maxElapsed(c.limits.LongestLease)
 }
+
+// IncarnationEnded records that an operation has ended an incarnation with everything on it. If the
+// endpoint's present incarnation is unknown, its tasks may run on a later one: its first listing
+// shows that.
+func (c *Core) IncarnationEnded(in Incarnation) {
+	c.endedIncarnations[in] = 0
+	e := c.endpoints[in.ID]
+	if e == nil || e.incarnation() != in {
+		return
+	}
+	crashes := append(c.presumedCrashes(e), e.possibleCrashes()...)
+	c.endIncarnation(e)
+	c.recordCrashes(crashes)
+}
+
+func (c *Core) endIncarnation(e *endpoint) {
+	c.endedIncarnations[e.incarnation()] = 0
+	c.event(Event{Kind: EventIncarnationEnded, Endpoint: e.id, StartedMs: e.startedMs, Run: len(e.tasks)})
+	c.requeueAll(e, "incarnation ended")
+	c.forgetEndpoint(e, true)
+}
+
+// incarnationCrashed records that an incarnation has ended for an unknown reason.
+func (c *Core) incarnationCrashed(e *endpoint) {
+	crashes := attributeCrash(e, append(e.orderedRuns(), c.unreportedRuns(e)...))
+	c.endIncarnation(e)
+	c.recordCrashes(crashes)
+}
--- a/internal/executor/summary.go
+++ b/internal/executor/summary.go
@@ -94,17 +94,17 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b EndpointLoad) int {
-		return cmp.Or(cmp.Compare(a.UsedMilli, b.UsedMilli), compareRenewal(a, b), cmp.Compare(a.Endpoint, b.Endpoint))
+		return cmp.Or(cmp.Compare(a.UsedMilli, b.UsedMilli), RenewFirst(a.Renew, b.Renew), cmp.Compare(a.Endpoint, b.Endpoint))
 	})
 	return out
 }
 
-// compareRenewal orders endpoints to renew before others.
-func compareRenewal(a, b EndpointLoad) int {
+// RenewFirst compares two endpoints, or their instances, so that those to renew sort before others.
+func RenewFirst(a, b bool) int {
 	switch {
-	case a.Renew == b.Renew:
+	case a == b:
 		return 0
-	case a.Renew:
+	case a:
 		return -1
 	}
 	return 1
--- a/internal/fleetops/candidates.go
+++ b/internal/fleetops/candidates.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"cyclamenwheel/internal/executor"
 )
 
 // maxDonorLoad is the share of an instance that may be in use when it is chosen to move: its
@@ -150,23 +152,12 @@
 		}
 	}
 	slices.SortFunc(out, func(x, y loadedInstance) int {
-		return cmp.Or(cmp.Compare(x.used, y.used), compareRenewal(x, y), cmp.Compare(x.name, y.name))
+		return cmp.Or(cmp.Compare(x.used, y.used), executor.RenewFirst(x.renew, y.renew), cmp.Compare(x.name, y.name))
 	})
 	c.byPool[pool] = out
 	return out
 }
 
-// compareRenewal orders instances to renew before others.
-func compareRenewal(x, y loadedInstance) int {
-	switch {
-	case x.renew == y.renew:
-		return 0
-	case x.renew:
-		return -1
-	}
-	return 1
-}
-
 // movable reports whether no operation is in progress on an instance, it may get orders, and the
 // platform has not rejected its kind for the pool.
 func (s *State) movable(now time.Duration, i Instance, to string) bool {
--- a/internal/shards/find_test.go
+++ b/internal/shards/find_test.go
@@ -17,17 +17,23 @@
 	return &routing.Config{Version: version, Queues: []routing.Queue{{Name: "q", Host: "a.example", Prefix: "/a/", Service: service}}}
 }
 
-// Guards against a job that two pools accept: an owner denies that it has accepted a job, by a configuration
-// by which it still accepts it, or before its submission has been decided, and accepts it afterwards.
-func TestAJobThatIsNotFoundIsNotAcceptedAnyMore(t *testing.T) {
-	g := NewWithT(t)
+// startPool starts a pool's owner, which ends with the test.
+func startPool(t *testing.T, g *WithT) (context.Context, *Runner, *memoryJournal) {
 	journal := &memoryJournal{}
 	ctx, cancel := context.WithCancel(context.Background())
 	r, ended := startOverloadedRunner(ctx, g, journal, false)
-	defer func() {
+	t.Cleanup(func() {
 		cancel()
 		<-ended
-	}()
+	})
+	return ctx, r, journal
+}
+
+// Guards against a job that two pools accept: an owner denies that it has accepted a job, by a configuration
+// by which it still accepts it, or before its submission has been decided, and accepts it afterwards.
+func TestAJobThatIsNotFoundIsNotAcceptedAnyMore(t *testing.T) {
+	g := NewWithT(t)
+	ctx, r, _ := startPool(t, g)
 	var inForce atomic.Pointer[routing.Config]
 	inForce.Store(configLeading(7, "pool"))
 	r.config = inForce.Load
@@ -63,13 +69,7 @@
 // its own has succeeded since the question. A DELETE that it denies leaves the job running.
 func TestThatAJobIsNotFoundNeedsAProof(t *testing.T) {
 	g := NewWithT(t)
-	journal := &memoryJournal{}
-	ctx, cancel := context.WithCancel(context.Background())
-	r, ended := startOverloadedRunner(ctx, g, journal, false)
-	defer func() {
-		cancel()
-		<-ended
-	}()
+	ctx, r, journal := startPool(t, g)
 	r.config = func() *routing.Config { return configLeading(9, "another") }
 	in := FindCall{JobCall: JobCall{Pool: "pool", ID: "00000000000000d1"}, Version: 9}
 	for name, ask := range map[string]func(context.Context) Result{
@@ -89,13 +89,7 @@
 // Guards against a former owner that denies, as it wakes, that jobs wait which its successor has accepted.
 func TestACountOfWaitingJobsNeedsARecentProof(t *testing.T) {
 	g := NewWithT(t)
-	journal := &memoryJournal{}
-	ctx, cancel := context.WithCancel(context.Background())
-	r, ended := startOverloadedRunner(ctx, g, journal, false)
-	defer func() {
-		cancel()
-		<-ended
-	}()
+	ctx, r, journal := startPool(t, g)
 	g.Expect(r.pending(ctx, "q").Outcome).To(Equal(OutcomeDone))
 	journal.setDelay(4 * knownProofAge)
 	g.Eventually(r.tenure.ProofAge, 10*time.Second).Should(BeNumerically(">", knownProofAge))
