--- a/internal/standin/wire/runs_end_test.go
+++ b/internal/standin/wire/runs_end_test.go
@@ -52,3 +52,30 @@
 		})
 	}
 }
+
+// Guards against false reports of tasks that start after their end, and against missed ones: an end whose
+// acknowledgement comes after a lease has expired there is void.
+func TestOnlyEndsThatAreNotVoidCount(t *testing.T) {
+	for _, expires := range []bool{false, true} {
+		g := NewWithT(t)
+		p, err := New(map[string]int{"tabs": 2}, 1)
+		g.Expect(err).NotTo(HaveOccurred())
+		ids := p.Endpoints("tabs")
+		first, second := p.endpoints[ids[0]], p.endpoints[ids[1]]
+		p.mu.Lock()
+		first.running["t.0.0.0"], first.running["u.0.0.0"] = &taskRun{number: 1}, &taskRun{number: 1}
+		first.endRun("t.0.0.0", first.running["t.0.0.0"], "done")
+		if expires {
+			first.endRun("u.0.0.0", first.running["u.0.0.0"], "lapsed")
+		}
+		first.acknowledge(first.lastEndNumber)
+		p.mu.Unlock()
+		startRun(g, second, 2, 10, time.Minute)
+		if expires {
+			g.Expect(p.Violations()).To(BeEmpty())
+		} else {
+			g.Expect(p.Violations()).To(ConsistOf("t.0.0.0 starts after its end was acknowledged"))
+		}
+		p.Close()
+	}
+}
