intake: one budget for what clients make a node hold

What callers saw: clients that stop just short of the end of their bodies ended a process, which ran out of memory.

Cause: what a client sends was counted nowhere. A body was read whole, without a time limit and whatever others held; connections, headers with many small fields, requests behind unread answers and the kernel's receive buffers cost memory by the number of connections, which nothing bounded.

Package intake sits under all HTTP servers of a node. Connections (with their buffers in the kernel, which are 16 KiB now), headers, bodies and what these decode into are charged to one budget, a quarter of the memory of the settings. Every wait for a client has a time: header 3 s, body the caller's own deadline or 10 s, answer 10 s. Where the budget or the connections are used up, the client that has held most for longest without progress is closed; an incomplete body is answered 503 first, and a request that has arrived whole is answered. A quarter of the budget is kept for small requests. An answer to a body that is still arriving is not lost to a reset: the write side closes first. A planned stop closes what is incomplete half-way through its time for requests. A configuration without maxBodyBytes is no longer without a bound.

New settings: [clients] memory, connections, body_timeout, answer_timeout; [limits] descriptors.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -9,7 +9,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/pprof"
 	"os"
@@ -29,6 +28,7 @@
 	"cyclamenwheel/internal/executor"
 	"cyclamenwheel/internal/fleetops"
 	"cyclamenwheel/internal/ingress"
+	"cyclamenwheel/internal/intake"
 	"cyclamenwheel/internal/operator"
 	"cyclamenwheel/internal/peer"
 	"cyclamenwheel/internal/planlease"
@@ -67,6 +67,9 @@
 	// minDrainLimit is the minimum time for requests in flight, however short
 	// the grace time is.
 	minDrainLimit = 300 * time.Millisecond
+	// incompleteShare is the inverse of the part of the time for requests in flight that is left when
+	// incomplete ones are closed.
+	incompleteShare = 2
 	// headerTimeout and idleTimeout are the timeouts of all HTTP servers here.
 	// The timeouts in a configuration's limits are not applied to them.
 	headerTimeout = 3 * time.Second
@@ -91,6 +94,7 @@
 	gate            *admission.Gate // nil without overload control
 	stopping        atomic.Bool
 	requestDeadline requestDeadline
+	clients         *intake.Guard
 	endpoints       *endpointTable
 
 	mu          sync.Mutex
@@ -118,7 +122,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	n := &Node{set: set, log: log, client: platform.NewClient(set.Store, set.Instances, set.Advice),
-		endpoints: newEndpointTable(), waves: map[int]platform.Wave{}, recentPeers: map[string]recentPeer{}}
+		clients: intake.NewGuard(set.Clients.Limits(), log), endpoints: newEndpointTable(), waves: map[int]platform.Wave{}, recentPeers: map[string]recentPeer{}}
 	log.Info("starting", "version", version.Version, "settings", path)
 	return n.run(ctx, cancel)
 }
@@ -198,7 +202,7 @@
 func (n *Node) startOperatorServer(calls *shards.Calls) (stop func(), err error) {
 	op, err := operator.New(operator.Options{
 		Process: operator.Process{ID: n.set.Node, Deployment: n.set.Deployment, Zone: n.set.Zone, Version: version.Version},
-		Listen:  n.set.OperatorListen, Logger: n.log,
+		Listen:  n.set.OperatorListen, Logger: n.log, Clients: n.clients,
 	})
 	if err != nil {
 		return nil, err
@@ -348,12 +352,13 @@
 
 // startServer listens on addr and serves h in the background.
 func (n *Node) startServer(addr string, h http.Handler) (*http.Server, error) {
-	listener, err := net.Listen("tcp", addr)
+	listener, err := n.clients.Listen(addr)
 	if err != nil {
 		return nil, &operator.ListenError{Listen: addr, Cause: err}
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}
+	n.clients.Protect(server)
 	go func() {
 		if err := server.Serve(listener); err != http.ErrServerClosed {
 			n.log.Error("HTTP server stopped unexpectedly", "listen", addr, operator.Err(err))
@@ -381,8 +386,16 @@
 	leave()
 	return shutdown.Run(context.Background(), n.log, []shutdown.Step{
 		shutdown.Wait("balancer notices", balancerDetectTime),
-		{Name: "requests end", Limit: limit, Run: front.Shutdown},
+		{Name: "requests end", Limit: limit, Run: func(ctx context.Context) error { return n.endRequests(ctx, front, limit) }},
 		{Name: "links close", Limit: linksCloseLimit, Run: func(context.Context) error { return n.peers.Close() }},
 		{Name: "readiness ends", Limit: logFlushLimit, Run: ready.Shutdown},
 	})
 }
+
+// endRequests lets the requests in flight end within limit. Near its end it closes those that have not
+// arrived whole, so that the process does not wait for clients that never complete them.
+func (n *Node) endRequests(ctx context.Context, front *http.Server, limit time.Duration) error {
+	timer := time.AfterFunc(limit-limit/incompleteShare, n.clients.CloseIncomplete)
+	defer timer.Stop()
+	return front.Shutdown(ctx)
+}
--- /dev/null
+++ b/internal/intake/body.go
@@ -0,0 +1,216 @@
+package intake
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// smallBody is the size up to which a body is read that its handler has not asked for, so that its
+	// connection can be used again, if it has arrived within arrivedTime.
+	smallBody   = 8 << 10
+	arrivedTime = 2 * time.Millisecond
+	// firstBuffer is the size of the first buffer of a body, in bytes. Buffers grow with what arrives.
+	firstBuffer = 4 << 10
+)
+
+// body is the body of a request on a guarded connection.
+type body struct {
+	conn    *conn
+	answer  http.ResponseWriter
+	control *http.ResponseController
+	source  io.ReadCloser
+	// length is the announced size in bytes, -1 for none.
+	length int64
+	// awaitsContinue is set if the client sends the body only when it is asked for.
+	awaitsContinue bool
+	// data holds what has arrived; ended is set at the end of the body, err if reading has failed.
+	data  []byte
+	ended bool
+	err   error
+}
+
+// beforeAnswer makes the connection close with the answer if the body has not been read to its end: a
+// client that stops short of it could otherwise delay the answer and keep the connection open.
+func (b *body) beforeAnswer() {
+	if !b.ended && b.err == nil && !b.awaitsContinue && b.length >= 0 && b.length <= smallBody {
+		_, b.err = b.read(smallBody, time.Now().Add(arrivedTime))
+	}
+	if b.ended {
+		return
+	}
+	b.conn.setIncomplete()
+	b.answer.Header().Set("Connection", "close")
+	// The server reads on before it sends the answer, unless that fails at once.
+	_ = b.control.SetReadDeadline(expired) // fails only if the connection is closed
+}
+
+func (c *conn) setIncomplete() {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.incomplete = true
+}
+
+// Read reads the body for handlers that do not call ReadBody.
+func (b *body) Read(p []byte) (int, error) {
+	if !b.ended && b.err == nil {
+		_, b.err = b.read(b.conn.guard.MaxBody(), b.latest(time.Time{}))
+	}
+	if b.err != nil {
+		return 0, b.err
+	}
+	if len(b.data) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, b.data)
+	b.data = b.data[n:]
+	return n, nil
+}
+
+// Close closes the body of the HTTP server.
+func (b *body) Close() error { return b.source.Close() }
+
+// latest returns the deadline of the body, if its caller sets the given one; zero for none.
+func (b *body) latest(deadline time.Time) time.Time {
+	latest := time.Now().Add(b.conn.guard.limits.BodyTimeout)
+	if !deadline.IsZero() && deadline.Before(latest) {
+		return deadline
+	}
+	return latest
+}
+
+// ReadBody returns the whole body of a request, at most limit bytes, which must arrive by the
+// deadline. The memory counts against the guard of the connection until the request has been
+// answered. It fails with *TooLargeError, *NoMemoryError, *GivenUpError, *SlowError or *BrokenError;
+// after any of them the connection closes with the answer.
+func ReadBody(r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
+	if r.ContentLength == 0 || r.Body == nil {
+		return nil, nil
+	}
+	b, ok := r.Body.(*body)
+	if !ok {
+		return readUnguarded(r, limit)
+	}
+	var data []byte
+	data, b.err = b.read(min(limit, b.conn.guard.MaxBody()), b.latest(deadline))
+	return data, b.err
+}
+
+// readUnguarded reads a body outside a guarded server, as in tests of handlers.
+func readUnguarded(r *http.Request, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	switch {
+	case err != nil:
+		return nil, &BrokenError{Cause: err}
+	case int64(len(data)) > limit:
+		return nil, &TooLargeError{Limit: limit}
+	}
+	return data, nil
+}
+
+// read reads the body to its end.
+func (b *body) read(limit int64, deadline time.Time) ([]byte, error) {
+	if b.length > limit {
+		return nil, &TooLargeError{Limit: limit}
+	}
+	begun := time.Now()
+	_ = b.control.SetReadDeadline(deadline) // fails only if the connection is closed
+	b.conn.setPhase(phaseBody)
+	err := b.fill(limit)
+	givenUp := b.conn.setPhase(phaseHandling)
+	if err == nil {
+		b.finish(deadline)
+		return b.data, nil
+	}
+	received := len(b.data)
+	b.conn.guard.release(b.conn, int64(cap(b.data)))
+	b.data = nil
+	var timeout interface{ Timeout() bool }
+	switch {
+	case givenUp:
+		return nil, &GivenUpError{}
+	case errors.HasType(err, (*TooLargeError)(nil)), errors.HasType(err, (*NoMemoryError)(nil)):
+		return nil, err
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return nil, &SlowError{Received: received, Waited: time.Since(begun)}
+	}
+	return nil, &BrokenError{Cause: err}
+}
+
+// finish lifts the read deadline. The server watches for the end of the connection from the end of the
+// body on, and takes a deadline that passes meanwhile for that end: the connection is not used again.
+func (b *body) finish(deadline time.Time) {
+	b.ended = true
+	_ = b.control.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	if !time.Now().Before(deadline) {
+		b.answer.Header().Set("Connection", "close")
+	}
+}
+
+// fill reads into data until the end of the body.
+func (b *body) fill(limit int64) error {
+	for {
+		if len(b.data) == cap(b.data) {
+			if err := b.grow(limit); err != nil {
+				return err
+			}
+		}
+		n, err := b.source.Read(b.data[len(b.data):cap(b.data)])
+		b.data = b.data[:len(b.data)+n]
+		if int64(len(b.data)) > limit {
+			return &TooLargeError{Limit: limit}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// grow doubles the buffer, with room for one byte more than the announced size or the limit.
+func (b *body) grow(limit int64) error {
+	size := max(firstBuffer, 2*int64(cap(b.data)))
+	if b.length >= 0 {
+		size = min(size, b.length+1)
+	}
+	size = min(size, limit+1)
+	if !b.conn.guard.charge(b.conn, size) {
+		return &NoMemoryError{Bytes: size}
+	}
+	grown := make([]byte, len(b.data), size)
+	copy(grown, b.data)
+	b.conn.guard.release(b.conn, int64(cap(b.data)))
+	b.data = grown
+	return nil
+}
+
+// setPhase sets the phase and reports whether the connection has been given up.
+func (c *conn) setPhase(p phase) (givenUp bool) {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.phase = p
+	if p == phaseBody {
+		c.progressAt, c.sinceProgress = time.Now(), 0
+	}
+	return c.givenUp
+}
+
+// Hold charges memory that a request needs beside its body, such as what that decodes into, until
+// release is called. It fails with *NoMemoryError. The context is that of a request; without a guard,
+// nothing is charged.
+func Hold(ctx context.Context, bytes int64) (release func(), err error) {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return func() {}, nil
+	}
+	if !c.guard.charge(c, bytes) {
+		return nil, &NoMemoryError{Bytes: bytes}
+	}
+	return func() { c.guard.release(c, bytes) }, nil
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"cyclamenwheel/internal/intake"
 )
 
 const (
@@ -36,6 +38,8 @@
 	Logger *slog.Logger
 	// Status returns the additional detail shown at /status; nil omits it.
 	Status func() any
+	// Clients limits the clients of this server and of others of the process; nil sets no limits.
+	Clients *intake.Guard
 }
 
 // Server is the HTTP server for operators of one process.
@@ -93,7 +97,7 @@
 // Start listens and serves in the background, and writes the state dump to the log
 // on each SIGUSR1.
 func (s *Server) Start() error {
-	listener, err := net.Listen("tcp", s.opts.Listen.String())
+	listener, err := s.listen()
 	if err != nil {
 		return &ListenError{Listen: s.opts.Listen.String(), Cause: err}
 	}
@@ -108,6 +112,14 @@
 	return nil
 }
 
+func (s *Server) listen() (net.Listener, error) {
+	if s.opts.Clients == nil {
+		return net.Listen("tcp", s.opts.Listen.String())
+	}
+	s.opts.Clients.Protect(s.http)
+	return s.opts.Clients.Listen(s.opts.Listen.String())
+}
+
 // Addr returns the address that the server listens on. It is valid after Start.
 func (s *Server) Addr() netip.AddrPort { return s.addr }
 
--- a/internal/settings/daemons.go
+++ b/internal/settings/daemons.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"net/url"
 	"time"
+
+	"cyclamenwheel/internal/intake"
 )
 
 // Process identifies a process and the instance and zone that it runs in.
@@ -30,6 +32,8 @@
 	Listen netip.AddrPort
 	// MaxBody is the largest accepted request body in bytes.
 	MaxBody int64
+	// Clients are the limits of all clients together.
+	Clients intake.Settings
 }
 
 // Timing holds intervals and timeouts.
@@ -66,6 +70,8 @@
 type ControlSettings struct {
 	Common
 	FenceAfter time.Duration
+	// Clients are the limits of all clients together.
+	Clients intake.Settings
 }
 
 // LoadEntry reads and checks the settings file of cyclamen-entry.
@@ -79,6 +85,7 @@
 		Callers: Callers{
 			Listen:  v.Addr(sectionCallers, "listen"),
 			MaxBody: v.Bytes(sectionCallers, "max_body"),
+			Clients: clientSettings(v),
 		},
 		QueuePerService: v.Int(sectionLimits, "queue_per_service"),
 	}, nil
@@ -93,6 +100,7 @@
 	return ControlSettings{
 		Common:     commonSettings(v),
 		FenceAfter: v.Duration(sectionTiming, "fence_after"),
+		Clients:    clientSettings(v),
 	}, nil
 }
 
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"cyclamenwheel/internal/intake"
 )
 
 // Sections of the settings files.
@@ -13,6 +15,7 @@
 	sectionPlatform = "platform"
 	sectionPeer     = "peer"
 	sectionCallers  = "callers"
+	sectionClients  = "clients"
 	sectionOperator = "operator"
 	sectionTiming   = "timing"
 	sectionLimits   = "limits"
@@ -35,8 +38,8 @@
 	return Table{
 		Daemon: "cyclamen-entry",
 		Keys: slices.Concat(processKeys(), callerKeys(), operatorKeys(),
-			timingKeys(), drainKeys(), limitKeys(), queueKeys()),
-		Checks: []Check{checkLease, checkShutdown},
+			timingKeys(), drainKeys(), limitKeys(), queueKeys(), clientKeys()),
+		Checks: []Check{checkLease, checkShutdown, checkMaxBody},
 	}
 }
 
@@ -45,7 +48,7 @@
 	return Table{
 		Daemon: "cyclamen-control",
 		Keys: slices.Concat(processKeys(), operatorKeys(),
-			timingKeys(), fenceKeys(), drainKeys(), limitKeys()),
+			timingKeys(), fenceKeys(), drainKeys(), limitKeys(), clientKeys()),
 		Checks: []Check{checkLease, checkShutdown},
 	}
 }
@@ -87,6 +90,24 @@
 	}
 }
 
+// clientKeys are the limits of clients of any HTTP server of a process.
+func clientKeys() []Key {
+	return []Key{
+		{Section: sectionClients, Name: "connections", Kind: KindInt, Default: "0", Unit: "connections", Max: math.MaxUint16,
+			Doc: "Maximum number of open connections of clients; 0 for as many as their memory holds, and at most half of the descriptors."},
+		{Section: sectionClients, Name: "memory", Kind: KindBytes, Default: "0B", Unit: "KiB, MiB, GiB", Max: maxMemory,
+			Doc: "Memory that clients may hold together, in connections, buffers, headers and bodies; 0B for a quarter of memory in [limits]."},
+		{Section: sectionClients, Name: "body_timeout", Kind: KindDuration, Default: "10s", Unit: "ms, s",
+			Min: int64(100 * time.Millisecond), Max: int64(10 * time.Minute),
+			Doc: "Maximum time for a request's body to arrive; the caller's own deadline applies where it is shorter."},
+		{Section: sectionClients, Name: "answer_timeout", Kind: KindDuration, Default: "10s", Unit: "ms, s",
+			Min: int64(100 * time.Millisecond), Max: int64(10 * time.Minute),
+			Doc: "Maximum time for which an answer waits for its client to read on."},
+		{Section: sectionLimits, Name: "descriptors", Kind: KindInt, Default: "0", Unit: "descriptors", Max: 1 << 20,
+			Doc: "Files and sockets that the process may have open; 0 for the limit that it is started with."},
+	}
+}
+
 func operatorKeys() []Key {
 	return []Key{
 		{Section: sectionOperator, Name: "listen", Kind: KindHostPort, Default: "127.0.0.1:0",
@@ -170,3 +191,20 @@
 	return []Fault{{Section: sectionTiming, Key: "shutdown_limit", Reason: ReasonInconsistent,
 		Detail: fmt.Sprintf("%s is less than the sum of ready_grace and drain_limit, %s", limit, need)}}
 }
+
+func checkMaxBody(v Values) []Fault {
+	size, most := v.Bytes(sectionCallers, "max_body"), clientSettings(v).MaxBody()
+	if size <= most {
+		return nil
+	}
+	return []Fault{{Section: sectionCallers, Key: "max_body", Reason: ReasonInconsistent,
+		Detail: fmt.Sprintf("%d bytes do not fit the memory of clients, which takes bodies of %d bytes at most", size, most)}}
+}
+
+func clientSettings(v Values) intake.Settings {
+	return intake.Settings{
+		Memory: v.Bytes(sectionClients, "memory"), ProcessMemory: v.Bytes(sectionLimits, "memory"),
+		Connections: v.Int(sectionClients, "connections"), Descriptors: v.Int(sectionLimits, "descriptors"),
+		BodyTimeout: v.Duration(sectionClients, "body_timeout"), AnswerTimeout: v.Duration(sectionClients, "answer_timeout"),
+	}
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -2,7 +2,10 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
+
+	"cyclamenwheel/internal/intake"
 )
 
 const (
@@ -41,6 +44,8 @@
 	Memory int64
 	// Processor is the share of a CPU core that the node may use.
 	Processor float64
+	// Clients are the limits of all clients together.
+	Clients intake.Settings
 }
 
 // Values of NodeSettings.OverloadControl.
@@ -73,7 +78,7 @@
 // NodeTable declares the settings of cyclamen-node.
 func NodeTable() Table {
 	second := int64(time.Second)
-	return Table{Daemon: "cyclamen-node", Keys: []Key{
+	return Table{Daemon: "cyclamen-node", Keys: slices.Concat([]Key{
 		{Section: sectionProcess, Name: "node", Kind: KindName, Required: true, Doc: "Name of this node, unique in the deployment."},
 		{Section: sectionProcess, Name: "zone", Kind: KindName, Required: true, Doc: "Availability zone that the node runs in."},
 		{Section: sectionProcess, Name: "deployment", Kind: KindName, Default: "cyclamenwheel", Doc: "Name of the deployment, which peers' certificates must carry."},
@@ -102,7 +107,7 @@
 		{Section: sectionBounds, Name: "stable_window", Kind: KindDuration, Default: "3s", Unit: "ms, s", Min: second, Max: 600 * second, Doc: "How long after a heartbeat is due an outdated, larger capacity of an endpoint may still be used."},
 		{Section: sectionLimits, Name: "memory", Kind: KindBytes, Default: "256MiB", Unit: "MiB", Min: 16 << 20, Max: maxMemory, Doc: "Memory above which the process is killed."},
 		{Section: sectionLimits, Name: "processor", Kind: KindRatio, Default: "1", Unit: "cores", Doc: "Share of a CPU core that the node may use."},
-	}}
+	}, clientKeys())}
 }
 
 // LoadNode reads and checks the settings file of cyclamen-node.
@@ -120,6 +125,7 @@
 		Store:         v.Addr(sectionStore, "address").String(),
 		Orders:        v.String(sectionStore, "orders"),
 		Memory:        v.Bytes(sectionLimits, "memory"), Processor: v.Ratio(sectionLimits, "processor"),
+		Clients: clientSettings(v),
 		Bounds: NodeBounds{
 			Grace: v.Duration(sectionBounds, "grace"), StopTimeout: v.Duration(sectionBounds, "stop_timeout"),
 			LongestLease: v.Duration(sectionBounds, "longest_lease"),
