entry: bodies, connections and answers count against the entry's memory

What callers saw: an entry with little memory ended under bodies of legal size that stopped short of their end, and refused every POST beside them until the crowd's deadline.

Cause: the bound of all bodies was 256 MiB whatever memory was set, a chunked body was charged its limit at once, a growing buffer took twice what was charged, and who came later was refused while those that made no progress stayed.

Evidence: test/misbehaving with 96 MiB of memory and 300 bodies of 1 MiB: 288 MiB, in chunks 569 MiB.

The tests of the handler serve it behind a guard, as an entry does; their checks are as before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 
 	"cyclamenwheel/internal/certs"
 	"cyclamenwheel/internal/fleetlog"
+	"cyclamenwheel/internal/intake"
 	"cyclamenwheel/internal/membership"
 	"cyclamenwheel/internal/node"
 	"cyclamenwheel/internal/operator"
@@ -34,16 +35,19 @@
 	Peers    *peer.Node
 	Node     *node.Node
 	Operator *operator.Server
-	http     *http.Transport
+	// Clients limits the clients of all HTTP servers of the process.
+	Clients *intake.Guard
+	http    *http.Transport
 }
 
 // maxPlatformConnections bounds the connections to the platform: a long poll of
 // the log, a long poll of the instance list, and a few concurrent calls.
 const maxPlatformConnections = 8
 
-// New creates a daemon without listening yet. self describes the process; New
-// sets its BootID and the fields that come from the settings.
-func New(s settings.Common, self membership.Member) (*Daemon, error) {
+// New creates a daemon without listening yet. clients are the limits of all
+// clients together. self describes the process; New sets its BootID and the
+// fields that come from the settings.
+func New(s settings.Common, clients intake.Settings, self membership.Member) (*Daemon, error) {
 	debug.SetMemoryLimit(s.Memory)
 	self.ID, self.Zone, self.Instance = s.Process.ID, s.Process.Zone, s.Process.Instance
 	self.BootID = fleetlog.NewID().String()
@@ -74,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{Log: log, Peers: peers, http: &http.Transport{MaxConnsPerHost: maxPlatformConnections}}
+	d := &Daemon{Log: log, Peers: peers, Clients: intake.NewGuard(clients.Limits(), log), http: &http.Transport{MaxConnsPerHost: maxPlatformConnections}}
 	d.Platform = platform.NewClient(s.PlatformURL.String(), &http.Client{Transport: d.http})
 	d.Node = node.New(node.Options{
 		Self: self, Platform: d.Platform, Peers: peers, Seeds: seedAddrs(s.Peer.Seeds),
@@ -85,7 +89,7 @@
 		Process: operator.Process{ID: self.ID, Deployment: s.Process.Deployment, Zone: self.Zone, Version: version.Version},
 		Listen:  s.OperatorListen, Logger: log,
 		TLS:    creds.Config(certs.RoleOperator, certs.RoleEntry, certs.RoleControl),
-		Status: func() any { return d.status() },
+		Status: func() any { return d.status() }, Clients: d.Clients,
 	})
 	return d, err
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -38,7 +37,7 @@
 	}
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	d, err := New(s.Common, membership.Member{
+	d, err := New(s.Common, s.Callers.Clients, membership.Member{
 		Role: membership.RoleEntry, CallerAddr: s.Callers.Listen.String(),
 	})
 	if err != nil {
@@ -59,7 +58,7 @@
 	e.Attach(handler, keys, d.Node.NotReady)
 	d.Operator.RegisterDump("entry", e.Dump(d.Node.Do))
 	d.Operator.RegisterDump("keys", func() any { return claims.Status() })
-	listener, err := net.Listen("tcp", s.Callers.Listen.String())
+	listener, err := d.Clients.Listen(s.Callers.Listen.String())
 	if err != nil {
 		d.Log.Error("cannot listen on the callers' address", "error", err.Error())
 		return exitFailure
@@ -73,6 +72,7 @@
 		IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(d.Log.Handler(), slog.LevelWarn),
 	}
+	d.Clients.Protect(server)
 	go func() { _ = server.Serve(listener) }()
 	d.Log.Info("started", "callers", listener.Addr().String(), "operator", d.Operator.Addr().String())
 	<-stop.Done()
@@ -95,6 +95,8 @@
 		shutdown.Wait("balancer", s.Timing.ReadyGrace),
 		{Name: "finish requests", Limit: s.Timing.DrainLimit, Run: func(ctx context.Context) error {
 			server.SetKeepAlivesEnabled(false)
+			incomplete := time.AfterFunc(s.Timing.DrainLimit/2, d.Clients.CloseIncomplete)
+			defer incomplete.Stop()
 			if err := server.Shutdown(ctx); err != nil {
 				return err
 			}
--- a/internal/dispatch/handler.go
+++ b/internal/dispatch/handler.go
@@ -13,17 +13,17 @@
 
 // Handler is the http.Handler that serves callers.
 type Handler struct {
-	opts      Options
-	conns     *connSet
-	gates     sync.Map // pool name to *gate
-	bodyBytes atomic.Int64
-	calls     callCount
-	metrics   requestMetrics
-	closing   atomic.Bool // responses close their caller's connection
+	opts    Options
+	conns   *connSet
+	gates   sync.Map // pool name to *gate
+	calls   callCount
+	metrics requestMetrics
+	closing atomic.Bool // responses close their caller's connection
 }
 
 // NewHandler returns a Handler. It forwards paths unchanged; a router in front
-// of it must not clean them.
+// of it must not clean them. Its server must be protected by an intake.Guard,
+// which bounds the memory and the time of request bodies.
 func NewHandler(o Options) *Handler {
 	o = o.withDefaults()
 	return &Handler{
@@ -65,18 +65,16 @@
 		w.Header().Set("Connection", "close")
 	}
 	if !h.calls.enter() {
-		h.refuseUnread(w, r, c, h.refusalBeforeClaim(r, TypeDraining, http.StatusServiceUnavailable))
+		h.writeRefusal(w, c, h.refusalBeforeClaim(r, TypeDraining, http.StatusServiceUnavailable))
 		return
 	}
 	defer h.calls.exit()
 	if p := h.prepare(c, r); p != nil {
-		h.refuseUnread(w, r, c, *p)
+		h.writeRefusal(w, c, *p)
 		return
 	}
-	free, p := h.readBody(w, c, r)
-	defer free()
-	if p != nil {
-		h.refuseUnread(w, r, c, *p)
+	if p := h.readBody(c, r); p != nil {
+		h.writeRefusal(w, c, *p)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -18,10 +18,6 @@
 	// slot is taken, so that a slow sender holds no endpoint and a retry can
 	// send the same bytes.
 	DefaultMaxBody = 4 << 20
-	// DefaultMaxBodies bounds all buffered bodies together. Entries have little
-	// memory; refusing part of a burst of large uploads avoids running out of
-	// it, which would lose every request in flight.
-	DefaultMaxBodies = 256 << 20
 	// DefaultBuffer is the largest response that is read completely before its
 	// first byte is sent to the caller. If such a response breaks off, the
 	// request can still be retried or the failure reported as a problem. It
@@ -52,9 +48,8 @@
 	// Seed makes the random choices reproducible.
 	Seed uint64
 
-	MaxBody   int64
-	MaxBodies int64
-	Buffer    int64
+	MaxBody int64
+	Buffer  int64
 
 	// NewPicker, NewQueue and NewRetry replace the default policies, for
 	// comparison with a baseline.
@@ -80,7 +75,6 @@
 		o.Metrics = metrics.NewSet()
 	}
 	o.MaxBody = orDefault(o.MaxBody, DefaultMaxBody)
-	o.MaxBodies = orDefault(o.MaxBodies, DefaultMaxBodies)
 	o.Buffer = orDefault(o.Buffer, DefaultBuffer)
 	return o.withDecisions()
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"bytes"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -10,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"cyclamenwheel/internal/intake"
 )
 
 // maxRequestID bounds a caller's request ID; a longer one is replaced.
@@ -53,61 +53,23 @@
 	return host
 }
 
-// readBody reads the whole body. releaseMemory must always be called.
-func (h *Handler) readBody(w http.ResponseWriter, c *call, r *http.Request) (releaseMemory func(), p *refusal) {
-	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
-		return func() {}, nil
-	}
-	if r.ContentLength > h.opts.MaxBody {
-		return func() {}, &refusal{kind: TypeBodyTooLarge, status: http.StatusRequestEntityTooLarge, ran: RanNo}
-	}
-	reserve := r.ContentLength
-	if reserve < 0 {
-		reserve = h.opts.MaxBody
-	}
-	releaseMemory = func() { h.bodyBytes.Add(-reserve) }
-	if h.bodyBytes.Add(reserve) > h.opts.MaxBodies {
-		p := h.refusalBeforeClaim(r, TypeNoMemory, http.StatusServiceUnavailable)
-		return releaseMemory, &p
-	}
-	// A sender that stalls is cut off at its deadline.
-	_ = http.NewResponseController(w).SetReadDeadline(c.deadline) // not supported by test recorders
-	body, err := readAll(http.MaxBytesReader(w, r.Body, h.opts.MaxBody), r.ContentLength)
+// readBody reads the whole body. A sender that stalls is cut off at its deadline.
+func (h *Handler) readBody(c *call, r *http.Request) *refusal {
+	body, err := intake.ReadBody(r, h.opts.MaxBody, c.deadline)
 	if err != nil {
-		return releaseMemory, bodyRefusal(err)
+		p := h.bodyRefusal(r, err)
+		return &p
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	c.body = body
-	return releaseMemory, nil
-}
-
-// refuseUnread refuses a request whose body was not read to its end, and closes
-// the connection.
-//
-// If the caller sends its body slowly or stops halfway, net/http reads the
-// remainder before it sends the response, so the caller could delay the refusal
-// and keep the connection open indefinitely. An expired read deadline makes the
-// response go out at once.
-func (h *Handler) refuseUnread(w http.ResponseWriter, r *http.Request, c *call, p refusal) {
-	if r.ContentLength != 0 {
-		w.Header().Set("Connection", "close")
-		_ = http.NewResponseController(w).SetReadDeadline(c.arrived) // not supported by test recorders
-	}
-	h.writeRefusal(w, c, p)
-}
-
-func readAll(r io.Reader, size int64) ([]byte, error) {
-	var buf bytes.Buffer
-	if size > 0 {
-		buf.Grow(int(size) + bytes.MinRead)
-	}
-	_, err := buf.ReadFrom(r)
-	return buf.Bytes(), err
+	return nil
 }
 
-func bodyRefusal(err error) *refusal {
-	if errors.HasType(err, (*http.MaxBytesError)(nil)) {
-		return &refusal{kind: TypeBodyTooLarge, status: http.StatusRequestEntityTooLarge, ran: RanNo}
+func (h *Handler) bodyRefusal(r *http.Request, err error) refusal {
+	switch {
+	case errors.HasType(err, (*intake.TooLargeError)(nil)):
+		return refusal{kind: TypeBodyTooLarge, status: http.StatusRequestEntityTooLarge, ran: RanNo}
+	case errors.HasType(err, (*intake.NoMemoryError)(nil)), errors.HasType(err, (*intake.GivenUpError)(nil)):
+		return h.refusalBeforeClaim(r, TypeNoMemory, http.StatusServiceUnavailable)
 	}
-	return &refusal{kind: TypeBodyBroken, status: http.StatusBadRequest, ran: RanNo, cause: err}
+	return refusal{kind: TypeBodyBroken, status: http.StatusBadRequest, ran: RanNo, cause: err}
 }
--- a/internal/dispatch/suite_test.go
+++ b/internal/dispatch/suite_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -17,6 +18,7 @@
 	. "github.com/onsi/gomega"
 
 	"cyclamenwheel/internal/idempotency"
+	"cyclamenwheel/internal/intake"
 	"cyclamenwheel/internal/manifest"
 )
 
@@ -119,11 +121,23 @@
 	e.publish(endpoints...)
 	o.Routes = e.table.Load
 	e.Handler = NewHandler(o)
-	e.server = httptest.NewServer(e.Handler)
+	e.server = guarded(e.Handler)
 	DeferCleanup(e.server.Close)
 	return e
 }
 
+// guarded serves h as an entry does.
+func guarded(h http.Handler) *httptest.Server {
+	limits := intake.Settings{ProcessMemory: 256 << 20, BodyTimeout: testTimeout, AnswerTimeout: testTimeout}.Limits()
+	guard := intake.NewGuard(limits, slog.New(slog.DiscardHandler))
+	listener, err := guard.Listen("127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: h}}
+	guard.Protect(server.Config)
+	server.Start()
+	return server
+}
+
 func (e *entry) publish(endpoints ...Endpoint) {
 	e.table.Store(NewRouteTable(1, []manifest.Service{tabsService}, map[string][]Endpoint{"tabs": endpoints}))
 	if e.Handler != nil {
