executor: jobs count against a node's memory, from their acceptance to the end of their record

What callers saw: 16 connections that submit jobs of legal size, one after another, took the memory of their pool's owner. One job with a schedule in the past took it alone, and nobody was answered.

Cause: admission counts work, not memory. A body of 70 bytes with 3,000 tasks takes some 2 MB of its owner; names of 256 KB are kept with the job until its state is forgotten, 120 s after its end; all occurrences that are due are expanded at once.

Evidence: test/misbehaving, 80 MiB of memory: many tasks 288 MiB, long names 151 to 218 MiB, a schedule in the past no answer within 60 s. Ruled out: the bodies (16 at a time, within the budget of clients).

The jobs of all pools of a node are charged to one budget, a quarter of its memory: the specification and the tasks of what is expanded, at least one occurrence; of an ended job its state alone, as in its record. What does not fit is refused at once with 429 and a time to return; a job that is known is not. A quarter is left for small jobs. Due occurrences are expanded one after another where they exceed half of it. A new owner counts what it restores, and may exceed the budget by it.

The three tests of executor/memory_test.go cover refusal, release and due occurrences.

New setting: [limits] job_memory.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -54,6 +54,8 @@
 	// OverloadControl makes a pool that receives more than it can run accept jobs that will be late
 	// but of use, and divide its capacity among accounts by their weights.
 	OverloadControl bool
+	// Memory bounds the memory of jobs over all pools of the process; nil sets no bound.
+	Memory *JobMemory
 	// CapacityMaxAge is how long starts may rely on a reported capacity after it has shrunk;
 	// endpoints report their capacity at intervals. 0 means no bound.
 	CapacityMaxAge time.Duration
@@ -173,6 +175,8 @@
 	wallMs int64
 	// fenced is set once an endpoint has answered that it has seen a newer epoch.
 	fenced bool
+	// memory is what is charged to Limits.Memory, in bytes.
+	memory int64
 	// adviceInFlight is set while a call for advice is in flight.
 	adviceInFlight bool
 }
--- a/internal/executor/job.go
+++ b/internal/executor/job.go
@@ -53,6 +53,10 @@
 	inOpen bool
 	// beyondShare is set while the job's account exceeds its share of a full pool with it.
 	beyondShare bool
+	// memory is what is charged for the job, in bytes; specMemory and occurrenceMemory are its parts, and
+	// expanded counts the occurrences that are expanded and have not ended.
+	memory, specMemory, occurrenceMemory int64
+	expanded                             int
 	// admission is what was decided when this owner accepted the job.
 	admission admissionDecision
 }
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -295,9 +295,13 @@
 
 func (c *Core) restoreJob(j *job, p progressRecord, now time.Duration) {
 	if j.rec.State.Ended() && len(p.Tasks) == 0 {
+		j.rec.Job = jobs.Job{ID: j.rec.Job.ID}
+		c.chargeJob(j)
 		c.ended = append(c.ended, j)
 		return
 	}
+	j.inOpen = true
+	c.measureJob(j)
 	j.offeredAt = now - c.timeSinceSubmission(j)
 	j.firstOpen, j.nextOccurrence, j.runConfirmed = p.FirstOpen, p.FirstOpen, p.RunConfirmed
 	highest := p.FirstOpen - 1
@@ -332,7 +336,6 @@
 	}
 	c.setObjective(j)
 	c.open = append(c.open, j)
-	j.inOpen = true
 }
 
 // maxRestoredWait bounds how long a restored job counts as having waited, as the wall clock may
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -40,6 +40,8 @@
 	RefusedAccountBacklog = "account-backlog"
 	// RefusedAccount means that a part of the job exceeds its account's limit by itself.
 	RefusedAccount = "account-limit"
+	// RefusedMemory means that the owner has no memory for the job beside those that it keeps.
+	RefusedMemory = "memory"
 )
 
 // Caller identifies who submits a job or asks about one.
@@ -76,6 +78,9 @@
 		c.replies = append(c.replies, Reply{token})
 		return VerdictAccepted, Refusal{}
 	}
+	if n := newJobMemory(&in); !c.limits.Memory.admits(n) {
+		return VerdictRefused, c.refuseForMemory(in.ID, accepting)
+	}
 	j := &job{firstSeen: now, rec: jobRecord{Job: in, Queue: accepting.Queue, Terms: accepting.Terms, Account: accepting.Account, AcceptedMs: c.wallMs}}
 	decision := c.decideAdmission(now, j)
 	firstOffered := c.recordOffer(now, j, decision.refused())
@@ -94,6 +99,7 @@
 	c.jobs[in.ID] = j
 	c.open = append(c.open, j)
 	j.inOpen = true
+	c.measureJob(j)
 	c.markDirty(j)
 	c.replies = append(c.replies, Reply{token})
 	c.event(Event{Kind: EventAccepted, Job: in.ID, Reason: accepting.Queue})
@@ -105,6 +111,17 @@
 	return VerdictAccepted, Refusal{}
 }
 
+// memoryRetryAfter is the retry delay of a job that is refused for memory: open jobs end in seconds.
+const memoryRetryAfter = 2 * time.Second
+
+func (c *Core) refuseForMemory(id string, accepting Accepting) Refusal {
+	c.event(Event{Kind: EventRefused, Job: id, Reason: RefusedMemory, Account: accepting.Account, Queue: accepting.Queue})
+	if accepting.Account != "" {
+		c.refusedByAccount[accepting.Account]++
+	}
+	return Refusal{Reason: RefusedMemory, RetryAfter: memoryRetryAfter}
+}
+
 // Knows reports whether a job is accepted, is being accepted, or has ended and is remembered.
 func (c *Core) Knows(id string) bool { return c.jobs[id] != nil }
 
@@ -186,7 +203,9 @@
 		return
 	}
 	j.inOpen = false
-	j.current = nil
+	j.current, j.expanded = nil, 0
+	j.rec.Job = jobs.Job{ID: j.rec.Job.ID} // as in its last record: only the state is asked for
+	c.chargeJob(j)
 	c.open = slices.DeleteFunc(c.open, func(o *job) bool { return o == j })
 	c.ended = append(c.ended, j)
 	c.markDirty(j)
@@ -201,6 +220,7 @@
 		}
 		c.ended = c.ended[1:]
 		delete(c.jobs, j.rec.Job.ID)
+		c.dropJobMemory(j)
 		c.removedKeys = append(c.removedKeys, keyJob+j.rec.Job.ID)
 	}
 }
@@ -222,6 +242,8 @@
 		o.steps = append(o.steps, s)
 	}
 	j.current = append(j.current, o)
+	j.expanded++
+	c.chargeJob(j)
 }
 
 func uniqueInts(in []int) []int {
@@ -230,13 +252,17 @@
 	return slices.Compact(out)
 }
 
-// expandDueOccurrences expands the occurrences whose start time has come.
+// expandDueOccurrences expands the occurrences whose start time has come. Load: a schedule that begins in
+// the past has all of them due at once. Those beyond the memory follow as earlier ones end.
 func (c *Core) expandDueOccurrences() {
 	for _, j := range c.open {
 		if j.rec.State.Ended() {
 			continue
 		}
 		for j.nextOccurrence < j.rec.Job.Occurrences && c.wallMs >= j.rec.Job.StartAtMs+int64(j.nextOccurrence)*j.rec.Job.IntervalMs {
+			if j.expanded > 0 && !c.limits.Memory.admitsOccurrence(j.occurrenceMemory) {
+				break
+			}
 			c.expandNextOccurrence(j)
 		}
 	}
@@ -248,10 +274,12 @@
 // occurrences from the front of the job's list.
 func (c *Core) closeOccurrence(j *job, number int) {
 	for _, o := range j.current {
-		if o.number == number {
+		if o.number == number && o.steps != nil {
 			o.unfinishedSteps, o.steps = 0, nil
+			j.expanded--
 		}
 	}
+	c.chargeJob(j)
 	for len(j.current) > 0 && j.current[0].unfinishedSteps == 0 {
 		j.firstOpen = j.current[0].number + 1
 		j.current = j.current[1:]
--- a/internal/explain/refusals.go
+++ b/internal/explain/refusals.go
@@ -137,6 +137,7 @@
 	executor.RefusedBacklog:        "less load on the pool or more instances in it: cyclamenctl load and cyclamenctl accounts tell whose work is ahead",
 	executor.RefusedAccountBacklog: "fewer jobs of the account, or a higher limit of the account",
 	executor.RefusedAccount:        "a higher limit of the account: a part of the job exceeds it by itself",
+	executor.RefusedMemory:         "jobs that end, a higher job_memory in the nodes' settings, or more nodes that own pools",
 	executor.RefusedIDTaken:        "another job ID: this one belongs to another account",
 	reasonGate:                     "what unblocks the pool's owner, on whose notice the node acts: cyclamenctl load tells its load",
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -291,7 +291,8 @@
 		Node: n.set.Node, Addr: addr, Member: member,
 		Membership: n.client, Store: store, Endpoints: n.client, ListEndpoints: n.endpoints.list, Logger: n.log,
 		Limits: executor.Limits{Lease: leaseDuration, ProofAge: ownershipProofAge, KeepEnded: n.set.Bounds.KeepEnded, StopTimeout: n.set.Bounds.StopTimeout,
-			LongestLease: n.set.Bounds.LongestLease, CapacityMaxAge: n.set.Bounds.StableWindow + n.set.Bounds.Heartbeat, OverloadControl: n.overloadControl()},
+			LongestLease: n.set.Bounds.LongestLease, CapacityMaxAge: n.set.Bounds.StableWindow + n.set.Bounds.Heartbeat, OverloadControl: n.overloadControl(),
+			Memory: executor.NewJobMemory(n.set.JobMemory)},
 		Fleet: func(ctx context.Context, duty shards.Duty) {
 			fleetops.Run(ctx, fleetops.Options{Holder: n.set.Node, Member: member, Claims: duty, Claimed: duty.RecordClaim,
 				Store: store, Cloud: n.client, Pools: calls, Facts: n.fleetFacts, Logger: n.log,
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -44,6 +44,8 @@
 	Memory int64
 	// Processor is the share of a CPU core that the node may use.
 	Processor float64
+	// JobMemory bounds the jobs of the pools that the node owns, in bytes.
+	JobMemory int64
 	// Clients are the limits of all clients together.
 	Clients intake.Settings
 }
@@ -75,6 +77,9 @@
 	KeysUnconfirmed time.Duration
 }
 
+// jobMemoryShare is the inverse of the part of a node's memory that jobs may take by default.
+const jobMemoryShare = 4
+
 // NodeTable declares the settings of cyclamen-node.
 func NodeTable() Table {
 	second := int64(time.Second)
@@ -107,6 +112,7 @@
 		{Section: sectionBounds, Name: "stable_window", Kind: KindDuration, Default: "3s", Unit: "ms, s", Min: second, Max: 600 * second, Doc: "How long after a heartbeat is due an outdated, larger capacity of an endpoint may still be used."},
 		{Section: sectionLimits, Name: "memory", Kind: KindBytes, Default: "256MiB", Unit: "MiB", Min: 16 << 20, Max: maxMemory, Doc: "Memory above which the process is killed."},
 		{Section: sectionLimits, Name: "processor", Kind: KindRatio, Default: "1", Unit: "cores", Doc: "Share of a CPU core that the node may use."},
+		{Section: sectionLimits, Name: "job_memory", Kind: KindBytes, Default: "0B", Unit: "MiB", Max: maxMemory, Doc: "Memory of the jobs of the pools that the node owns, beyond which new ones are refused; 0B for a quarter of memory."},
 	}, clientKeys())}
 }
 
@@ -125,7 +131,7 @@
 		Store:         v.Addr(sectionStore, "address").String(),
 		Orders:        v.String(sectionStore, "orders"),
 		Memory:        v.Bytes(sectionLimits, "memory"), Processor: v.Ratio(sectionLimits, "processor"),
-		Clients: clientSettings(v),
+		Clients: clientSettings(v), JobMemory: v.Bytes(sectionLimits, "job_memory"),
 		Bounds: NodeBounds{
 			Grace: v.Duration(sectionBounds, "grace"), StopTimeout: v.Duration(sectionBounds, "stop_timeout"),
 			LongestLease: v.Duration(sectionBounds, "longest_lease"),
@@ -138,6 +144,9 @@
 			StrictKeys:   v.Bool(sectionBounds, "strict_keys"), KeysUnconfirmed: v.Duration(sectionBounds, "keys_unconfirmed"),
 		},
 	}
+	if s.JobMemory == 0 {
+		s.JobMemory = s.Memory / jobMemoryShare
+	}
 	s.InstanceOrdersPerSecond = int(v.Number(sectionStore, "instance_orders_per_second"))
 	s.Contracts = v.List(sectionStore, "contracts")
 	s.OverloadControl = v.String(sectionCallers, "overload_control")
--- a/internal/shards/runner.go
+++ b/internal/shards/runner.go
@@ -146,7 +146,11 @@
 	}
 	r.core = executor.New(r.pool, r.epoch, r.limits, r.now())
 	r.core.SetWallClock(r.wallClock().UnixMilli())
-	return r.core.Restore(fleetops.RecordsOf(records), r.now())
+	if err := r.core.Restore(fleetops.RecordsOf(records), r.now()); err != nil {
+		r.core.ReleaseMemory()
+		return err
+	}
+	return nil
 }
 
 // vacateEndpoints requests that the endpoints are vacated whose instances operations are about to move
@@ -189,6 +193,7 @@
 	r.submissions.close()
 	r.appendHandover()
 	r.answerWaitingCalls()
+	r.core.ReleaseMemory()
 }
 
 // awaitMessages waits for more messages, so that one round handles all of them.
