jobs, tenure: what a caller submits fits the store's records and calls

What callers saw: one job of legal size with a name as long as its body, and nobody's job was accepted in its pool any more: 503 for as long as one looked.

Cause: the store refuses a record above 256 KB and a call above 2 MB, for good; the pool's owner repeats the append that its next changes wait for. Nothing bounded the record of a job, the progress record of a schedule whose occurrences never end, or the sum of a batch.

A job that would take more than 240 KB in the store is malformed. As many occurrences are expanded at a time as one job may have tasks, the number for which the progress was meant to fit. A batch is appended by as many calls as it needs, numbered in order, 1 MB each; what follows from it waits for the last.

--- a/internal/executor/memory_test.go
+++ b/internal/executor/memory_test.go
@@ -92,3 +92,27 @@
 	g.Expect(w.state(o, j)).To(Equal("completed"))
 	g.Expect(w.violations).To(BeEmpty())
 }
+
+// Guards against a schedule whose occurrences never end and whose progress outgrows a record of the store,
+// so that no change of the pool is stored any more.
+func TestTheProgressOfAScheduleFitsARecord(t *testing.T) {
+	g := NewWithT(t)
+	const storeLimit = 256 << 10
+	w, _ := memoryWorld(1 << 30)
+	o := w.takeOver()
+	w.run(time.Second)
+	never := smallStep(1)
+	never.Requires = "none"
+	wide := smallStep(100)
+	wide.CPUMilli, wide.MemoryMB = 1, 1
+	j := jobOf(1, wide, never)
+	j.Occurrences, j.StartAtMs, j.IntervalMs = 10000, 1, 1
+	g.Expect(w.submit(o, j)).To(Equal(executor.VerdictAccepted))
+	w.run(20 * time.Second)
+	for key, value := range w.journal.newest {
+		g.Expect(len(value)).To(BeNumerically("<=", storeLimit), key)
+	}
+	g.Expect(w.submit(o, jobOf(2, smallStep(1)))).To(Equal(executor.VerdictAccepted))
+	w.run(2 * time.Second)
+	g.Expect(w.state(o, jobOf(2, smallStep(1)))).To(Equal("completed"))
+}
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -260,7 +260,7 @@
 			continue
 		}
 		for j.nextOccurrence < j.rec.Job.Occurrences && c.wallMs >= j.rec.Job.StartAtMs+int64(j.nextOccurrence)*j.rec.Job.IntervalMs {
-			if j.expanded > 0 && !c.limits.Memory.admitsOccurrence(j.occurrenceMemory) {
+			if j.expanded > 0 && !c.admitsOccurrence(j) {
 				break
 			}
 			c.expandNextOccurrence(j)
@@ -268,6 +268,12 @@
 	}
 }
 
+// admitsOccurrence reports whether another occurrence of a job may be expanded: the progress of all that
+// are has to fit one record.
+func (c *Core) admitsOccurrence(j *job) bool {
+	return (j.expanded+1)*j.rec.Job.Tasks() <= jobs.MaxTasks && c.limits.Memory.admitsOccurrence(j.occurrenceMemory)
+}
+
 func (j *job) occurrenceCount() int { return max(1, j.rec.Job.Occurrences) }
 
 // closeOccurrence marks an occurrence as ended and drops its steps. It then removes ended
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -17,6 +17,9 @@
 	// one record of about 60 bytes a task, and the store accepts records of up to 256 KB.
 	MaxSteps = 256
 	MaxTasks = 3000
+	// MaxRecordBytes bounds what a job takes in the store, which accepts records of up to 256 KB. The rest
+	// is for its terms and its queue's name.
+	MaxRecordBytes = 240 << 10
 	// MaxOccurrences bounds a recurring job. Occurrences are expanded one at a time, so it
 	// does not serve to bound memory.
 	MaxOccurrences = 100000
@@ -151,9 +154,34 @@
 	if tasks > MaxTasks {
 		return &MalformedError{"steps", "have more than 3000 tasks"}
 	}
+	if size := j.recordBytes(); size > MaxRecordBytes {
+		return &MalformedError{"steps", "take " + strconv.Itoa(size) + " bytes in the store, at most 245760 are possible"}
+	}
 	return nil
 }
 
+// recordBytes returns the most that the job takes in the store.
+func (j *Job) recordBytes() int {
+	const numberBytes, stepNumbers, shortFields = 9, 8, 48
+	size := len(j.Spec) + shortFields + 4*numberBytes
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		size += stepNumbers*numberBytes + shortFields + len(s.Requires) + len(s.DataRack) + len(s.Image) + encodedIndexBytes*len(s.After)
+	}
+	return size
+}
+
+// encodedIndexBytes is the most that the number of a step takes in a record.
+const encodedIndexBytes = 2
+
+// Tasks returns the number of tasks of one occurrence.
+func (j *Job) Tasks() (n int) {
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
 func (s *Step) check(number int) error {
 	field := "steps[" + strconv.Itoa(number) + "]"
 	if s.Count < 1 || s.Count > MaxTasks {
--- a/internal/standin/wire/store.go
+++ b/internal/standin/wire/store.go
@@ -17,6 +17,9 @@
 	partitions = 24
 	// recentAppends is how many appends of a producer are recognised when they are repeated.
 	recentAppends = 5
+	// recordBytes limits one record, callBytes the records of one append.
+	recordBytes = 256 << 10
+	callBytes   = 2 << 20
 	// pageItems limits a page of newest records.
 	pageItems    = 500
 	pollInterval = 5 * time.Millisecond
@@ -91,6 +94,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if !withinLimits(records) {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
 	p.mu.Lock()
 	if p.storeDown {
 		p.mu.Unlock()
@@ -143,6 +150,18 @@
 	return http.StatusOK, answer
 }
 
+// withinLimits reports whether the store takes the records in one call.
+func withinLimits(records [][]byte) bool {
+	total := 0
+	for _, r := range records {
+		if len(r) > recordBytes {
+			return false
+		}
+		total += len(r)
+	}
+	return total <= callBytes
+}
+
 func splitRecords(raw []byte) ([][]byte, bool) {
 	var out [][]byte
 	for len(raw) > 0 {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -277,25 +277,55 @@
 	return planlease.Boottime() - time.Duration(t.provenAt.Load())
 }
 
-// Number assigns a batch its sequence number. A batch without records only proves the epoch
-// and does not use up a number.
+// Number assigns a batch the sequence numbers of its calls, of which it returns the first. A batch
+// without records only proves the epoch and does not use up a number.
 func (t *Tenure) Number(records []platform.Record) int64 {
 	number := t.nextSeq
 	if len(records) > 0 {
-		t.nextSeq++
+		t.nextSeq += int64(len(splitByCalls(records)))
 	}
 	return number
 }
 
+// maxCallBytes is the size of the records from which a batch is appended by another call, in bytes: the
+// store refuses a call above some 2 MB for good.
+const maxCallBytes = 1 << 20
+
+// splitByCalls splits a batch, in order, into the records of each call: one call if it is empty.
+func splitByCalls(records []platform.Record) [][]platform.Record {
+	var calls [][]platform.Record
+	begin, size := 0, 0
+	for i, r := range records {
+		n := len(r.Key) + len(r.Value)
+		if i > begin && size+n > maxCallBytes {
+			calls = append(calls, records[begin:i])
+			begin, size = i, 0
+		}
+		size += n
+	}
+	return append(calls, records[begin:])
+}
+
 // Append numbers and appends a batch; see AppendNumbered.
 func (t *Tenure) Append(ctx context.Context, records []platform.Record) error {
 	return t.AppendNumbered(ctx, t.Number(records), records)
 }
 
 // AppendNumbered appends a batch, and retries until the store has given a final answer: the
-// number lets the store recognise a batch that it has already stored. An empty batch only
-// proves the epoch. An error means that the tenure has ended, or that ctx has ended.
+// numbers let the store recognise what it has already stored. An empty batch only proves the
+// epoch. An error means that the tenure has ended, or that ctx has ended; the beginning of a
+// batch that takes several calls may then be stored.
 func (t *Tenure) AppendNumbered(ctx context.Context, number int64, records []platform.Record) error {
+	for i, call := range splitByCalls(records) {
+		if err := t.appendCall(ctx, number+int64(i), call); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// appendCall appends the records of one call.
+func (t *Tenure) appendCall(ctx context.Context, number int64, records []platform.Record) error {
 	// The first attempt may be the one that the store carried out, so the epoch is proved for
 	// that moment and no later one.
 	sentAt := planlease.Boottime()
--- a/test/misbehaving/node_test.go
+++ b/test/misbehaving/node_test.go
@@ -65,6 +65,9 @@
 	},
 		Entry("with long lists of earlier steps", whole(`{"spec":"10","steps":[{"count":1},{"count":1,"after":[`, `0,`, `0]}]}`)),
 		Entry("with a schedule in the past", `{"spec":"10","steps":[{"count":100,"cpu":1,"memMb":1,"estMs":1}],"times":100000,"startAtMs":1,"intervalMs":1}`),
+		Entry("with a schedule that never ends", `{"spec":"10","steps":[{"count":100,"cpu":1,"memMb":1,"estMs":1},{"count":1,"requires":"none"}],"times":100000,"startAtMs":1,"intervalMs":1}`),
+		Entry("with names that almost fill a record", whole(`{"spec":"10","steps":[`, `{"count":1,"cpu":1,"estMs":1,"image":"`+strings.Repeat("i", 230000)+`"},`, `{"count":1}]}`)),
+		Entry("with a name as long as the body", whole(`{"spec":"10","steps":[{"count":1,"cpu":1,"estMs":1,"image":"`, "i", `"}]}`)),
 		Entry("with many tasks", `{"spec":"10","steps":[{"count":3000,"cpu":1,"memMb":1,"estMs":1}]}`),
 		Entry("with long names", whole(`{"spec":"10","steps":[`, `{"count":1,"cpu":1,"estMs":1,"image":"`+strings.Repeat("i", 1000)+`"},`, `{"count":1}]}`)))
 
