shards: large submissions reach the owner from every node, within its memory

What callers saw: a job of 150 KB was accepted at the node that owns its pool and answered 504 at all others, however often it came.

Cause: a call between nodes takes 64 KiB unless its kind says otherwise, and submissions did not; the error of a message that is not sent counted as an unknown outcome. With larger messages allowed, the bounds behind them were not made for the memory of a node: 64 MiB for messages that arrive, and 512 submissions that wait, of any size.

Evidence: the spec "accepts a large job at every node" saw 504 for 60 s.

Submissions may be as large as a job that passes the check. What arrives from all peers may take a sixteenth of the memory, and the jobs that wait for the owner's decision 1 MiB in encoded form. The spec "outlives large jobs at all nodes at once" is new.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -70,6 +70,10 @@
 	// incompleteShare is the inverse of the part of the time for requests in flight that is left when
 	// incomplete ones are closed.
 	incompleteShare = 2
+	// transferShare is the inverse of the part of the memory that large messages of other nodes may take
+	// while they arrive. minTransferMemory holds one of them.
+	transferShare     = 16
+	minTransferMemory = 1 << 20
 	// headerTimeout and idleTimeout are the timeouts of all HTTP servers here.
 	// The timeouts in a configuration's limits are not applied to them.
 	headerTimeout = 3 * time.Second
@@ -280,6 +284,7 @@
 	n.peers, err = peer.NewNode(peer.Options{
 		Self:       peer.Identity{ID: n.set.Node, Role: "entry", BootID: boot, Zone: n.set.Zone},
 		Deployment: n.set.Deployment, TLS: tlsConfig, Listen: n.set.PeerListen.String(), Logger: n.log,
+		TransferMemory: max(minTransferMemory, n.set.Memory/transferShare),
 	})
 	if err != nil {
 		return err
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -154,14 +154,14 @@
 	if tasks > MaxTasks {
 		return &MalformedError{"steps", "have more than 3000 tasks"}
 	}
-	if size := j.recordBytes(); size > MaxRecordBytes {
+	if size := j.RecordBytes(); size > MaxRecordBytes {
 		return &MalformedError{"steps", "take " + strconv.Itoa(size) + " bytes in the store, at most 245760 are possible"}
 	}
 	return nil
 }
 
-// recordBytes returns the most that the job takes in the store.
-func (j *Job) recordBytes() int {
+// RecordBytes returns the most that the job takes in the store, in bytes.
+func (j *Job) RecordBytes() int {
 	const numberBytes, stepNumbers, shortFields = 9, 8, 48
 	size := len(j.Spec) + shortFields + 4*numberBytes
 	for i := range j.Steps {
--- a/internal/jobs/record_test.go
+++ b/internal/jobs/record_test.go
@@ -30,8 +30,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if len(data) > j.recordBytes() || j.Check() == nil && len(data) > storeLimit {
-			t.Fatalf("%d bytes, thought to be %d", len(data), j.recordBytes())
+		if len(data) > j.RecordBytes() || j.Check() == nil && len(data) > storeLimit {
+			t.Fatalf("%d bytes, thought to be %d", len(data), j.RecordBytes())
 		}
 	}
 	if len(j.Steps[0].Image) < 1000 {
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -73,9 +73,8 @@
 	maxKind = 255
 	// maxHello bounds the hello message.
 	maxHello = 4 << 10
-	// transferBudget bounds the memory of all requests above MaxOrdinary that
-	// are being read at the same time, over all peers.
-	transferBudget = 4 * MaxTransfer
+	// defaultTransferMemory is the default of Options.TransferMemory.
+	defaultTransferMemory = 4 * MaxTransfer
 	// maxDetail bounds the detail text of a remote error.
 	maxDetail = 512
 )
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -28,7 +28,11 @@
 	TLS *tls.Config
 	// Listen is the UDP address to listen on, an IP address and a port.
 	Listen string
-	Logger *slog.Logger
+	// TransferMemory bounds the memory of all requests above MaxOrdinary that are being read at the same
+	// time, over all peers, in bytes; 0 for four of the largest. It must hold the largest message of any
+	// kind that is handled.
+	TransferMemory int64
+	Logger         *slog.Logger
 }
 
 type nodeState uint8
@@ -85,7 +89,7 @@
 		listenOn:       listenOn,
 		serverTLS:      serverTLS(opts.TLS, opts.Deployment),
 		clientTLS:      clientTLS(opts.TLS, opts.Deployment),
-		transferMemory: semaphore.NewWeighted(transferBudget),
+		transferMemory: semaphore.NewWeighted(opts.TransferMemory),
 		ctx:            ctx,
 		cancel:         cancel,
 		remotes:        map[string]*remote{},
@@ -115,6 +119,9 @@
 	if opts.Logger == nil {
 		opts.Logger = slog.Default()
 	}
+	if opts.TransferMemory == 0 {
+		opts.TransferMemory = defaultTransferMemory
+	}
 	return addr, nil
 }
 
--- a/internal/shards/calls.go
+++ b/internal/shards/calls.go
@@ -95,6 +95,9 @@
 
 var maxVacateBytes = peer.MaxBytes(maxVacateMessage)
 
+// maxSubmitBytes limits a SubmitCall: a job and what it is accepted by.
+var maxSubmitBytes = peer.MaxBytes(jobs.MaxRecordBytes + 16<<10)
+
 // VacateCall requests that a pool's owner vacate endpoints and report the pool's state.
 type VacateCall struct {
 	Pool  string       `cbor:"1,keyasint"`
@@ -169,7 +172,7 @@
 func (m *Manager) Register(n *peer.Node) {
 	peer.Handle(n, kindSubmit, func(ctx context.Context, _ peer.Identity, in SubmitCall) (Result, error) {
 		return m.localSubmit(ctx, in), nil
-	})
+	}, maxSubmitBytes)
 	peer.Handle(n, kindKnown, func(ctx context.Context, _ peer.Identity, in KnownCall) (KnownResult, error) {
 		return m.localKnown(ctx, in), nil
 	})
@@ -255,6 +258,7 @@
 
 	limits ownerLimits
 	known  knownQuestions
+	large  turns
 }
 
 // call makes a call on this process or on the pool's owner, and retries it at the next
@@ -295,13 +299,23 @@
 	if !ok || owner.Node == c.Manager.opts.Node {
 		return resultNotOwner
 	}
+	if in, ok := request.(SubmitCall); ok && in.Job.RecordBytes() > largeSubmission {
+		if !c.large.begin(ctx) {
+			return resultLargeWaited
+		}
+		defer c.large.end()
+	}
 	finish := func(time.Duration, Result, error) {}
 	if c.OverloadControl && kind == kindSubmit {
 		if finish = c.limits.acquire(planlease.Boottime(), owner.Node); finish == nil {
 			return resultOwnerBusy
 		}
 	}
-	result, err := peer.Call[any, Result](ctx, c.Peers, owner.Node, kind, request)
+	var options []peer.KindOption
+	if kind == kindSubmit {
+		options = append(options, maxSubmitBytes)
+	}
+	result, err := peer.Call[any, Result](ctx, c.Peers, owner.Node, kind, request, options...)
 	finish(planlease.Boottime(), result, err)
 	if err == nil {
 		return result
--- a/internal/shards/runner_calls.go
+++ b/internal/shards/runner_calls.go
@@ -83,7 +83,7 @@
 func (r *Runner) submit(ctx context.Context, in SubmitCall) Result {
 	r.arriving.add(in.Job.ID)
 	defer r.arriving.remove(in.Job.ID)
-	return r.requestQueued(ctx, func(now time.Duration, token uint64) (Result, bool) {
+	return r.requestQueued(ctx, in.Job.RecordBytes(), func(now time.Duration, token uint64) (Result, bool) {
 		if r.storeStalled(now) {
 			return Result{Outcome: OutcomeUnavailable, Reason: "the store does not answer", RetryAfterMs: storeRetryAfterMs}, true
 		}
--- a/internal/shards/runner_submissions.go
+++ b/internal/shards/runner_submissions.go
@@ -13,7 +13,10 @@
 const (
 	// maxWaitingSubmissions bounds the submissions that wait for the control goroutine. A round
 	// takes maxSubmissionsPerRound of them, so that the last one waits for some eight rounds.
-	maxWaitingSubmissions  = 512
+	maxWaitingSubmissions = 512
+	// maxWaitingBytes bounds the encoded jobs of the submissions that wait: a large one takes hundreds of
+	// times as much as an ordinary one.
+	maxWaitingBytes        = 1 << 20
 	maxSubmissionsPerRound = 64
 	// answerShare is the inverse of the part of the caller's time that is left for the answer of a
 	// submission that waits in vain, so that its caller learns that it was not accepted.
@@ -44,6 +47,8 @@
 	decide func(now time.Duration, token uint64) (Result, bool)
 	// answer has room for the one answer that each submission gets.
 	answer chan Result
+	// bytes is the size of its job.
+	bytes int
 }
 
 // submissionQueue holds the submissions that wait, oldest first. A submission in it has not been
@@ -51,7 +56,9 @@
 type submissionQueue struct {
 	mu      sync.Mutex
 	waiting []*submission
-	closed  bool
+	// bytes is the sum over waiting.
+	bytes  int
+	closed bool
 	// arrived receives a value when submissions wait.
 	arrived chan struct{}
 }
@@ -67,11 +74,12 @@
 	switch {
 	case q.closed:
 		return resultOwnerChanging, false
-	case len(q.waiting) >= maxWaitingSubmissions:
+	case len(q.waiting) >= maxWaitingSubmissions, len(q.waiting) > 0 && q.bytes+s.bytes > maxWaitingBytes:
 		countDropped(droppedQueueFull)
 		return resultOwnerBusy, false
 	}
 	q.waiting = append(q.waiting, s)
+	q.bytes += s.bytes
 	q.signal()
 	return Result{}, true
 }
@@ -92,6 +100,7 @@
 		s := q.waiting[0]
 		q.waiting[0] = nil
 		q.waiting = q.waiting[1:]
+		q.bytes -= s.bytes
 		if s.ctx.Err() == nil {
 			return s
 		}
@@ -119,6 +128,7 @@
 		return false
 	}
 	q.waiting = slices.Delete(q.waiting, i, i+1)
+	q.bytes -= s.bytes
 	countDropped(droppedExpired)
 	return true
 }
@@ -131,19 +141,19 @@
 	for _, s := range q.waiting {
 		s.answer <- resultOwnerChanging
 	}
-	q.waiting, q.closed = nil, true
+	q.waiting, q.bytes, q.closed = nil, 0, true
 }
 
 func countDropped(reason string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("cyclamen_submissions_dropped_total{reason=%q}", reason)).Inc()
 }
 
-// requestQueued is request for submissions, which wait in a queue of their own. An answer of
+// requestQueued is request for submissions, which wait in a queue of their own. bytes is the size of the job. An answer of
 // OutcomeUnavailable by the queue means that decide was not called and never will be.
-func (r *Runner) requestQueued(ctx context.Context, decide func(now time.Duration, token uint64) (Result, bool)) Result {
+func (r *Runner) requestQueued(ctx context.Context, bytes int, decide func(now time.Duration, token uint64) (Result, bool)) Result {
 	worthwhile, cancel := withAnswerTime(ctx)
 	defer cancel()
-	s := &submission{ctx: worthwhile, decide: decide, answer: make(chan Result, 1)}
+	s := &submission{ctx: worthwhile, decide: decide, answer: make(chan Result, 1), bytes: bytes}
 	if result, ok := r.submissions.push(s); !ok {
 		return result
 	}
--- a/internal/shards/runner_submissions_test.go
+++ b/internal/shards/runner_submissions_test.go
@@ -44,7 +44,7 @@
 	for range 5000 {
 		wg.Go(func() {
 			for {
-				result := r.requestQueued(context.Background(), decide)
+				result := r.requestQueued(context.Background(), 1, decide)
 				mu.Lock()
 				answers[result.Outcome]++
 				mu.Unlock()
@@ -98,7 +98,7 @@
 	var decided atomic.Int64
 	limit, stop := context.WithTimeout(ctx, 10*time.Second)
 	defer stop()
-	g.Expect(r.requestQueued(limit, refuseAfter(0, &decided)).Outcome).To(Equal(OutcomeRefused))
+	g.Expect(r.requestQueued(limit, 1, refuseAfter(0, &decided)).Outcome).To(Equal(OutcomeRefused))
 	cancel()
 	<-ended
 }
@@ -130,7 +130,7 @@
 			limit, stop := context.WithTimeout(ctx, time.Duration(i%100)*400*time.Microsecond)
 			defer stop()
 			var accepted atomic.Bool
-			result := r.requestQueued(limit, func(now time.Duration, token uint64) (Result, bool) {
+			result := r.requestQueued(limit, 1, func(now time.Duration, token uint64) (Result, bool) {
 				time.Sleep(50 * time.Microsecond)
 				accepted.Store(true)
 				return Result{Outcome: OutcomeDone}, true
@@ -215,3 +215,23 @@
 	cancel()
 	<-ended
 }
+
+// Guards against large submissions whose decoded jobs exceed the owner's memory while they wait, although
+// there are few; and against one that is never taken because it is large.
+func TestLargeSubmissionsWaitWithinABound(t *testing.T) {
+	g := NewWithT(t)
+	q := newSubmissionQueue()
+	push := func(bytes int) bool {
+		_, ok := q.push(&submission{ctx: context.Background(), bytes: bytes, answer: make(chan Result, 1)})
+		return ok
+	}
+	g.Expect(push(2*maxWaitingBytes)).To(BeTrue(), "nothing else waits")
+	g.Expect(push(1)).To(BeFalse())
+	g.Expect(q.take()).NotTo(BeNil())
+	for range 4 {
+		g.Expect(push(maxWaitingBytes / 4)).To(BeTrue())
+	}
+	g.Expect(push(maxWaitingBytes / 4)).To(BeFalse())
+	g.Expect(q.withdraw(q.waiting[0])).To(BeTrue())
+	g.Expect(push(maxWaitingBytes / 4)).To(BeTrue())
+}
--- a/test/misbehaving/node_test.go
+++ b/test/misbehaving/node_test.go
@@ -149,6 +149,12 @@
 		})
 	})
 
+	// Guards against an owner that holds the large jobs which all nodes send it at the same time.
+	It("outlives large jobs at all nodes at once", func() {
+		body := largeJob()
+		start(3, trial.Options{}).outlives(writers, func(m *member) { m.submitMany(body) })
+	})
+
 	// Guards against a planned stop that waits for bodies that never end.
 	It("stops while bodies stay open", func() {
 		t := start(1, trial.Options{})
@@ -160,6 +166,17 @@
 		Expect(t.Nodes()[0].Wait()).To(BeZero())
 	})
 
+	// Guards against large jobs that only the owner of their pool can accept.
+	It("accepts a large job at every node", func() {
+		t := start(3, trial.Options{})
+		body := largeJob()
+		for i, n := range t.Nodes() {
+			m := &member{number: i}
+			Eventually(func() int { return m.ask(n.Front, length(len(body)), body) }, conditionTimeout).Should(Equal(http.StatusOK), n.Name)
+		}
+		t.expectWithinLimits(unlimited)
+	})
+
 	// Guards against limits that a client within the platform's limits meets.
 	DescribeTable("serves a whole body of the largest size in calm", func(lines string, framed func(string) string) {
 		t := start(1, trial.Options{})
@@ -179,3 +196,8 @@
 func whole(head, middle, tail string) string {
 	return head + strings.Repeat(middle, (maxBody-len(head)-len(tail))/len(middle)) + tail
 }
+
+// largeJob returns a job of some 150 KB.
+func largeJob() string {
+	return `{"spec":"10","steps":[` + strings.Repeat(`{"count":1,"cpu":1,"estMs":1,"image":"`+strings.Repeat("i", 1000)+`"},`, 150) + `{"count":1}]}`
+}
