--- a/test/misbehaving/crowd_test.go
+++ b/test/misbehaving/crowd_test.go
@@ -83,21 +83,25 @@
 }
 
 // write sends text, unless an earlier write on the connection has failed.
-func (m *member) write(text string) {
+func (m *member) write(text string) { m.writeBytes([]byte(text)) }
+
+// writeBytes is write for bodies, which a crowd shares.
+func (m *member) writeBytes(data []byte) {
 	if m.failed {
 		return
 	}
 	_ = m.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := io.WriteString(m.conn, text)
+	_, err := m.conn.Write(data)
 	m.failed = err != nil
 }
 
 // submitMany submits jobs with the same body, each after the answer to the one before.
 func (m *member) submitMany(body string) {
+	data := []byte(body)
 	answers := bufio.NewReader(m.conn)
 	for i := range wholeRequests {
 		m.post(fmt.Sprintf("/%s/%08x%08x", pool, m.number+1, m.round*wholeRequests+i), length(len(body)))
-		m.write(body)
+		m.writeBytes(data)
 		if m.failed {
 			return
 		}
@@ -142,12 +146,12 @@
 
 func length(n int) string { return fmt.Sprintf("Content-Length: %d", n) }
 
-// pieces sends text in pieces of the given size, each through a function of its own.
-func pieces(text string, size int, send func(string)) {
-	for len(text) > 0 {
-		n := min(size, len(text))
-		send(text[:n])
-		text = text[n:]
+// pieces sends data in pieces of the given size, each through a function of its own.
+func pieces[T string | []byte](data T, size int, send func(T)) {
+	for len(data) > 0 {
+		n := min(size, len(data))
+		send(data[:n])
+		data = data[n:]
 	}
 }
 
--- a/test/misbehaving/entry_test.go
+++ b/test/misbehaving/entry_test.go
@@ -41,10 +41,10 @@
 	// Guards against large bodies of legal size that stop short of their end and exceed the memory.
 	DescribeTable("outlives bodies that stop just short of their end", func(lines string, framed func(string) string) {
 		entry, used := startEntry()
-		body := framed(strings.Repeat("b", entryBody-1))
+		body := []byte(framed(strings.Repeat("b", entryBody-1)))
 		gather(entryBodies, strings.TrimPrefix(entry.CallerURL(), "http://"), func(m *member) {
 			m.post("/"+pool+"/order/1", lines)
-			pieces(body, 64<<10, m.write)
+			pieces(body, 64<<10, m.writeBytes)
 		})
 		for i := range answers {
 			expectEntryAnswers(entry, fmt.Sprintf("ordinary-%d", i))
--- a/test/misbehaving/node_test.go
+++ b/test/misbehaving/node_test.go
@@ -1,6 +1,7 @@
 package misbehaving_test
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strings"
@@ -16,38 +17,39 @@
 var _ = Describe("a node", func() {
 	// Guards against large bodies of legal size that stop short of their end and exceed the memory.
 	It("outlives bodies that stop just short of their end", func() {
-		body := padded(maxBody)
+		body := []byte(padded(maxBody))
 		start(1, trial.Options{}).outlives(bodies, func(m *member) {
 			m.post(m.path(), length(maxBody))
-			m.write(body[:maxBody-1])
+			m.writeBytes(body[:maxBody-1])
 		})
 	})
 
 	// Guards against the same bodies in small pieces, each of which looks like progress.
 	It("outlives bodies that come piece by piece", func() {
-		body := padded(maxBody)
+		body := []byte(padded(maxBody))
 		start(1, trial.Options{}).outlives(bodies, func(m *member) {
 			m.post(m.path(), length(maxBody))
-			pieces(body[:maxBody-1], 1<<10, m.write)
+			pieces(body[:maxBody-1], 1<<10, m.writeBytes)
 		})
 	})
 
 	// Guards against bodies of unknown length in large chunks, the last of which never comes.
 	It("outlives chunked bodies in large chunks", func() {
-		body := padded(maxBody)
+		var framed bytes.Buffer
+		pieces(padded(maxBody), 64<<10, func(piece string) { framed.WriteString(chunk(piece)) })
 		start(1, trial.Options{}).outlives(bodies, func(m *member) {
 			m.post(m.path(), chunked)
-			pieces(body, 64<<10, func(piece string) { m.write(chunk(piece)) })
+			m.writeBytes(framed.Bytes())
 		})
 	})
 
 	// Guards against the same bodies in chunks of one byte, whose framing is several times the body.
 	It("outlives chunked bodies in chunks of one byte", func() {
-		var framed strings.Builder
+		var framed bytes.Buffer
 		pieces(padded(maxBody), 1, func(piece string) { framed.WriteString(chunk(piece)) })
 		start(1, trial.Options{}).outlives(bodies, func(m *member) {
 			m.post(m.path(), chunked)
-			pieces(framed.String(), 32<<10, m.write)
+			pieces(framed.Bytes(), 32<<10, m.writeBytes)
 		})
 	})
 
@@ -86,9 +88,10 @@
 
 	// Guards against connections that stay open for a body that no handler reads.
 	DescribeTable("outlives bodies that no handler reads", func(method, path string) {
+		body := bytes.Repeat([]byte("b"), maxBody-1)
 		start(1, trial.Options{}).outlives(connections, func(m *member) {
 			m.write(method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\n" + length(maxBody) + "\r\n\r\n")
-			m.write(strings.Repeat("b", maxBody-1))
+			m.writeBytes(body)
 		})
 	},
 		Entry("of a query", "GET", "/"+pool+"/"),
@@ -96,10 +99,10 @@
 
 	// Guards against answers that nobody reads: the requests behind them fill the receive queues.
 	It("outlives clients that do not read their answers", func() {
-		ask := strings.Repeat("GET /"+pool+"/ HTTP/1.1\r\nHost: "+host+"\r\n\r\n", 4000)
+		ask := bytes.Repeat([]byte("GET /"+pool+"/ HTTP/1.1\r\nHost: "+host+"\r\n\r\n"), 4000)
 		start(1, trial.Options{}).outlives(connections, func(m *member) {
 			m.unread = true
-			m.write(ask)
+			m.writeBytes(ask)
 		})
 	})
 
@@ -131,9 +134,10 @@
 		DeferCleanup(platform.Close)
 		t := startOn(platform, 1, trial.Options{})
 		Eventually(func() int { return t.submitSmall() }, conditionTimeout).Should(Equal(http.StatusServiceUnavailable))
+		body := bytes.Repeat([]byte("b"), maxBody-1)
 		gather(connections, t.Nodes()[0].Front, func(m *member) {
 			m.post(m.path(), length(maxBody))
-			m.write(strings.Repeat("b", maxBody-1))
+			m.writeBytes(body)
 		})
 		Expect(platform.Publish(1, host, pool)).To(Succeed())
 		t.expectOrdinaryAnswers()
@@ -142,10 +146,10 @@
 
 	// Guards against crowds at all nodes at once, the owner of the pool among them.
 	It("outlives crowds at all nodes at once", func() {
-		body := padded(maxBody)
+		body := []byte(padded(maxBody))
 		start(3, trial.Options{}).outlives(bodies, func(m *member) {
 			m.post(m.path(), length(maxBody))
-			m.write(body[:maxBody-1])
+			m.writeBytes(body[:maxBody-1])
 		})
 	})
 
