intake: an answer that has not been written yet is not given up

What callers might have seen: a whole request without an answer, where others needed the memory, or the process stopped, in the moment between the end of its handling and the writing of its answer.

Cause: the wait for the next request was taken to begin when the handler returns. The server writes the answer after that, and reads on meanwhile to notice that its client has gone, which looked like a client that is waited for.

The wait begins when the server says that the connection is idle. Log lines are written outside the guard's lock, as a log that is not read would stop all clients; requests up to 64 KiB of cost count as small, so that an ordinary one does not compete with large ones by its header.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -16,7 +16,8 @@
 	phaseHeader phase = iota
 	// phaseBody lasts while the handler waits for the body.
 	phaseBody
-	// phaseHandling lasts while a request is handled that needs no more of its client.
+	// phaseHandling lasts while a request is handled that needs no more of its client, until its answer
+	// has been written.
 	phaseHandling
 	// phaseClosing lasts while the client reads the last answer.
 	phaseClosing
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -30,7 +30,7 @@
 	// largeShare is the part of the budget that large requests may fill; the rest is for small ones.
 	largeShare = 0.75
 	// smallCost is the memory up to which a request is small, in bytes.
-	smallCost = 16 << 10
+	smallCost = 64 << 10
 	// unreadAnswerTime is how long an answer may wait for its reader before its connection may be
 	// closed for others.
 	unreadAnswerTime = 250 * time.Millisecond
@@ -72,8 +72,10 @@
 	held  int64
 	conns map[*conn]struct{}
 	// closed and refused count connections closed and requests refused since the last log line.
+	// logging is set while that line is being written.
 	closed, refused int
 	loggedAt        time.Time
+	logging         bool
 
 	connectionsGauge, memoryGauge *metrics.Gauge
 }
@@ -191,14 +193,22 @@
 func (g *Guard) countLocked(now time.Time, count *int, metric, reason string) {
 	*count++
 	metrics.GetOrCreateCounter(metric + `{reason="` + reason + `"}`).Inc()
-	if now.Sub(g.loggedAt) < logInterval {
+	if g.logging || now.Sub(g.loggedAt) < logInterval {
 		return
 	}
-	g.log.Warn("clients exceed the limits", "reason", reason, "connections", len(g.conns), "held_bytes", g.held,
-		"closed", g.closed, "refused", g.refused)
+	g.logging = true
+	// A log that is not read must not stop all clients.
+	go g.logSums("reason", reason, "connections", len(g.conns), "held_bytes", g.held, "closed", g.closed, "refused", g.refused)
 	g.closed, g.refused, g.loggedAt = 0, 0, now
 }
 
+func (g *Guard) logSums(attrs ...any) {
+	g.log.Warn("clients exceed the limits", attrs...)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.logging = false
+}
+
 // CloseIncomplete closes every connection whose client has not sent a whole request, for a process
 // that stops. Requests that have arrived whole are answered.
 func (g *Guard) CloseIncomplete() {
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -56,18 +56,28 @@
 // must be one of the guard's, with or without TLS.
 func (g *Guard) Protect(server *http.Server) {
 	server.ConnContext = func(ctx context.Context, raw net.Conn) context.Context {
-		if encrypted, ok := raw.(*tls.Conn); ok {
-			raw = encrypted.NetConn()
+		if c := connOf(raw); c != nil {
+			return context.WithValue(ctx, connKey{}, c)
 		}
-		c, ok := raw.(*conn)
-		if !ok {
-			return ctx
+		return ctx
+	}
+	server.ConnState = func(raw net.Conn, state http.ConnState) {
+		if c := connOf(raw); c != nil && state == http.StateIdle {
+			c.awaitRequest()
 		}
-		return context.WithValue(ctx, connKey{}, c)
 	}
 	server.Handler = protect(server.Handler)
 }
 
+// connOf returns the guarded connection of a server's one, nil for none.
+func connOf(raw net.Conn) *conn {
+	if encrypted, ok := raw.(*tls.Conn); ok {
+		raw = encrypted.NetConn()
+	}
+	c, _ := raw.(*conn)
+	return c
+}
+
 // protect counts each request of next against its connection's guard, and gives it a body that
 // ReadBody reads.
 func protect(next http.Handler) http.Handler {
@@ -137,14 +147,19 @@
 	c.requests++
 }
 
-// endRequest releases what the request held.
+// endRequest releases what the request held. Its answer may not have been written yet.
 func (c *conn) endRequest() {
 	g := c.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.givenUp {
-		return // released before
+	if !c.givenUp { // released before otherwise
+		g.releaseLocked(c, c.held-connectionCost)
 	}
-	g.releaseLocked(c, c.held-connectionCost)
+}
+
+// awaitRequest begins the wait for the next request, after the answer to the last one.
+func (c *conn) awaitRequest() {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
 	c.phase, c.progressAt, c.sinceProgress = phaseHeader, time.Now(), 0
 }
