entry: answers that wait for their reader count against the memory of clients

What callers saw: an entry whose clients do not read large answers exceeded its memory.

Cause: an answer of up to 256 KiB is read whole from its endpoint before its first byte is sent, and waits in that buffer for as long as its client does not read; nothing counted it. Beside it, the collector of an entry was told to use all of the memory, so that garbage and the kernel's buffers came on top.

An answer for which there is no room is streamed, as one that is too large is. Entries and control processes leave three tenths of their memory to what the collector does not see, as nodes do.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,7 +48,7 @@
 // clients together. self describes the process; New sets its BootID and the
 // fields that come from the settings.
 func New(s settings.Common, clients intake.Settings, self membership.Member) (*Daemon, error) {
-	debug.SetMemoryLimit(s.Memory)
+	debug.SetMemoryLimit(intake.CollectorLimit(s.Memory))
 	self.ID, self.Zone, self.Instance = s.Process.ID, s.Process.Zone, s.Process.Instance
 	self.BootID = fleetlog.NewID().String()
 	self.PeerAddr, self.OperatorAddr = s.Peer.Advertise.String(), s.OperatorListen.String()
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cyclamenwheel/internal/dispatch/pick"
+	"cyclamenwheel/internal/intake"
 )
 
 // response is an endpoint's response to one attempt. If the body does not fit
@@ -76,8 +78,8 @@
 
 // attempt sends the request once and reads the response, or its buffered
 // beginning. It releases the slot unless the response has a stream.
-func (h *Handler) attempt(c *call, s *slot) (*response, error) {
-	res, err := h.send(c, s)
+func (h *Handler) attempt(ctx context.Context, c *call, s *slot) (*response, error) {
+	res, err := h.send(ctx, c, s)
 	latency := h.opts.Now().Sub(s.start)
 	if err != nil {
 		result := resultOfError(err)
@@ -115,7 +117,7 @@
 	return pick.ResultOK
 }
 
-func (h *Handler) send(c *call, s *slot) (*response, error) {
+func (h *Handler) send(ctx context.Context, c *call, s *slot) (*response, error) {
 	e := s.endpoint
 	cn, err := h.conns.get(s.gate.pool, e, c.deadline)
 	if err != nil {
@@ -129,7 +131,7 @@
 		cn.close()
 		return nil, err
 	}
-	return h.readResponse(s, cn, resp)
+	return h.readResponse(ctx, s, cn, resp)
 }
 
 // verifyResponse rejects responses that may be incomplete or belong to another
@@ -165,8 +167,15 @@
 
 // readResponse reads the response up to the buffer size. The connection is kept
 // for reuse only once the response has been read to its end.
-func (h *Handler) readResponse(s *slot, cn *conn, resp *http.Response) (*response, error) {
+//
+// Load: many callers do not read large responses, whose buffers exceed the
+// entry's memory. A response for which it has no room is streamed.
+func (h *Handler) readResponse(ctx context.Context, s *slot, cn *conn, resp *http.Response) (*response, error) {
 	res := &response{status: resp.StatusCode, header: resp.Header}
+	if _, err := intake.Hold(ctx, bufferNeeded(resp, h.opts.Buffer)); err != nil {
+		res.stream = &responseStream{resp: resp, conn: cn}
+		return res, nil
+	}
 	body, err := readBuffered(resp, h.opts.Buffer)
 	if err != nil {
 		cn.close()
@@ -181,6 +190,18 @@
 	return res, nil
 }
 
+// bufferNeeded returns how much of a response is buffered, in bytes; limit if
+// its length is not known. It is held until the caller has been answered.
+func bufferNeeded(resp *http.Response, limit int64) int64 {
+	switch {
+	case resp.Body == http.NoBody:
+		return 0
+	case resp.ContentLength >= 0 && resp.ContentLength <= limit:
+		return resp.ContentLength
+	}
+	return limit
+}
+
 // readBuffered reads at most one byte more than limit.
 func readBuffered(resp *http.Response, limit int64) ([]byte, error) {
 	if resp.Body == http.NoBody { // includes HEAD, whose Content-Length describes no body
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -76,7 +76,7 @@
 		if s == nil {
 			return nil, c.admissionRefusal(ctx, g, refused)
 		}
-		res, err := h.attempt(c, s)
+		res, err := h.attempt(ctx, c, s)
 		if err == nil {
 			return res, nil
 		}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -49,9 +49,6 @@
 	// ownershipProofAge lets running tasks continue through an outage of the
 	// store for as long as a successor waits for them.
 	ownershipProofAge = 5 * time.Second
-	// memoryLimitShare is the share of the configured memory that becomes the
-	// garbage collector's memory limit; the rest is for network buffers.
-	memoryLimitShare = 0.7
 	// balancerDetectTime is how long the balancer takes to detect that a node
 	// is not ready: it checks every second and acts on the second failed check.
 	balancerDetectTime = 2500 * time.Millisecond
@@ -122,7 +119,7 @@
 	if set.Orders != "rpc" {
 		return &UnsupportedError{What: "orders = " + set.Orders}
 	}
-	debug.SetMemoryLimit(int64(float64(set.Memory) * memoryLimitShare))
+	debug.SetMemoryLimit(intake.CollectorLimit(set.Memory))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	n := &Node{set: set, log: log, client: platform.NewClient(set.Store, set.Instances, set.Advice),
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -57,6 +57,13 @@
 	return int(limit.Cur)
 }
 
+// collectorShare is the share of a process's memory that becomes the garbage collector's limit; the rest
+// is for the kernel's buffers and the program itself.
+const collectorShare = 0.7
+
+// CollectorLimit returns the garbage collector's limit for a process's memory, both in bytes.
+func CollectorLimit(processMemory int64) int64 { return int64(float64(processMemory) * collectorShare) }
+
 // MaxBody returns the size of the largest body that the memory of clients takes, in bytes.
 func (s Settings) MaxBody() int64 { return s.Limits().maxBody() }
 
--- a/internal/settings/daemons.go
+++ b/internal/settings/daemons.go
@@ -54,7 +54,7 @@
 	Peer           Peer
 	OperatorListen netip.AddrPort
 	Timing         Timing
-	// Memory is the soft memory limit in bytes.
+	// Memory is that of the process, in bytes.
 	Memory           int64
 	AppendsPerSecond int
 }
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -158,7 +158,7 @@
 	return []Key{
 		{Section: sectionLimits, Name: "memory", Kind: KindBytes, Default: "512MiB", Unit: "MiB, GiB",
 			Min: minMemory, Max: maxMemory,
-			Doc: "Soft memory limit of the process; garbage collection runs more often near it."},
+			Doc: "Memory of the process; garbage collection runs more often near seven tenths of it."},
 		{Section: sectionLimits, Name: "appends_per_second", Kind: KindInt, Default: "250", Unit: "1/s",
 			Min: 1, Max: 1000,
 			Doc: "Maximum rate of log appends for idempotency keys, over all entries together; set the same value in each entry."},
