--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -99,9 +99,10 @@
 	if !ok {
 		return readUnguarded(r, limit)
 	}
-	var data []byte
-	data, b.err = b.read(min(limit, b.conn.guard.MaxBody()), b.latest(deadline))
-	return data, b.err
+	if !b.ended && b.err == nil {
+		_, b.err = b.read(min(limit, b.conn.guard.MaxBody()), b.latest(deadline))
+	}
+	return b.data, b.err
 }
 
 // readUnguarded reads a body outside a guarded server, as in tests of handlers.
