--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -108,7 +108,7 @@
 		return nil
 	}
 	g.conns[c] = struct{}{}
-	g.updateGaugesLocked()
+	g.connectionsGauge.Set(float64(len(g.conns)))
 	return c
 }
 
@@ -118,12 +118,7 @@
 	defer g.mu.Unlock()
 	delete(g.conns, c)
 	g.releaseLocked(c, c.held)
-	g.updateGaugesLocked()
-}
-
-func (g *Guard) updateGaugesLocked() {
 	g.connectionsGauge.Set(float64(len(g.conns)))
-	g.memoryGauge.Set(float64(g.held))
 }
 
 // charge charges n bytes to a connection. It returns false if the budget has no room for them, even
@@ -148,8 +143,7 @@
 			return false
 		}
 	}
-	g.held += n
-	c.held += n
+	g.addLocked(c, n)
 	return true
 }
 
@@ -162,9 +156,12 @@
 	}
 }
 
-func (g *Guard) releaseLocked(c *conn, n int64) {
-	c.held -= n
-	g.held -= n
+func (g *Guard) releaseLocked(c *conn, n int64) { g.addLocked(c, -n) }
+
+func (g *Guard) addLocked(c *conn, n int64) {
+	c.held += n
+	g.held += n
+	g.memoryGauge.Set(float64(g.held))
 }
 
 // closeOneLocked closes the connection that costs others most, other than c. It returns false if
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	// memoryShare is the part of a process's memory that clients may hold, and descriptorShare that of
-	// its descriptors. The rest is for the store, endpoints, other nodes and files.
+	// memoryShare is the inverse of the part of a process's memory that clients may hold by default, and
+	// descriptorShare that of its descriptors. The rest is for the store, endpoints, other nodes and files.
 	memoryShare     = 4
 	descriptorShare = 2
-	// bodyParts is how many times the size of its largest body a request may need: for a buffer that
-	// grows, and for what the body decodes into.
+	// bodyParts is how many times the size of its largest body a request may need: for the blocks in
+	// which it arrives, the whole body, and what that decodes into.
 	bodyParts = 4
 )
 
