--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -127,9 +127,6 @@
 
 func (e *MalformedError) Error() string { return e.Field + ": " + e.Detail }
 
-// StepCountError returns the error of a job with no steps or too many.
-func StepCountError() *MalformedError { return &MalformedError{"steps", "must be 1 to 256"} }
-
 // Check returns the first error in a job as a *MalformedError, or nil.
 func (j *Job) Check() error {
 	switch {
@@ -138,7 +135,7 @@
 	case len(j.Spec) > MaxSpecBytes:
 		return &MalformedError{"spec", "is longer than 4000 bytes"}
 	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
-		return StepCountError()
+		return &MalformedError{"steps", "must be 1 to 256"}
 	case j.Occurrences < 0 || j.Occurrences > MaxOccurrences:
 		return &MalformedError{"times", "must be 0 to 100000"}
 	case j.Occurrences > 0 && (j.StartAtMs < 0 || j.IntervalMs < 0):
