--- a/internal/settings/clients_test.go
+++ b/internal/settings/clients_test.go
@@ -1,6 +1,8 @@
 package settings_test
 
 import (
+	"strings"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -34,4 +36,14 @@
 		Entry("memory without a unit", "memory = 100"),
 		Entry("no time for a body", "body_timeout = 0s"),
 		Entry("an answer that may wait for an hour", "answer_timeout = 1h"))
+
+	It("stand once in the reference, as each section does", func() {
+		for _, table := range []settings.Table{settings.EntryTable(), settings.ControlTable(), settings.NodeTable()} {
+			var b strings.Builder
+			Expect(table.Reference(&b)).To(Succeed())
+			for _, section := range []string{"limits", "clients", "callers"} {
+				Expect(strings.Count(b.String(), "\n["+section+"]\n")).To(BeNumerically("<=", 1), table.Daemon)
+			}
+		}
+	})
 })
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -90,9 +90,12 @@
 	}
 }
 
-// clientKeys are the limits of clients of any HTTP server of a process.
+// clientKeys are the limits of clients of any HTTP server of a process. They follow the other keys of
+// [limits].
 func clientKeys() []Key {
 	return []Key{
+		{Section: sectionLimits, Name: "descriptors", Kind: KindInt, Default: "0", Unit: "descriptors", Max: 1 << 20,
+			Doc: "Files and sockets that the process may have open; 0 for the limit that it is started with."},
 		{Section: sectionClients, Name: "connections", Kind: KindInt, Default: "0", Unit: "connections", Max: math.MaxUint16,
 			Doc: "Maximum number of open connections of clients; 0 for as many as their memory holds, and at most half of the descriptors."},
 		{Section: sectionClients, Name: "memory", Kind: KindBytes, Default: "0B", Unit: "KiB, MiB, GiB", Max: maxMemory,
@@ -103,8 +106,6 @@
 		{Section: sectionClients, Name: "answer_timeout", Kind: KindDuration, Default: "10s", Unit: "ms, s",
 			Min: int64(100 * time.Millisecond), Max: int64(10 * time.Minute),
 			Doc: "Maximum time for which an answer waits for its client to read on."},
-		{Section: sectionLimits, Name: "descriptors", Kind: KindInt, Default: "0", Unit: "descriptors", Max: 1 << 20,
-			Doc: "Files and sockets that the process may have open; 0 for the limit that it is started with."},
 	}
 }
 
