Read once more: one place for the limits of clients, a batch split once, a body read once

The limits of clients are common to entry and control process and stand with their common settings, so that daemon.New takes one argument less. A batch is split into its calls where it is numbered, not again where it is appended; the memory of a submitted job is measured once; the number of its tasks is counted by jobs.Job.Tasks alone. Reading a body returns no copy of what the body holds, and the check that it is read once stands in one place; a limit of 0 sets none, so that the caller needs no largest number. The stand-in asks Ended whether a node has ended. The specs share what a member does that stops short of its body.

No behaviour changes; bounds, crowds and assertions are as they were.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -35,7 +35,7 @@
 	}
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	d, err := New(s.Common, s.Clients, membership.Member{Role: membership.RoleControl})
+	d, err := New(s.Common, membership.Member{Role: membership.RoleControl})
 	if err != nil {
 		os.Stderr.WriteString(err.Error() + "\n")
 		return exitFailure
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,10 +44,9 @@
 // the log, a long poll of the instance list, and a few concurrent calls.
 const maxPlatformConnections = 8
 
-// New creates a daemon without listening yet. clients are the limits of all
-// clients together. self describes the process; New sets its BootID and the
-// fields that come from the settings.
-func New(s settings.Common, clients intake.Settings, self membership.Member) (*Daemon, error) {
+// New creates a daemon without listening yet. self describes the process; New
+// sets its BootID and the fields that come from the settings.
+func New(s settings.Common, self membership.Member) (*Daemon, error) {
 	debug.SetMemoryLimit(intake.CollectorLimit(s.Memory))
 	self.ID, self.Zone, self.Instance = s.Process.ID, s.Process.Zone, s.Process.Instance
 	self.BootID = fleetlog.NewID().String()
@@ -78,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{Log: log, Peers: peers, Clients: intake.NewGuard(clients.Limits(), log), http: &http.Transport{MaxConnsPerHost: maxPlatformConnections}}
+	d := &Daemon{Log: log, Peers: peers, Clients: intake.NewGuard(s.Clients.Limits(), log), http: &http.Transport{MaxConnsPerHost: maxPlatformConnections}}
 	d.Platform = platform.NewClient(s.PlatformURL.String(), &http.Client{Transport: d.http})
 	d.Node = node.New(node.Options{
 		Self: self, Platform: d.Platform, Peers: peers, Seeds: seedAddrs(s.Peer.Seeds),
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -37,7 +37,7 @@
 	}
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	d, err := New(s.Common, s.Callers.Clients, membership.Member{
+	d, err := New(s.Common, membership.Member{
 		Role: membership.RoleEntry, CallerAddr: s.Callers.Listen.String(),
 	})
 	if err != nil {
--- a/internal/executor/journal.go
+++ b/internal/executor/journal.go
@@ -301,7 +301,8 @@
 		return
 	}
 	j.inOpen = true
-	c.measureJob(j)
+	j.measureMemory()
+	c.chargeJob(j)
 	j.offeredAt = now - c.timeSinceSubmission(j)
 	j.firstOpen, j.nextOccurrence, j.runConfirmed = p.FirstOpen, p.FirstOpen, p.RunConfirmed
 	highest := p.FirstOpen - 1
--- a/internal/executor/memory.go
+++ b/internal/executor/memory.go
@@ -71,20 +71,13 @@
 	return n
 }
 
-func occurrenceMemory(j *jobs.Job) (n int64) {
-	for i := range j.Steps {
-		n += stepMemory + taskMemory*int64(j.Steps[i].Count)
-	}
-	return n
+func occurrenceMemory(j *jobs.Job) int64 {
+	return int64(stepMemory*len(j.Steps) + taskMemory*j.Tasks())
 }
 
-// newJobMemory returns the memory of a job that is accepted, with one occurrence.
-func newJobMemory(j *jobs.Job) int64 { return specMemory(j) + occurrenceMemory(j) }
-
-// measureJob charges a job that has become known to this owner.
-func (c *Core) measureJob(j *job) {
+// measureMemory sets the parts of what the job takes.
+func (j *job) measureMemory() {
 	j.specMemory, j.occurrenceMemory = specMemory(&j.rec.Job), occurrenceMemory(&j.rec.Job)
-	c.chargeJob(j)
 }
 
 // chargeJob charges what a job takes now. An open job is always charged one occurrence, as the next one
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -78,10 +78,11 @@
 		c.replies = append(c.replies, Reply{token})
 		return VerdictAccepted, Refusal{}
 	}
-	if n := newJobMemory(&in); !c.limits.Memory.admits(n) {
+	j := &job{firstSeen: now, rec: jobRecord{Job: in, Queue: accepting.Queue, Terms: accepting.Terms, Account: accepting.Account, AcceptedMs: c.wallMs}}
+	j.measureMemory()
+	if !c.limits.Memory.admits(j.specMemory + j.occurrenceMemory) {
 		return VerdictRefused, c.refuseForMemory(in.ID, accepting)
 	}
-	j := &job{firstSeen: now, rec: jobRecord{Job: in, Queue: accepting.Queue, Terms: accepting.Terms, Account: accepting.Account, AcceptedMs: c.wallMs}}
 	decision := c.decideAdmission(now, j)
 	firstOffered := c.recordOffer(now, j, decision.refused())
 	c.countAdmission(now, j, decision, firstOffered == now)
@@ -99,7 +100,7 @@
 	c.jobs[in.ID] = j
 	c.open = append(c.open, j)
 	j.inOpen = true
-	c.measureJob(j)
+	c.chargeJob(j)
 	c.markDirty(j)
 	c.replies = append(c.replies, Reply{token})
 	c.event(Event{Kind: EventAccepted, Job: in.ID, Reason: accepting.Queue})
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -41,8 +42,8 @@
 // beforeAnswer makes the connection close with the answer if the body has not been read to its end: a
 // client that stops short of it could otherwise delay the answer and keep the connection open.
 func (b *body) beforeAnswer() {
-	if !b.ended && b.err == nil && !b.awaitsContinue && b.length >= 0 && b.length <= smallBody {
-		_, b.err = b.read(smallBody, time.Now().Add(arrivedTime))
+	if !b.awaitsContinue && b.length >= 0 && b.length <= smallBody {
+		_ = b.readOnce(smallBody, time.Now().Add(arrivedTime)) // what is left decides below
 	}
 	if b.ended {
 		return
@@ -61,11 +62,8 @@
 
 // Read reads the body for handlers that do not call ReadBody.
 func (b *body) Read(p []byte) (int, error) {
-	if !b.ended && b.err == nil {
-		_, b.err = b.read(b.conn.guard.MaxBody(), b.latest(time.Time{}))
-	}
-	if b.err != nil {
-		return 0, b.err
+	if err := b.readOnce(b.conn.guard.MaxBody(), b.latest(time.Time{})); err != nil {
+		return 0, err
 	}
 	if len(b.data) == 0 {
 		return 0, io.EOF
@@ -87,40 +85,48 @@
 	return latest
 }
 
-// ReadBody returns the whole body of a request, at most limit bytes, which must arrive by the
-// deadline. The memory counts against the guard of the connection until the request has been
+// ReadBody returns the whole body of a request, at most limit bytes (0 for what the guard allows), which
+// must arrive by the deadline (zero for what the guard allows). The memory counts against the guard of the connection until the request has been
 // answered. It fails with *TooLargeError, *NoMemoryError, *GivenUpError, *SlowError or *BrokenError;
 // after any of them the connection closes with the answer.
 func ReadBody(r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
 	if r.ContentLength == 0 || r.Body == nil {
 		return nil, nil
 	}
+	if limit <= 0 {
+		limit = math.MaxInt64
+	}
 	b, ok := r.Body.(*body)
 	if !ok {
 		return readUnguarded(r, limit)
 	}
-	if !b.ended && b.err == nil {
-		_, b.err = b.read(min(limit, b.conn.guard.MaxBody()), b.latest(deadline))
-	}
-	return b.data, b.err
+	err := b.readOnce(min(limit, b.conn.guard.MaxBody()), b.latest(deadline))
+	return b.data, err
 }
 
 // readUnguarded reads a body outside a guarded server, as in tests of handlers.
 func readUnguarded(r *http.Request, limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	data, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
 	switch {
+	case errors.HasType(err, (*http.MaxBytesError)(nil)):
+		return nil, &TooLargeError{Limit: limit}
 	case err != nil:
 		return nil, &BrokenError{Cause: err}
-	case int64(len(data)) > limit:
-		return nil, &TooLargeError{Limit: limit}
 	}
 	return data, nil
 }
 
-// read reads the body to its end.
-func (b *body) read(limit int64, deadline time.Time) ([]byte, error) {
+// readOnce reads the body to its end, unless it has been read or has failed before.
+func (b *body) readOnce(limit int64, deadline time.Time) error {
+	if !b.ended && b.err == nil {
+		b.err = b.read(limit, deadline)
+	}
+	return b.err
+}
+
+func (b *body) read(limit int64, deadline time.Time) error {
 	if b.length > limit {
-		return nil, &TooLargeError{Limit: limit}
+		return &TooLargeError{Limit: limit}
 	}
 	begun := time.Now()
 	_ = b.control.SetReadDeadline(deadline) // fails only if the connection is closed
@@ -133,18 +139,18 @@
 	b.freeBlocks()
 	if err == nil {
 		b.finish(deadline)
-		return b.data, nil
+		return nil
 	}
 	var timeout interface{ Timeout() bool }
 	switch {
 	case givenUp:
-		return nil, &GivenUpError{}
+		return &GivenUpError{}
 	case errors.HasType(err, (*TooLargeError)(nil)), errors.HasType(err, (*NoMemoryError)(nil)):
-		return nil, err
+		return err
 	case errors.As(err, &timeout) && timeout.Timeout():
-		return nil, &SlowError{Received: b.received, Waited: time.Since(begun)}
+		return &SlowError{Received: b.received, Waited: time.Since(begun)}
 	}
-	return nil, &BrokenError{Cause: err}
+	return &BrokenError{Cause: err}
 }
 
 // finish lifts the read deadline. The server watches for the end of the connection from the end of the
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -141,14 +141,12 @@
 	case j.Occurrences > 0 && (j.StartAtMs < 0 || j.IntervalMs < 0):
 		return &MalformedError{"startAtMs", "times must not be negative"}
 	}
-	tasks := 0
 	for i := range j.Steps {
 		if err := j.Steps[i].check(i); err != nil {
 			return err
 		}
-		tasks += j.Steps[i].Count
 	}
-	if tasks > MaxTasks {
+	if j.Tasks() > MaxTasks {
 		return &MalformedError{"steps", "have more than 3000 tasks"}
 	}
 	if size := j.RecordBytes(); size > MaxRecordBytes {
--- a/internal/settings/clients_test.go
+++ b/internal/settings/clients_test.go
@@ -13,12 +13,12 @@
 	It("follow the memory of the process unless they are set", func() {
 		s, err := settings.LoadEntry(writeSettings(validEntrySettings + "[limits]\nmemory = 256MiB\ndescriptors = 500\n"))
 		Expect(err).NotTo(HaveOccurred())
-		Expect(s.Callers.Clients.Limits().Memory).To(BeEquivalentTo(64 << 20))
-		Expect(s.Callers.Clients.Limits().Connections).To(Equal(250))
+		Expect(s.Clients.Limits().Memory).To(BeEquivalentTo(64 << 20))
+		Expect(s.Clients.Limits().Connections).To(Equal(250))
 		s, err = settings.LoadEntry(writeSettings(validEntrySettings + "[clients]\nmemory = 32MiB\nconnections = 40\n"))
 		Expect(err).NotTo(HaveOccurred())
-		Expect(s.Callers.Clients.Limits().Memory).To(BeEquivalentTo(32 << 20))
-		Expect(s.Callers.Clients.Limits().Connections).To(Equal(40))
+		Expect(s.Clients.Limits().Memory).To(BeEquivalentTo(32 << 20))
+		Expect(s.Clients.Limits().Connections).To(Equal(40))
 	})
 
 	// Guards against an entry that refuses every large body for want of memory, although its settings allow
--- a/internal/settings/daemons.go
+++ b/internal/settings/daemons.go
@@ -32,8 +32,6 @@
 	Listen netip.AddrPort
 	// MaxBody is the largest accepted request body in bytes.
 	MaxBody int64
-	// Clients are the limits of all clients together.
-	Clients intake.Settings
 }
 
 // Timing holds intervals and timeouts.
@@ -57,6 +55,8 @@
 	// Memory is that of the process, in bytes.
 	Memory           int64
 	AppendsPerSecond int
+	// Clients are the limits of all clients together.
+	Clients intake.Settings
 }
 
 // EntrySettings are the settings of cyclamen-entry.
@@ -70,8 +70,6 @@
 type ControlSettings struct {
 	Common
 	FenceAfter time.Duration
-	// Clients are the limits of all clients together.
-	Clients intake.Settings
 }
 
 // LoadEntry reads and checks the settings file of cyclamen-entry.
@@ -85,7 +83,6 @@
 		Callers: Callers{
 			Listen:  v.Addr(sectionCallers, "listen"),
 			MaxBody: v.Bytes(sectionCallers, "max_body"),
-			Clients: clientSettings(v),
 		},
 		QueuePerService: v.Int(sectionLimits, "queue_per_service"),
 	}, nil
@@ -100,7 +97,6 @@
 	return ControlSettings{
 		Common:     commonSettings(v),
 		FenceAfter: v.Duration(sectionTiming, "fence_after"),
-		Clients:    clientSettings(v),
 	}, nil
 }
 
@@ -125,6 +121,7 @@
 		Timing:           timingSettings(v),
 		Memory:           v.Bytes(sectionLimits, "memory"),
 		AppendsPerSecond: v.Int(sectionLimits, "appends_per_second"),
+		Clients:          clientSettings(v),
 	}
 }
 
--- a/internal/shards/append.go
+++ b/internal/shards/append.go
@@ -68,9 +68,8 @@
 	b := &batch{ready: ready, sentAt: now, onProven: r.onProven}
 	r.onProven, r.lastFlush = nil, now
 	r.batches = append(r.batches, b)
-	records := fleetops.StoreRecords(ready.Records)
-	number := r.tenure.Number(records)
-	go func() { r.appendOutcomes <- appendOutcome{b, r.tenure.AppendNumbered(r.appendCtx, number, records)} }()
+	numbered := r.tenure.Number(fleetops.StoreRecords(ready.Records))
+	go func() { r.appendOutcomes <- appendOutcome{b, r.tenure.AppendNumbered(r.appendCtx, numbered)} }()
 }
 
 // handleAppend marks a batch as stored and applies all batches up to the first one that is
--- a/internal/standin/trial/cluster.go
+++ b/internal/standin/trial/cluster.go
@@ -213,9 +213,7 @@
 func (c *Cluster) Close() {
 	defer c.net.Release()
 	for _, n := range c.nodes {
-		select {
-		case <-n.done:
-		default:
+		if !n.Ended() {
 			_ = n.cmd.Process.Kill() // the process may have ended meanwhile
 			<-n.done
 		}
--- a/internal/tenure/calls_test.go
+++ b/internal/tenure/calls_test.go
@@ -59,9 +59,9 @@
 			records = append(records, platform.Record{Key: fmt.Sprintf("%d-%d", batch, i), Value: []byte(strings.Repeat("v", 180<<10))})
 			want = append(want, records[i].Key)
 		}
-		number := held.Number(records)
+		numbered := held.Number(records)
 		wg.Go(func() {
-			if err := held.AppendNumbered(t.Context(), number, records); err != nil {
+			if err := held.AppendNumbered(t.Context(), numbered); err != nil {
 				t.Error(err)
 			}
 		})
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -277,14 +277,20 @@
 	return planlease.Boottime() - time.Duration(t.provenAt.Load())
 }
 
-// Number assigns a batch the sequence numbers of its calls, of which it returns the first. A batch
-// without records only proves the epoch and does not use up a number.
-func (t *Tenure) Number(records []platform.Record) int64 {
-	number := t.nextSeq
+// Numbered is a batch with the sequence numbers of the calls that append it.
+type Numbered struct {
+	first int64
+	calls [][]platform.Record
+}
+
+// Number assigns a batch the sequence numbers of its calls. A batch without records only proves the epoch
+// and does not use up a number.
+func (t *Tenure) Number(records []platform.Record) Numbered {
+	b := Numbered{first: t.nextSeq, calls: splitByCalls(records)}
 	if len(records) > 0 {
-		t.nextSeq += int64(len(splitByCalls(records)))
+		t.nextSeq += int64(len(b.calls))
 	}
-	return number
+	return b
 }
 
 // maxCallBytes is the size of the records from which a batch is appended by another call, in bytes: the
@@ -308,16 +314,16 @@
 
 // Append numbers and appends a batch; see AppendNumbered.
 func (t *Tenure) Append(ctx context.Context, records []platform.Record) error {
-	return t.AppendNumbered(ctx, t.Number(records), records)
+	return t.AppendNumbered(ctx, t.Number(records))
 }
 
 // AppendNumbered appends a batch, and retries until the store has given a final answer: the
 // numbers let the store recognise what it has already stored. An empty batch only proves the
 // epoch. An error means that the tenure has ended, or that ctx has ended; the beginning of a
 // batch that takes several calls may then be stored.
-func (t *Tenure) AppendNumbered(ctx context.Context, number int64, records []platform.Record) error {
-	for i, call := range splitByCalls(records) {
-		if err := t.appendCall(ctx, number+int64(i), call); err != nil {
+func (t *Tenure) AppendNumbered(ctx context.Context, b Numbered) error {
+	for i, call := range b.calls {
+		if err := t.appendCall(ctx, b.first+int64(i), call); err != nil {
 			return err
 		}
 	}
--- a/test/misbehaving/node_test.go
+++ b/test/misbehaving/node_test.go
@@ -17,11 +17,7 @@
 var _ = Describe("a node", func() {
 	// Guards against large bodies of legal size that stop short of their end and exceed the memory.
 	It("outlives bodies that stop just short of their end", func() {
-		body := []byte(padded(maxBody))
-		start(1, trial.Options{}).outlives(bodies, func(m *member) {
-			m.post(m.path(), length(maxBody))
-			m.writeBytes(body[:maxBody-1])
-		})
+		start(1, trial.Options{}).outlives(bodies, stopShortOf([]byte(padded(maxBody))))
 	})
 
 	// Guards against the same bodies in small pieces, each of which looks like progress.
@@ -134,11 +130,7 @@
 		DeferCleanup(platform.Close)
 		t := startOn(platform, 1, trial.Options{})
 		Eventually(func() int { return t.submitSmall() }, conditionTimeout).Should(Equal(http.StatusServiceUnavailable))
-		body := bytes.Repeat([]byte("b"), maxBody-1)
-		gather(connections, t.Nodes()[0].Front, func(m *member) {
-			m.post(m.path(), length(maxBody))
-			m.writeBytes(body)
-		})
+		gather(connections, t.Nodes()[0].Front, stopShortOf(bytes.Repeat([]byte("b"), maxBody)))
 		Expect(platform.Publish(1, host, pool)).To(Succeed())
 		t.expectOrdinaryAnswers()
 		t.expectWithinLimits(unlimited)
@@ -146,11 +138,7 @@
 
 	// Guards against crowds at all nodes at once, the owner of the pool among them.
 	It("outlives crowds at all nodes at once", func() {
-		body := []byte(padded(maxBody))
-		start(3, trial.Options{}).outlives(bodies, func(m *member) {
-			m.post(m.path(), length(maxBody))
-			m.writeBytes(body[:maxBody-1])
-		})
+		start(3, trial.Options{}).outlives(bodies, stopShortOf([]byte(padded(maxBody))))
 	})
 
 	// Guards against an owner that holds the large jobs which all nodes send it at the same time.
@@ -196,6 +184,14 @@
 		}))
 })
 
+// stopShortOf returns what a member does that sends a body but for its last byte.
+func stopShortOf(body []byte) func(*member) {
+	return func(m *member) {
+		m.post(m.path(), length(len(body)))
+		m.writeBytes(body[:len(body)-1])
+	}
+}
+
 // whole returns a body that repeats a middle part and is just within the largest size.
 func whole(head, middle, tail string) string {
 	return head + strings.Repeat(middle, (maxBody-len(head)-len(tail))/len(middle)) + tail
